--- /dev/null
+++ b/cassiatally/action.go
@@ -0,0 +1,38 @@
+package cassiatally
+
+// Action is what a decision asks its owner to do.
+type Action interface{ action() }
+
+// Send passes a message to a node. The node may be the sender itself.
+type Send struct {
+	To      NodeID
+	Message Message
+}
+
+// Deliver hands an answer to whoever submitted the request on this node.
+type Deliver struct {
+	Call   CallID
+	Answer Answer
+}
+
+// StartRun has the backend server run a call.
+type StartRun struct{ Call Call }
+
+// AbortRun cancels a run at the backend server.
+type AbortRun struct{ Call CallID }
+
+// Submit has the router of this node route a request.
+type Submit struct{ Request Request }
+
+// Append writes a record to a stream of the log service.
+type Append struct {
+	Stream Stream
+	Record []byte
+}
+
+func (Send) action()     {}
+func (Deliver) action()  {}
+func (StartRun) action() {}
+func (AbortRun) action() {}
+func (Submit) action()   {}
+func (Append) action()   {}
--- /dev/null
+++ b/cassiatally/ids.go
@@ -0,0 +1,159 @@
+package cassiatally
+
+import (
+	"encoding/hex"
+	"fmt"
+	"strconv"
+	"strings"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/cockroachdb/errors"
+)
+
+type (
+	// NodeID names a node; it is unique among live nodes and survives restarts.
+	NodeID string
+	// Incarnation tells the runs of one node apart. A restart draws a new one.
+	Incarnation uint64
+	// DataCentre names a data centre.
+	DataCentre string
+	// Service names a service of the call graph.
+	Service string
+	// WorkKind names a kind of work that a service offers.
+	WorkKind string
+	// Tenant names the organisation on whose behalf a caller sends a request.
+	Tenant string
+	// Address is a host and port, the host given as an IP number.
+	Address string
+	// ShardID numbers a shard of idempotency keys within its data centre.
+	ShardID uint16
+	// Epoch counts the assignments of a shard. It only grows.
+	Epoch uint64
+	// Version counts the accepted sheets. It only grows.
+	Version uint64
+	// Offset is the place of a record in a stream of the log service.
+	Offset uint64
+	// Stream names a stream of the log service.
+	Stream string
+	// Key is an idempotency key as callers send it.
+	Key string
+	// Fingerprint identifies equal requests: service, kind of work and body.
+	Fingerprint uint64
+)
+
+// NodeRef names one incarnation of a node.
+type NodeRef struct {
+	Node        NodeID
+	Incarnation Incarnation
+}
+
+// IsZero reports whether the reference names no node.
+func (r NodeRef) IsZero() bool { return r == NodeRef{} }
+
+// String returns the reference in the form node/incarnation.
+func (r NodeRef) String() string {
+	return fmt.Sprintf("%s/%x", r.Node, uint64(r.Incarnation))
+}
+
+// CallID identifies a call from one node to another. It is unique across
+// incarnations, so a late answer to an earlier incarnation matches nothing.
+type CallID struct {
+	Origin Incarnation
+	Seq    uint64
+}
+
+// String returns the id in the form origin-sequence, both in hexadecimal.
+func (id CallID) String() string {
+	return fmt.Sprintf("%x-%x", uint64(id.Origin), id.Seq)
+}
+
+// ParseCallID reads the form that String returns.
+func ParseCallID(s string) (CallID, error) {
+	origin, seq, ok := strings.Cut(s, "-")
+	o, errOrigin := strconv.ParseUint(origin, 16, 64)
+	n, errSeq := strconv.ParseUint(seq, 16, 64)
+	if !ok || errOrigin != nil || errSeq != nil {
+		return CallID{}, errors.Newf("call id %q is not of the form origin-sequence in hexadecimal", s)
+	}
+	return CallID{Origin: Incarnation(o), Seq: n}, nil
+}
+
+// RootID identifies a caller's request across its whole call chain.
+type RootID [16]byte
+
+// String returns the id in hexadecimal.
+func (id RootID) String() string { return hex.EncodeToString(id[:]) }
+
+// Order returns the stable order value of a root request. Equal roots have
+// equal values at every service, so that all of them shed the same call trees.
+func (id RootID) Order() Order {
+	const mantissaBits = 53
+	return Order(float64(xxhash.Sum64(id[:])>>(64-mantissaBits)) / (1 << mantissaBits))
+}
+
+// RootOfKey returns the root id of a request with an idempotency key. A re-send
+// of the key keeps its order value and its retry budget.
+func RootOfKey(k Key) RootID {
+	const seed = "cassiatally-root"
+	var id RootID
+	high, low := xxhash.Sum64String(string(k)), xxhash.Sum64String(seed+string(k))
+	for i := range 8 {
+		id[i] = byte(high >> (8 * i))
+		id[8+i] = byte(low >> (8 * i))
+	}
+	return id
+}
+
+// FingerprintOf returns the fingerprint of a request.
+func FingerprintOf(s Service, k WorkKind, body []byte) Fingerprint {
+	h := xxhash.New()
+	_, _ = h.WriteString(string(s) + "\x00" + string(k) + "\x00")
+	_, _ = h.Write(body)
+	return Fingerprint(h.Sum64())
+}
+
+// ShardRef names a shard of idempotency keys.
+type ShardRef struct {
+	DataCentre DataCentre
+	Shard      ShardID
+}
+
+// String returns the reference in the form data centre/shard.
+func (r ShardRef) String() string { return fmt.Sprintf("%s/%d", r.DataCentre, r.Shard) }
+
+// KeyParts are the fields of a minted idempotency key.
+type KeyParts struct {
+	Shard  ShardRef
+	Epoch  Epoch
+	Random uint64
+}
+
+// Key returns the key in the form data centre.shard.epoch.random.
+func (p KeyParts) Key() Key {
+	return Key(fmt.Sprintf("%s.%d.%d.%016x", p.Shard.DataCentre, p.Shard.Shard, p.Epoch, p.Random))
+}
+
+// ParseKey reads a minted key. Only the exact form that KeyParts.Key returns is
+// accepted, so that two spellings of one key cannot be claimed apart.
+func ParseKey(k Key) (KeyParts, error) {
+	fields := strings.Split(string(k), ".")
+	malformed := errors.Newf("key %q is not of the form data-centre.shard.epoch.random", k)
+	if len(fields) != 4 || fields[0] == "" {
+		return KeyParts{}, malformed
+	}
+	shard, errShard := strconv.ParseUint(fields[1], 10, 16)
+	epoch, errEpoch := strconv.ParseUint(fields[2], 10, 64)
+	random, errRandom := strconv.ParseUint(fields[3], 16, 64)
+	if errShard != nil || errEpoch != nil || errRandom != nil {
+		return KeyParts{}, malformed
+	}
+	p := KeyParts{
+		Shard:  ShardRef{DataCentre: DataCentre(fields[0]), Shard: ShardID(shard)},
+		Epoch:  Epoch(epoch),
+		Random: random,
+	}
+	if p.Key() != k {
+		return KeyParts{}, malformed
+	}
+	return p, nil
+}
--- /dev/null
+++ b/cassiatally/units.go
@@ -0,0 +1,46 @@
+package cassiatally
+
+import "time"
+
+// Instant is a reading of a monotonic clock, counted from an origin that only
+// its own process knows. Instants of different processes cannot be compared.
+type Instant time.Duration
+
+// Add returns the instant d later.
+func (t Instant) Add(d time.Duration) Instant { return t + Instant(d) }
+
+// Sub returns the time from u to t.
+func (t Instant) Sub(u Instant) time.Duration { return time.Duration(t - u) }
+
+// Before reports whether t is earlier than u.
+func (t Instant) Before(u Instant) bool { return t < u }
+
+// Reached reports whether t is u or later.
+func (t Instant) Reached(u Instant) bool { return t >= u }
+
+type (
+	// Rank orders kinds of work by urgency. Rank 0 is the most urgent.
+	Rank uint8
+	// Order is the stable value in [0, 1) that decides, within a rank, which
+	// root requests are served when capacity is short: the lowest first.
+	Order float64
+	// Level is the fraction of order values in [0, 1] that a service can serve.
+	Level float64
+	// Share is a fraction of capacity in [0, 1].
+	Share float64
+	// Concurrency counts requests that run at the same time.
+	Concurrency int
+	// RetryCount counts retries.
+	RetryCount uint8
+	// Depth counts the calls between a root request and a call in its chain.
+	Depth uint8
+)
+
+const (
+	// MaxRanks bounds the ranks of a sheet.
+	MaxRanks = 8
+	// MaxDepth bounds a call chain. The target size has chains of 17.
+	MaxDepth Depth = 32
+	// MaxBody bounds the body of a request or an answer, in bytes.
+	MaxBody = 1 << 20
+)
--- /dev/null
+++ b/operator/main.go
@@ -0,0 +1,12 @@
+// Command cassiatally is described in README.md.
+package main
+
+import (
+	"os"
+
+	"github.com/cassiatally/cassiatally/operator/command"
+)
+
+func main() {
+	os.Exit(int(command.Main(os.Args, os.Stdin, os.Stdout, os.Stderr)))
+}
