registrar: keep members and endpoints by gossip

Cause: nodes need a view of members and endpoints without a registry, at 132 nodes per data centre and below 16 KB/s. Beats with their loads in 3,300 bytes per message left half of 132 members suspected; larger messages without loads in three of four beats still left a tenth. Change: Registrar as a pure state machine with full entries, beats and queries; members that would soon be suspected are asked directly. Typed actions SendAddress, ReadLog, AppendSheet and AdoptSheet in the root. Removal takes 10 s after the last beat that relays still carry, hence up to 16 s after the death.

--- a/cassiatally/action.go
+++ b/cassiatally/action.go
@@ -9,6 +9,13 @@
 	Message Message
 }
 
+// SendAddress passes a message to whichever node listens at an address. It
+// reaches seeds and members whose node id the sender does not know.
+type SendAddress struct {
+	To      Address
+	Message Message
+}
+
 // Deliver hands an answer to whoever submitted the request on this node.
 type Deliver struct {
 	Call   CallID
@@ -30,9 +37,25 @@
 	Record []byte
 }
 
-func (Send) action()     {}
-func (Deliver) action()  {}
-func (StartRun) action() {}
-func (AbortRun) action() {}
-func (Submit) action()   {}
-func (Append) action()   {}
+// ReadLog reads records of a stream from an offset on.
+type ReadLog struct {
+	Stream Stream
+	From   Offset
+}
+
+// AppendSheet writes a copy of an accepted sheet to the log.
+type AppendSheet struct{ Record SheetRecord }
+
+// AdoptSheet puts a sheet in force on this node.
+type AdoptSheet struct{ Record SheetRecord }
+
+func (Send) action()        {}
+func (SendAddress) action() {}
+func (Deliver) action()     {}
+func (StartRun) action()    {}
+func (AbortRun) action()    {}
+func (Submit) action()      {}
+func (Append) action()      {}
+func (ReadLog) action()     {}
+func (AppendSheet) action() {}
+func (AdoptSheet) action()  {}
--- /dev/null
+++ b/cassiatally/registrar/fleettest/fleet_test.go
@@ -0,0 +1,319 @@
+// Package fleettest runs many registrars in virtual time and measures their
+// traffic with the codec, which the registrar itself must not import.
+package fleettest_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/cassiatally/cassiatally/cassiatally"
+	"github.com/cassiatally/cassiatally/cassiatally/protocol"
+	"github.com/cassiatally/cassiatally/cassiatally/registrar"
+)
+
+const step = 50 * time.Millisecond
+
+type letter struct {
+	from, to int
+	message  cassiatally.Gossip
+}
+
+// fleet runs many registrars in virtual time. A message arrives one step later.
+type fleet struct {
+	t       *testing.T
+	codec   *protocol.Codec
+	rand    *rand.Rand
+	now     cassiatally.Instant
+	nodes   []*registrar.Registrar // nil: killed
+	refs    []cassiatally.NodeRef
+	dcs     []cassiatally.DataCentre
+	byName  map[cassiatally.NodeID]int
+	byAddr  map[cassiatally.Address]int
+	letters []letter
+	loss    float64
+	cut     func(a, b int) bool
+	sent    []int // bytes in the current window
+	peak    int   // the most bytes that a node sent in a second
+	most    int   // the most messages that a node sent in a second
+	total   int
+	windows int
+	count   []int
+}
+
+func newFleet(t *testing.T, dcs, perDC, services int) *fleet {
+	t.Helper()
+	codec, err := protocol.New()
+	if err != nil {
+		t.Fatal(err)
+	}
+	f := &fleet{
+		t: t, codec: codec, rand: rand.New(rand.NewPCG(1, 2)), now: cassiatally.Instant(time.Hour),
+		byName: map[cassiatally.NodeID]int{}, byAddr: map[cassiatally.Address]int{}, loss: 0.02,
+		cut: func(_, _ int) bool { return false },
+	}
+	for i := range dcs * perDC {
+		f.dcs = append(f.dcs, cassiatally.DataCentre(fmt.Sprintf("region-%02d", i/perDC)))
+		f.nodes = append(f.nodes, nil)
+		f.refs = append(f.refs, cassiatally.NodeRef{})
+		f.sent = append(f.sent, 0)
+		f.count = append(f.count, 0)
+	}
+	for i := range f.nodes {
+		f.start(i, cassiatally.Incarnation(1<<60+i), services)
+	}
+	return f
+}
+
+func address(i int) cassiatally.Address {
+	return cassiatally.Address(fmt.Sprintf("10.100.%d.%d:7402", 100+i/200, 100+i%200))
+}
+
+func (f *fleet) start(i int, inc cassiatally.Incarnation, services int) {
+	ref := cassiatally.NodeRef{Node: cassiatally.NodeID(fmt.Sprintf("backend-host-%04d", i)), Incarnation: inc}
+	f.refs[i] = ref
+	f.byName[ref.Node], f.byAddr[address(i)] = i, i
+	f.nodes[i] = registrar.New(registrar.Config{
+		Self: ref, DataCentre: f.dcs[i], Address: address(i),
+		Seeds:    []cassiatally.Address{address(0), address(1), address(len(f.dcs) - 1), address(len(f.dcs) / 2)},
+		Interval: time.Second, SuspectAfter: 3 * time.Second, RemoveAfter: 10 * time.Second,
+	}, rand.New(rand.NewPCG(uint64(i), uint64(inc))))
+	f.post(i, f.nodes[i].SetEndpoint(f.now, endpoint(i%services, 100)))
+}
+
+func endpoint(service int, slots cassiatally.Concurrency) cassiatally.Endpoint {
+	return cassiatally.Endpoint{
+		Service: cassiatally.Service(fmt.Sprintf("service-%03d", service)), Slots: slots, Connections: 750,
+		State:  cassiatally.EndpointReady,
+		Load:   cassiatally.EndpointLoad{Limit: 90, InFlight: 57, Queued: 12, Typical: 12345678},
+		Levels: []cassiatally.Level{1, 1, 0.93, 0.12},
+	}
+}
+
+func (f *fleet) post(from int, actions []cassiatally.Action) {
+	for _, a := range actions {
+		to, m := -1, cassiatally.Message(nil)
+		switch a := a.(type) {
+		case cassiatally.Send:
+			to, m = f.byName[a.To], a.Message
+		case cassiatally.SendAddress:
+			to, m = f.byAddr[a.To], a.Message
+		}
+		data, err := f.codec.Encode(m)
+		if err != nil {
+			f.t.Fatal(err)
+		}
+		f.sent[from] += len(data)
+		f.count[from]++
+		if f.rand.Float64() >= f.loss && !f.cut(from, to) {
+			f.letters = append(f.letters, letter{from, to, m.(cassiatally.Gossip)})
+		}
+	}
+}
+
+// run advances virtual time until done holds, and returns how long that took.
+func (f *fleet) run(limit time.Duration, done func() bool) time.Duration {
+	begin := f.now
+	const checkEvery = 5 * step // views of many nodes are slow to build
+	for f.now.Sub(begin) < limit && (f.now.Sub(begin)%checkEvery != 0 || !done()) {
+		f.now = f.now.Add(step)
+		letters := f.letters
+		f.letters = nil
+		for _, l := range letters {
+			if f.nodes[l.to] != nil {
+				f.post(l.to, f.nodes[l.to].HandleGossip(f.now, f.refs[l.from], l.message))
+			}
+		}
+		for i, n := range f.nodes {
+			// Nodes start their rounds at different times of the second.
+			if n != nil && time.Duration(f.now)%time.Second == time.Duration(i%20)*step {
+				f.post(i, n.Tick(f.now))
+			}
+		}
+		if time.Duration(f.now)%time.Second == 0 {
+			f.window()
+		}
+	}
+	return f.now.Sub(begin)
+}
+
+func (f *fleet) window() {
+	f.peak = max(f.peak, slices.Max(f.sent))
+	f.most = max(f.most, slices.Max(f.count))
+	for i := range f.sent {
+		f.total += f.sent[i]
+		f.sent[i], f.count[i] = 0, 0
+	}
+	f.windows += len(f.sent)
+}
+
+func (f *fleet) pass(d time.Duration) { f.run(d, func() bool { return false }) }
+
+func (f *fleet) knows(i, about int) (cassiatally.Member, bool) {
+	m, found := f.nodes[i].Member(f.refs[about].Node)
+	return m, found && m.Ref == f.refs[about]
+}
+
+// local reports whether every live node of a data centre satisfies ok.
+func (f *fleet) local(dc cassiatally.DataCentre, ok func(i int) bool) bool {
+	for i, n := range f.nodes {
+		if n != nil && f.dcs[i] == dc && !ok(i) {
+			return false
+		}
+	}
+	return true
+}
+
+func (f *fleet) localMembers(i int) int {
+	n := 0
+	for _, ref := range f.refs {
+		if m, found := f.nodes[i].Member(ref.Node); found && m.DataCentre == f.dcs[i] {
+			n++
+		}
+	}
+	return n
+}
+
+func (f *fleet) full(perDC int) bool {
+	return f.holds(func(i int) bool { return f.localMembers(i) == perDC })()
+}
+
+// Guards against changes that spread too slowly in a data centre of the target
+// size, members that are suspected while they live, and traffic above 16 KB/s.
+func TestDataCentreOfTargetSize(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	const size = 132
+	f := newFleet(t, 1, size, 8)
+	took := f.run(time.Minute, func() bool { return f.full(size) })
+	t.Logf("cold start: %v, at most %d bytes/s", took, f.peak)
+	is.True(took < 50*time.Second)
+	f.peak, f.total, f.windows = 0, 0, 0
+	f.pass(10 * time.Second)
+	suspected := 0
+	for _, n := range f.nodes {
+		suspected += len(n.View(f.now).Suspects)
+	}
+	t.Logf("steady: %d bytes/s mean, %d most, %d suspects in %d views", f.total/f.windows, f.peak, suspected, size)
+	is.True(f.peak < 16_000)
+	is.True(suspected < size*size/100)
+
+	f.post(7, f.nodes[7].SetEndpoint(f.now, endpoint(7, 55)))
+	took = f.run(time.Minute, func() bool {
+		return f.local(f.dcs[7], func(i int) bool {
+			m, _ := f.knows(i, 7)
+			return m.Endpoint.Slots == 55
+		})
+	})
+	t.Logf("change reached all after %v", took)
+	is.True(took <= 3*time.Second)
+
+	f.nodes[9] = nil
+	took = f.run(time.Minute, func() bool {
+		return f.local(f.dcs[9], func(i int) bool { _, known := f.knows(i, 9); return !known })
+	})
+	t.Logf("removed from all after %v", took)
+	is.True(took >= 9*time.Second && took <= 16*time.Second)
+	f.pass(5 * time.Second)
+	is.True(f.local(f.dcs[9], func(i int) bool { _, known := f.knows(i, 9); return !known })) // stays removed
+
+	f.start(9, 1<<61, 8)
+	took = f.run(time.Minute, func() bool {
+		return f.local(f.dcs[9], func(i int) bool { _, known := f.knows(i, 9); return known })
+	})
+	t.Logf("new incarnation known to all after %v", took)
+	is.True(took <= 5*time.Second)
+	is.True(f.peak < 16_000)
+}
+
+// holds reports whether every live node satisfies ok.
+func (f *fleet) holds(ok func(i int) bool) func() bool {
+	return func() bool {
+		return !slices.ContainsFunc(slices.Compact(slices.Clone(f.dcs)), func(dc cassiatally.DataCentre) bool { return !f.local(dc, ok) })
+	}
+}
+
+// Guards against changes that stay in their data centre, members that are kept
+// without bound, and all nodes keeping the same few members of others.
+func TestSeveralDataCentres(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	const dcs, perDC, services = 6, 16, 8
+	f := newFleet(t, dcs, perDC, services)
+	f.run(time.Minute, func() bool { return f.full(perDC) })
+	f.pass(15 * time.Second)
+	f.peak = 0
+	f.pass(5 * time.Second)
+	kept := map[cassiatally.NodeID]bool{}
+	for i := range perDC {
+		members := f.nodes[i].View(f.now).Members
+		is.True(len(members) <= perDC+4*(dcs-1)+4*services)
+		is.True(len(members) >= perDC+4*(dcs-1))
+		for _, m := range members {
+			kept[m.Ref.Node] = true
+		}
+	}
+	t.Logf("one data centre keeps %d of %d members; at most %d bytes/s", len(kept), dcs*perDC, f.peak)
+	is.True(len(kept) > dcs*perDC*3/4)
+
+	f.post(30, f.nodes[30].SetEndpoint(f.now, endpoint(900, 7)))
+	took := f.run(time.Minute, f.holds(func(i int) bool { _, known := f.knows(i, 30); return known && hasSlots(f, i, 30, 7) }))
+	t.Logf("new service known to all after %v", took)
+	is.True(took <= 12*time.Second)
+
+	f.post(30, f.nodes[30].SetLeaving(f.now))
+	took = f.run(time.Minute, f.holds(func(i int) bool { m, known := f.knows(i, 30); return !known || m.Leaving }))
+	t.Logf("leaving known to all after %v", took)
+	is.True(took <= 12*time.Second)
+	is.True(f.peak < 16_000)
+}
+
+func hasSlots(f *fleet, i, about int, slots cassiatally.Concurrency) bool {
+	m, _ := f.knows(i, about)
+	return m.Endpoint.Slots == slots
+}
+
+// Guards against removed members that come back after a partition, data centres
+// that do not find each other again, and a storm of messages when they do.
+func TestPartitionAndRejoin(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	const dcs, perDC = 3, 12
+	f := newFleet(t, dcs, perDC, 4)
+	others := func(i int) int {
+		n := 0
+		for _, m := range f.nodes[i].View(f.now).Members {
+			if m.DataCentre != f.dcs[i] {
+				n++
+			}
+		}
+		return n
+	}
+	joined := f.holds(func(i int) bool { return others(i) >= 4*(dcs-1) })
+	is.True(f.run(time.Minute, joined) < time.Minute)
+
+	f.cut = func(a, b int) bool { return (a < perDC) != (b < perDC) }
+	f.nodes[3], f.nodes[perDC+3] = nil, nil
+	f.pass(40 * time.Second)
+	is.True(f.local(f.dcs[0], func(i int) bool { return others(i) == 0 })) // the cut-off side removed the rest
+	f.peak, f.most = 0, 0
+
+	f.cut = func(_, _ int) bool { return false }
+	took := f.run(time.Minute, joined)
+	t.Logf("rejoined after %v, at most %d messages and %d bytes in a second", took, f.most, f.peak)
+	is.True(took <= 20*time.Second)
+	for range 20 {
+		f.pass(time.Second)
+		is.True(f.holds(func(i int) bool {
+			_, a := f.knows(i, 3)
+			_, b := f.knows(i, perDC+3)
+			return !a && !b
+		})()) // killed members stay removed
+	}
+	is.True(f.most <= 40)
+	is.True(f.peak < 16_000)
+}
