quarantiner: count crashes per fingerprint over the fleet

Cause: a request that crashes backend servers is sent again to other hosts, so that no single node sees enough crashes to stop it. With the flag Completed alone, only the first completed run of a node could be told apart from a repeated report, and frequent requests that were in flight beside the cause would be blocked. Change: Quarantiner with monotone reports; CrashReport gains Clears, which orders the reports of one node and travels in the codec.

--- a/cassiatally/message.go
+++ b/cassiatally/message.go
@@ -168,6 +168,10 @@
 	Reporter    NodeRef
 	Crashes     uint16
 	Completed   bool
+	// Clears counts the completed runs at the reporter that cleared a suspect.
+	// Crashes counts those since the last of them. A report with more clears, or
+	// with as many and more crashes, replaces the one before.
+	Clears uint16
 }
 
 // SheetPull asks for the sheet in force when it is newer than Have.
--- a/cassiatally/protocol/wire.go
+++ b/cassiatally/protocol/wire.go
@@ -145,6 +145,7 @@
 	Reporter    wireNodeRef             `cbor:"2,keyasint,omitempty"`
 	Crashes     uint16                  `cbor:"3,keyasint,omitempty"`
 	Completed   bool                    `cbor:"4,keyasint,omitempty"`
+	Clears      uint16                  `cbor:"5,keyasint,omitempty"`
 }
 
 func toCrashReport(m cassiatally.CrashReport) wireCrashReport {
@@ -153,6 +154,7 @@
 		Reporter:    toNodeRef(m.Reporter),
 		Crashes:     m.Crashes,
 		Completed:   m.Completed,
+		Clears:      m.Clears,
 	}
 }
 
@@ -162,6 +164,7 @@
 		Reporter:    fromNodeRef(w.Reporter),
 		Crashes:     w.Crashes,
 		Completed:   w.Completed,
+		Clears:      w.Clears,
 	}
 }
 
--- /dev/null
+++ b/cassiatally/quarantiner/quarantiner_test.go
@@ -0,0 +1,115 @@
+package quarantiner_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/cassiatally/cassiatally/cassiatally"
+	"github.com/cassiatally/cassiatally/cassiatally/quarantiner"
+)
+
+const (
+	poison   cassiatally.Fingerprint = 1
+	innocent cassiatally.Fingerprint = 2
+	start                            = cassiatally.Instant(time.Hour)
+)
+
+func nodes(names ...cassiatally.NodeID) []*quarantiner.Quarantiner {
+	var out []*quarantiner.Quarantiner
+	for _, name := range names {
+		out = append(out, quarantiner.New(cassiatally.NodeRef{Node: name, Incarnation: 1}))
+	}
+	return out
+}
+
+// exchange has every node tell every other, twice and in both orders.
+func exchange(now cassiatally.Instant, all []*quarantiner.Quarantiner) {
+	for range 2 {
+		for i, q := range all {
+			reports := q.Reports(now)
+			for j := range all {
+				all[(i+j)%len(all)].Merge(now, reports)
+				all[(i+j)%len(all)].Merge(now, reports)
+			}
+		}
+	}
+}
+
+// Guards against a poisonous request that travels on because no single node saw
+// all its crashes, and against duplicates that quarantine it too early.
+func TestCrashesCountFleetWide(t *testing.T) {
+	is := is.New(t)
+	all := nodes("a", "b", "c", "d")
+	for i := range 3 {
+		is.True(!all[3].Blocked(start, poison))
+		all[i].Crashed(start, []cassiatally.Fingerprint{poison, poison})
+		exchange(start, all)
+		is.True(all[3].Suspect(start, poison))
+	}
+	for _, q := range all {
+		is.True(q.Blocked(start, poison))
+	}
+	end := start.Add(10 * time.Minute)
+	is.True(all[3].Blocked(end-1, poison))
+	is.True(!all[3].Blocked(end, poison))
+	all[3].Crashed(end, []cassiatally.Fingerprint{poison})
+	is.True(!all[3].Blocked(end, poison)) // counts from the start again
+}
+
+// Guards against an innocent request being blocked because it is often in flight
+// when another request crashes backend servers.
+func TestInnocentIsNeverBlocked(t *testing.T) {
+	is := is.New(t)
+	all := nodes("a", "b", "c", "d")
+	now := start
+	for i := range 12 {
+		now = now.Add(time.Second)
+		all[i%3].Crashed(now, []cassiatally.Fingerprint{innocent})
+		exchange(now, all)
+		is.True(all[3].Suspect(now, innocent))
+		// The same node completes it each time, and the others must learn of each.
+		all[0].Completed(now, innocent)
+		exchange(now, all)
+		for _, q := range all {
+			is.True(!q.Suspect(now, innocent))
+			is.True(!q.Blocked(now, innocent))
+		}
+	}
+}
+
+// Guards against a late report from before a completed run that counts again.
+func TestLateReportDoesNotCount(t *testing.T) {
+	is := is.New(t)
+	all := nodes("a", "b")
+	all[0].Crashed(start, []cassiatally.Fingerprint{innocent})
+	all[0].Crashed(start, []cassiatally.Fingerprint{innocent})
+	late := all[0].Reports(start)
+	all[0].Completed(start, innocent)
+	all[1].Merge(start, all[0].Reports(start))
+	all[1].Merge(start, late)
+	is.True(!all[1].Suspect(start, innocent))
+}
+
+// Guards against a table that grows without bound or drops what is quarantined.
+func TestTableIsBounded(t *testing.T) {
+	is := is.New(t)
+	q := nodes("a")[0]
+	for range 3 {
+		q.Crashed(start, []cassiatally.Fingerprint{poison})
+	}
+	now := start.Add(time.Second)
+	for f := range 3000 {
+		q.Crashed(now, []cassiatally.Fingerprint{cassiatally.Fingerprint(100 + f)})
+	}
+	is.True(q.Blocked(now, poison))
+	suspects := 0
+	for f := range 3000 {
+		if q.Suspect(now, cassiatally.Fingerprint(100+f)) {
+			suspects++
+		}
+	}
+	is.Equal(suspects, 1023)
+	is.True(len(q.Reports(now)) <= 8)
+}
