--- a/cassiatally/action.go
+++ b/cassiatally/action.go
@@ -24,6 +24,9 @@
 // Submit has the router of this node route a request.
 type Submit struct{ Request Request }
 
+// Withdraw tells the router that nobody waits for a submitted request any more.
+type Withdraw struct{ Call CallID }
+
 // Append writes a record to a stream of the log service.
 type Append struct {
 	Stream Stream
@@ -35,4 +38,5 @@
 func (StartRun) action() {}
 func (AbortRun) action() {}
 func (Submit) action()   {}
+func (Withdraw) action() {}
 func (Append) action()   {}
--- /dev/null
+++ b/cassiatally/looper/looper.go
@@ -0,0 +1,113 @@
+// Package looper runs a duty: one goroutine that owns its state, takes events
+// from a bounded ring and handles timers.
+//
+// # Usage
+//
+//	l := &looper.Looper[event]{
+//		Clock:    clock,
+//		Inbox:    ring.New[event](4096, ring.Wait),
+//		Handle:   func(now cassiatally.Instant, e event) { ... },
+//		Tick:     func(now cassiatally.Instant) { ... },
+//		Every:    100 * time.Millisecond,
+//		NextWake: router.NextWake, // optional
+//	}
+//	l.Run()
+//	defer l.Close()
+//
+// Handle and Tick are called by the duty's goroutine only.
+package looper
+
+import (
+	"sync"
+	"time"
+
+	"github.com/cassiatally/cassiatally/cassiatally"
+	"github.com/cassiatally/cassiatally/cassiatally/ring"
+)
+
+// minWait bounds how often NextWake can wake the duty.
+const minWait = time.Millisecond
+
+// Looper is a duty. Its fields are set before Run.
+type Looper[T any] struct {
+	Clock  cassiatally.Clock
+	Inbox  *ring.Ring[T]
+	Handle func(now cassiatally.Instant, event T)
+	// Tick is called every Every, and at NextWake when that is set.
+	Tick     func(now cassiatally.Instant)
+	Every    time.Duration
+	NextWake func() (cassiatally.Instant, bool)
+
+	running sync.WaitGroup
+	batch   []T
+	next    cassiatally.Instant
+}
+
+// Run starts the goroutine of the duty.
+func (l *Looper[T]) Run() {
+	l.next = l.Clock.Now().Add(l.Every)
+	l.running.Go(l.loop)
+}
+
+// Close refuses further events and waits until those already taken in are
+// handled.
+func (l *Looper[T]) Close() {
+	l.Inbox.Close()
+	l.running.Wait()
+}
+
+func (l *Looper[T]) loop() {
+	timer := time.NewTimer(l.Every)
+	defer timer.Stop()
+	for {
+		timer.Reset(l.untilWake())
+		select {
+		case <-l.Inbox.Ready():
+		case <-timer.C:
+		case <-l.Inbox.Done():
+			l.handleAll()
+			return
+		}
+		l.handleAll()
+		l.tickIfDue()
+	}
+}
+
+func (l *Looper[T]) handleAll() {
+	l.batch = l.Inbox.Take(l.batch[:0])
+	if len(l.batch) == 0 {
+		return
+	}
+	now := l.Clock.Now()
+	for i, e := range l.batch {
+		l.Handle(now, e)
+		var zero T
+		l.batch[i] = zero
+	}
+}
+
+func (l *Looper[T]) untilWake() time.Duration {
+	wake := l.next
+	if l.NextWake != nil {
+		if at, ok := l.NextWake(); ok && at.Before(wake) {
+			wake = at
+		}
+	}
+	return max(wake.Sub(l.Clock.Now()), minWait)
+}
+
+func (l *Looper[T]) tickIfDue() {
+	now := l.Clock.Now()
+	due := now.Reached(l.next)
+	if !due && l.NextWake != nil {
+		at, ok := l.NextWake()
+		due = ok && now.Reached(at)
+	}
+	if !due {
+		return
+	}
+	if now.Reached(l.next) {
+		l.next = now.Add(l.Every)
+	}
+	l.Tick(now)
+}
--- a/cassiatally/message.go
+++ b/cassiatally/message.go
@@ -74,8 +74,12 @@
 type Cancel struct{ ID CallID }
 
 // RunQuery asks for the outcome of a Call whose link was lost. A node that has
-// not seen the call voids its id, so that a delayed copy is never run.
-type RunQuery struct{ ID CallID }
+// not seen the call voids its id, so that a delayed copy is never run. Target is
+// the incarnation that the call was sent to; another one cannot tell.
+type RunQuery struct {
+	ID     CallID
+	Target Incarnation
+}
 
 // KeyQuery asks the holder of a shard for the outcome of a key.
 type KeyQuery struct {
--- a/cassiatally/protocol/wire.go
+++ b/cassiatally/protocol/wire.go
@@ -386,19 +386,16 @@
 }
 
 type wireRunQuery struct {
-	ID wireCallID `cbor:"1,keyasint,omitempty"`
+	ID     wireCallID              `cbor:"1,keyasint,omitempty"`
+	Target cassiatally.Incarnation `cbor:"2,keyasint,omitempty"`
 }
 
 func toRunQuery(m cassiatally.RunQuery) wireRunQuery {
-	return wireRunQuery{
-		ID: toCallID(m.ID),
-	}
+	return wireRunQuery{ID: toCallID(m.ID), Target: m.Target}
 }
 
 func fromRunQuery(w wireRunQuery) cassiatally.RunQuery {
-	return cassiatally.RunQuery{
-		ID: fromCallID(w.ID),
-	}
+	return cassiatally.RunQuery{ID: fromCallID(w.ID), Target: w.Target}
 }
 
 type wireKeyQuery struct {
--- a/cassiatally/ring/ring.go
+++ b/cassiatally/ring/ring.go
@@ -95,6 +95,22 @@
 	}
 }
 
+// Offer adds an entry without waiting, whatever the policy, and reports whether
+// it was taken. It leaves reserve places free for senders that use Push.
+func (r *Ring[T]) Offer(v T, reserve int) bool {
+	r.mu.Lock()
+	full := r.n+reserve >= len(r.entries)
+	if full {
+		r.refused++
+	}
+	r.mu.Unlock()
+	if full {
+		return false
+	}
+	taken, _ := r.tryPush(v)
+	return taken
+}
+
 func (r *Ring[T]) tryPush(v T) (taken, wait bool) {
 	r.mu.Lock()
 	if r.closed {
--- /dev/null
+++ b/cassiatally/router/answer.go
@@ -0,0 +1,211 @@
+package router
+
+import (
+	"github.com/cassiatally/cassiatally/cassiatally"
+)
+
+// HandleAnswer takes an answer from a node.
+func (r *Router) HandleAnswer(now cassiatally.Instant, from cassiatally.NodeID, a cassiatally.Answer) []cassiatally.Action {
+	p, ok := r.attempts[a.ID]
+	if !ok || p.target != from {
+		r.counts.LateAnswers++
+		return nil
+	}
+	if len(a.Body) > 0 && cassiatally.DigestOf(a.Body) != a.Digest {
+		r.counts.Incomplete++
+		a = incomplete(a, p)
+	}
+	r.learn(now, p, a)
+	p.settle(a)
+	r.finishAttempt(now, p, cassiatally.CallResult{Took: now.Sub(p.sentAt), Failed: failedAt(a), Load: a.Endpoint})
+	if a.Kind == cassiatally.KindNone {
+		r.cfg.Budget.Succeeded(now, p.pair())
+		return r.deliver(p, a)
+	}
+	if p.claim {
+		return r.claimAnswered(now, p, a)
+	}
+	return r.afterFailure(now, p, a)
+}
+
+func incomplete(a cassiatally.Answer, p *pending) cassiatally.Answer {
+	out := cassiatally.Answer{
+		ID:       a.ID,
+		Outcome:  a.Outcome,
+		Kind:     cassiatally.KindIncompleteAnswer,
+		Detail:   "the body does not match its digest",
+		Endpoint: a.Endpoint,
+		Loads:    a.Loads,
+	}
+	if p.req.Policy.Idempotent {
+		out.Outcome = cassiatally.OutcomeUnknown
+	}
+	return out
+}
+
+func (r *Router) learn(now cassiatally.Instant, p *pending, a cassiatally.Answer) {
+	if len(a.Loads) > 0 {
+		r.cfg.Loads.Learn(now, p.req.Service, p.req.Work, a.Loads)
+	}
+}
+
+// settle takes back the retries that the call below did not spend.
+func (p *pending) settle(a cassiatally.Answer) {
+	spent := min(a.RetriesSpent, p.given)
+	p.left += p.given - spent
+	p.spent += spent
+	p.given = 0
+}
+
+func (p *pending) pair() cassiatally.ServicePair {
+	return cassiatally.ServicePair{From: p.req.Parent, To: p.req.Service}
+}
+
+// failedAt reports whether an answer speaks against the endpoint's health.
+// Refusals under load do not.
+func failedAt(a cassiatally.Answer) bool {
+	switch a.Kind {
+	case cassiatally.KindUnreachable, cassiatally.KindOutcomeUnknown, cassiatally.KindIncompleteAnswer, cassiatally.KindBackendFailed:
+		return true
+	default:
+		return false
+	}
+}
+
+// claimAnswered handles a failed answer of a holder. A node that does not hold
+// the shard any more is asked again once the shard table has changed.
+func (r *Router) claimAnswered(now cassiatally.Instant, p *pending, a cassiatally.Answer) []cassiatally.Action {
+	if a.Kind == cassiatally.KindUnavailable && now.Add(claimRetryPause).Before(p.req.Deadline) {
+		if a.Outcome != cassiatally.OutcomeNotRun {
+			p.notFirst()
+		}
+		return r.holdClaim(now, p)
+	}
+	return r.deliver(p, a)
+}
+
+func (r *Router) afterFailure(now cassiatally.Instant, p *pending, a cassiatally.Answer) []cassiatally.Action {
+	if !r.mayRepeat(p, a) || now.Reached(p.req.Deadline) {
+		return r.deliver(p, a)
+	}
+	if a.Kind == cassiatally.KindDraining && p.redirects < maxRedirects {
+		p.redirects++
+		r.counts.Redirects++
+		p.avoid = append(p.avoid, a.Endpoint.Node)
+		return r.sendRun(now, p)
+	}
+	if !r.takeRetry(now, p) {
+		return r.deliver(p, a)
+	}
+	p.avoid = append(p.avoid, a.Endpoint.Node)
+	return r.sendRun(now, p)
+}
+
+// mayRepeat reports whether the request may be run by another endpoint. A
+// non-idempotent one may only when it is certain that it was not run.
+func (r *Router) mayRepeat(p *pending, a cassiatally.Answer) bool {
+	if a.Outcome == cassiatally.OutcomeNotRun {
+		return a.Kind.Spec().Retryable
+	}
+	if !p.req.Policy.Idempotent {
+		return false
+	}
+	switch a.Kind {
+	case cassiatally.KindOutcomeUnknown, cassiatally.KindIncompleteAnswer, cassiatally.KindUnreachable:
+		return true
+	default:
+		return false
+	}
+}
+
+func (r *Router) takeRetry(now cassiatally.Instant, p *pending) bool {
+	level := r.cfg.Loads.Level(now, p.req.Service, p.req.Policy.Rank)
+	if p.left == 0 || !r.cfg.Budget.Take(now, p.pair(), level) {
+		r.counts.RetriesDenied++
+		return false
+	}
+	p.left--
+	p.spent++
+	r.counts.Retries++
+	return true
+}
+
+// LinkLost takes the loss of the link to a node. Idempotent calls are repeated
+// within the retry budget, claims are sent again, and all other calls are asked
+// about.
+func (r *Router) LinkLost(now cassiatally.Instant, peer cassiatally.NodeRef) []cassiatally.Action {
+	var actions []cassiatally.Action
+	for _, p := range r.attemptsTo(peer.Node) {
+		actions = append(actions, r.lost(now, p, peer)...)
+	}
+	return actions
+}
+
+func (r *Router) attemptsTo(n cassiatally.NodeID) []*pending {
+	var out []*pending
+	for _, p := range r.attempts {
+		if p.target == n && !p.querying {
+			out = append(out, p)
+		}
+	}
+	return out
+}
+
+func (r *Router) lost(now cassiatally.Instant, p *pending, peer cassiatally.NodeRef) []cassiatally.Action {
+	switch {
+	case p.claim:
+		r.finishAttempt(now, p, cassiatally.CallResult{Failed: true})
+		// The holder may have given the retries away; they count as spent.
+		p.spent += p.given
+		p.given = 0
+		p.notFirst()
+		return r.holdClaim(now, p)
+	case p.req.Policy.Idempotent:
+		target := p.target
+		p.spent += p.given
+		p.given = 0
+		r.finishAttempt(now, p, cassiatally.CallResult{Took: now.Sub(p.sentAt), Failed: true})
+		a := unresolved(cassiatally.KindOutcomeUnknown, "the connection to the backend server's node was lost")
+		a.Endpoint.Node = target
+		return r.afterFailure(now, p, a)
+	default:
+		p.querying = true
+		p.lostAt = peer.Incarnation
+		return r.query(now, p)
+	}
+}
+
+// notFirst records that an earlier copy of the claim may have arrived, so that
+// the attempt number no longer proves that no other copy exists.
+func (p *pending) notFirst() { p.req.Attempt = max(p.req.Attempt, 1) + 1 }
+
+// query asks the node that had the call what became of it.
+func (r *Router) query(now cassiatally.Instant, p *pending) []cassiatally.Action {
+	r.counts.Queries++
+	r.scheduleWake(p, now.Add(queryPause))
+	return []cassiatally.Action{cassiatally.Send{
+		To:      p.target,
+		Message: cassiatally.RunQuery{ID: p.attempt, Target: p.lostAt},
+	}}
+}
+
+// SendFailed takes a message that was certainly not delivered.
+func (r *Router) SendFailed(now cassiatally.Instant, to cassiatally.NodeID, m cassiatally.Message) []cassiatally.Action {
+	call, ok := m.(cassiatally.Call)
+	if !ok {
+		return nil
+	}
+	p, ok := r.attempts[call.ID]
+	if !ok || p.target != to || p.querying {
+		return nil
+	}
+	p.left += p.given
+	p.given = 0
+	r.finishAttempt(now, p, cassiatally.CallResult{Took: now.Sub(p.sentAt), Failed: true})
+	if p.claim {
+		return r.holdClaim(now, p)
+	}
+	a := refusal(cassiatally.KindUnreachable, "the node of the backend server cannot be reached")
+	a.Endpoint.Node = to
+	return r.afterFailure(now, p, a)
+}
--- /dev/null
+++ b/cassiatally/runner/result.go
@@ -0,0 +1,123 @@
+package runner
+
+import (
+	"github.com/cassiatally/cassiatally/cassiatally"
+)
+
+// ResultKind tells how a call to the backend server ended.
+type ResultKind uint8
+
+const (
+	// ResultAnswered means that a whole answer arrived.
+	ResultAnswered ResultKind = iota
+	// ResultRefused means that the backend server stated that it did not run the
+	// request.
+	ResultRefused
+	// ResultUnreached means that no connection could be opened.
+	ResultUnreached
+	// ResultBroken means that the connection ended before the whole answer.
+	ResultBroken
+	// ResultTimedOut means that the deadline passed before the answer.
+	ResultTimedOut
+	// ResultAborted means that the run was cancelled.
+	ResultAborted
+)
+
+// Result is the end of a call to the backend server.
+type Result struct {
+	Kind        ResultKind
+	Status      int
+	ContentType string
+	Body        []byte
+	Detail      string
+}
+
+const firstServerError = 500
+
+// Finished takes the result of a run.
+func (r *Runner) Finished(now cassiatally.Instant, id cassiatally.CallID, res Result) []cassiatally.Action {
+	rec, ok := r.records[id]
+	if !ok || rec.phase != phaseRunning {
+		r.late++
+		return nil
+	}
+	actions := r.abandonChildren(rec)
+	r.running--
+	r.observe(now, rec, res)
+	actions = r.conclude(actions, now, rec, r.answerTo(rec, res))
+	return r.pump(now, actions)
+}
+
+func (r *Runner) observe(now cassiatally.Instant, rec *record, res Result) {
+	self := rec.children.selfTime(rec.started, now)
+	failed := res.Kind != ResultAnswered && res.Kind != ResultAborted
+	if res.Kind != ResultAborted {
+		r.limiter.Observe(now, cassiatally.RunSample{Self: self, InFlight: rec.concurrency, Failed: failed})
+	}
+	r.admitter.Done(now, rec.call.Rank, now.Sub(rec.started))
+	switch res.Kind {
+	case ResultBroken:
+		r.recordCrash(now, rec)
+	case ResultAnswered:
+		r.quarantine.Completed(now, rec.fingerprint)
+	case ResultUnreached:
+		r.endpoint.State = cassiatally.EndpointNone
+	default:
+	}
+}
+
+// recordCrash counts one crash for all connections that break together.
+func (r *Runner) recordCrash(now cassiatally.Instant, broken *record) {
+	first := !r.crashed || now.Sub(r.crashedAt) > crashWindow
+	if !first {
+		return
+	}
+	r.crashed = true
+	r.crashedAt = now
+	inFlight := []cassiatally.Fingerprint{broken.fingerprint}
+	for _, rec := range r.records {
+		if rec.phase == phaseRunning && rec != broken {
+			inFlight = append(inFlight, rec.fingerprint)
+		}
+	}
+	r.quarantine.Crashed(now, inFlight)
+	r.endpoint.State = cassiatally.EndpointNone
+}
+
+func (r *Runner) answerTo(rec *record, res Result) cassiatally.Answer {
+	id := rec.call.ID
+	switch res.Kind {
+	case ResultAnswered:
+		return ranAnswer(id, res)
+	case ResultRefused:
+		return notRun(id, cassiatally.KindOverloaded, "the backend server shed the request")
+	case ResultUnreached:
+		return notRun(id, cassiatally.KindUnreachable, "the backend server cannot be reached: "+res.Detail)
+	case ResultTimedOut:
+		return unknown(id, cassiatally.KindExpired, "the deadline passed while the request ran")
+	case ResultAborted:
+		return unknown(id, cassiatally.KindCancelled, "the run was cancelled")
+	default:
+		return unknown(id, cassiatally.KindOutcomeUnknown, "the backend server broke off: "+res.Detail)
+	}
+}
+
+func ranAnswer(id cassiatally.CallID, res Result) cassiatally.Answer {
+	a := cassiatally.Answer{
+		ID:          id,
+		Outcome:     cassiatally.OutcomeRan,
+		Status:      res.Status,
+		ContentType: res.ContentType,
+		Body:        res.Body,
+		Digest:      cassiatally.DigestOf(res.Body),
+	}
+	if res.Status >= firstServerError {
+		a.Kind = cassiatally.KindBackendFailed
+		a.Detail = "the backend server reported a failure"
+	}
+	return a
+}
+
+func unknown(id cassiatally.CallID, kind cassiatally.ErrorKind, detail string) cassiatally.Answer {
+	return cassiatally.Answer{ID: id, Outcome: cassiatally.OutcomeUnknown, Kind: kind, Detail: detail}
+}
--- /dev/null
+++ b/cassiatally/runner/runner.go
@@ -0,0 +1,374 @@
+// Package runner decides over the calls at one backend server: which are queued,
+// started, refused and answered, which onward calls belong to which run, and what
+// became of a call whose link was lost.
+//
+// A Runner is a state machine without goroutines or timers. The executor duty
+// owns it, carries out the actions that it returns, and reports what the backend
+// server answered.
+//
+// # Usage
+//
+//	r := runner.New(self, admitter, limiter, quarantine, nextID)
+//	r.Announce(now, endpoint)
+//	for _, a := range r.HandleCall(now, from, call) {
+//		switch a := a.(type) {
+//		case cassiatally.StartRun: // call the backend server, then r.Finished
+//		case cassiatally.AbortRun: // cancel that call
+//		case cassiatally.Send:     // pass the message to the node
+//		case cassiatally.Submit:   // have the router route an onward call
+//		case cassiatally.Deliver:  // answer an onward call
+//		}
+//	}
+//	r.Tick(now) // at least every 100 ms
+package runner
+
+import (
+	"time"
+
+	"github.com/cassiatally/cassiatally/cassiatally"
+)
+
+const (
+	// keepFinished is how long the answer of a finished call is kept for a sender
+	// whose link was lost. It exceeds the time in which a dead link is noticed.
+	keepFinished = 10 * time.Second
+	// maxFinished bounds the finished and voided calls that are kept.
+	maxFinished = 4096
+	// crashWindow joins broken connections of one crash.
+	crashWindow = 200 * time.Millisecond
+)
+
+type phase uint8
+
+const (
+	phaseQueued phase = iota
+	phaseRunning
+	phaseFinished
+	phaseVoid
+)
+
+type record struct {
+	call        cassiatally.Call
+	from        cassiatally.NodeID
+	phase       phase
+	fingerprint cassiatally.Fingerprint
+	deadline    cassiatally.Instant
+	started     cassiatally.Instant
+	ended       cassiatally.Instant
+	concurrency cassiatally.Concurrency
+	cancelled   bool
+	answer      cassiatally.Answer
+	children    children
+}
+
+// Runner owns the calls at one backend server.
+type Runner struct {
+	self       cassiatally.NodeRef
+	admitter   cassiatally.Admitter
+	limiter    cassiatally.Limiter
+	quarantine cassiatally.Quarantine
+	nextID     func() cassiatally.CallID
+
+	endpoint  cassiatally.Endpoint
+	lapses    cassiatally.Instant
+	shares    [cassiatally.MaxRanks]cassiatally.Share
+	records   map[cassiatally.CallID]*record
+	childRuns map[cassiatally.CallID]childRef
+	finished  []cassiatally.CallID
+	running   int
+	crashedAt cassiatally.Instant
+	crashed   bool
+	leaving   bool
+	late      uint64
+}
+
+// New returns a runner without a backend server. nextID draws ids for onward
+// calls.
+func New(self cassiatally.NodeRef, a cassiatally.Admitter, l cassiatally.Limiter, q cassiatally.Quarantine, nextID func() cassiatally.CallID) *Runner {
+	return &Runner{
+		self:       self,
+		admitter:   a,
+		limiter:    l,
+		quarantine: q,
+		nextID:     nextID,
+		records:    make(map[cassiatally.CallID]*record),
+		childRuns:  make(map[cassiatally.CallID]childRef),
+	}
+}
+
+// SetShares sets the kept share of each rank, from the sheet in force.
+func (r *Runner) SetShares(shares [cassiatally.MaxRanks]cassiatally.Share) { r.shares = shares }
+
+// Announce records what the backend server says about itself. It lapses after
+// ttl without renewal.
+func (r *Runner) Announce(now cassiatally.Instant, e cassiatally.Endpoint, ttl time.Duration) []cassiatally.Action {
+	if e.Slots != r.endpoint.Slots || r.endpoint.State == cassiatally.EndpointNone {
+		r.limiter.Resize(now, e.Slots)
+	}
+	r.endpoint = e
+	r.lapses = now.Add(ttl)
+	return r.pump(now, nil)
+}
+
+// Withdraw records that the backend server has left.
+func (r *Runner) Withdraw(now cassiatally.Instant) []cassiatally.Action {
+	r.endpoint.State = cassiatally.EndpointNone
+	return r.refuseQueued(now, nil)
+}
+
+// Leave stops new work because the node itself is told to stop. Runs in flight
+// finish.
+func (r *Runner) Leave(now cassiatally.Instant) []cassiatally.Action {
+	r.leaving = true
+	return r.refuseQueued(now, nil)
+}
+
+// Endpoint returns what to announce to other nodes.
+func (r *Runner) Endpoint() cassiatally.Endpoint {
+	e := r.endpoint
+	if r.leaving && e.State == cassiatally.EndpointReady {
+		e.State = cassiatally.EndpointDraining
+	}
+	e.Load = r.load()
+	e.Levels = r.admitter.Levels()
+	return e
+}
+
+// Idle reports whether no run is in flight.
+func (r *Runner) Idle() bool { return r.running == 0 }
+
+// Running returns the runs in flight.
+func (r *Runner) Running() int { return r.running }
+
+// LateResults returns how many results arrived for runs that had been answered.
+func (r *Runner) LateResults() uint64 { return r.late }
+
+func (r *Runner) load() cassiatally.EndpointLoad {
+	return cassiatally.EndpointLoad{
+		Node:     r.self.Node,
+		Limit:    r.limiter.Limit(),
+		InFlight: cassiatally.Concurrency(r.running),
+		Queued:   r.admitter.Len(),
+		Typical:  r.limiter.Typical(),
+	}
+}
+
+// HandleCall takes a call from a node.
+func (r *Runner) HandleCall(now cassiatally.Instant, from cassiatally.NodeID, c cassiatally.Call) []cassiatally.Action {
+	if known, ok := r.records[c.ID]; ok {
+		return r.repeatCall(known, from)
+	}
+	if kind, detail := r.refusal(now, c); kind != cassiatally.KindNone {
+		return r.refuse(nil, from, c.ID, kind, detail)
+	}
+	rec := &record{
+		call:        c,
+		from:        from,
+		fingerprint: cassiatally.FingerprintOf(c.Service, c.Work, c.Body),
+		deadline:    now.Add(c.Remaining),
+	}
+	rec.children.left = c.Retries
+	r.records[c.ID] = rec
+	dropped := r.admitter.Offer(now, cassiatally.Entry{
+		ID:       c.ID,
+		Rank:     c.Rank,
+		Share:    r.shares[min(c.Rank, cassiatally.MaxRanks-1)],
+		Tenant:   c.Tenant,
+		Order:    c.Order,
+		Deadline: rec.deadline,
+	})
+	return r.pump(now, r.drop(nil, dropped))
+}
+
+func (r *Runner) refusal(now cassiatally.Instant, c cassiatally.Call) (cassiatally.ErrorKind, string) {
+	switch {
+	case r.leaving || r.endpoint.State != cassiatally.EndpointReady:
+		return cassiatally.KindDraining, "the backend server takes no new work"
+	case c.Service != r.endpoint.Service:
+		return cassiatally.KindDraining, "the backend server of this host serves " + string(r.endpoint.Service)
+	case c.Remaining <= 0:
+		return cassiatally.KindExpired, "the deadline passed on the way"
+	}
+	f := cassiatally.FingerprintOf(c.Service, c.Work, c.Body)
+	switch {
+	case r.quarantine.Blocked(now, f):
+		return cassiatally.KindQuarantined, "this request crashed backend servers; do not send it again"
+	case r.quarantine.Suspect(now, f) && r.suspectRunning(now):
+		return cassiatally.KindOverloaded, "another request that may crash the backend server is running"
+	}
+	return cassiatally.KindNone, ""
+}
+
+// suspectRunning reports whether a request that was in flight in a crash is
+// queued or running. Only one runs at a time, so that a further crash points at
+// a single one of them.
+func (r *Runner) suspectRunning(now cassiatally.Instant) bool {
+	for _, rec := range r.records {
+		if rec.phase <= phaseRunning && r.quarantine.Suspect(now, rec.fingerprint) {
+			return true
+		}
+	}
+	return false
+}
+
+func (r *Runner) repeatCall(rec *record, from cassiatally.NodeID) []cassiatally.Action {
+	rec.from = from
+	switch rec.phase {
+	case phaseFinished, phaseVoid:
+		return []cassiatally.Action{cassiatally.Send{To: from, Message: rec.answer}}
+	default:
+		return nil
+	}
+}
+
+// HandleCancel stops a call for which nobody waits any more.
+func (r *Runner) HandleCancel(now cassiatally.Instant, id cassiatally.CallID) []cassiatally.Action {
+	rec, ok := r.records[id]
+	if !ok {
+		return nil
+	}
+	switch rec.phase {
+	case phaseQueued:
+		r.admitter.Remove(id)
+		return r.pump(now, r.conclude(nil, now, rec, notRun(id, cassiatally.KindCancelled, "the caller left")))
+	case phaseRunning:
+		// A non-idempotent run is left to finish: to break it off would only turn a
+		// known outcome into an unknown one.
+		if rec.call.Idempotent && !rec.cancelled {
+			rec.cancelled = true
+			return []cassiatally.Action{cassiatally.AbortRun{Call: id}}
+		}
+	default:
+	}
+	return nil
+}
+
+// HandleRunQuery tells a node what became of a call whose link was lost. A call
+// that was not seen is voided.
+func (r *Runner) HandleRunQuery(now cassiatally.Instant, from cassiatally.NodeID, q cassiatally.RunQuery) []cassiatally.Action {
+	if q.Target != r.self.Incarnation {
+		a := cassiatally.Answer{ID: q.ID, Outcome: cassiatally.OutcomeUnknown, Kind: cassiatally.KindOutcomeUnknown, Detail: "the node was restarted after the call was sent"}
+		return []cassiatally.Action{cassiatally.Send{To: from, Message: a}}
+	}
+	if rec, ok := r.records[q.ID]; ok {
+		return r.repeatCall(rec, from)
+	}
+	rec := &record{call: cassiatally.Call{ID: q.ID}, from: from, phase: phaseVoid, ended: now}
+	rec.answer = notRun(q.ID, cassiatally.KindUnreachable, "the call never arrived")
+	r.records[q.ID] = rec
+	r.keep(q.ID)
+	return []cassiatally.Action{cassiatally.Send{To: from, Message: rec.answer}}
+}
+
+// Tick renews the limits, drops what has expired and starts what can run.
+func (r *Runner) Tick(now cassiatally.Instant) []cassiatally.Action {
+	var actions []cassiatally.Action
+	if r.endpoint.State != cassiatally.EndpointNone && now.Reached(r.lapses) {
+		actions = r.Withdraw(now)
+	}
+	r.forget(now)
+	r.admitter.Tick(now, r.limiter.Limit())
+	return r.pump(now, actions)
+}
+
+func (r *Runner) forget(now cassiatally.Instant) {
+	for len(r.finished) > 0 {
+		rec := r.records[r.finished[0]]
+		if rec != nil && now.Sub(rec.ended) < keepFinished && len(r.finished) <= maxFinished {
+			return
+		}
+		delete(r.records, r.finished[0])
+		r.finished = r.finished[1:]
+	}
+}
+
+func (r *Runner) keep(id cassiatally.CallID) { r.finished = append(r.finished, id) }
+
+func (r *Runner) pump(now cassiatally.Instant, actions []cassiatally.Action) []cassiatally.Action {
+	if r.endpoint.State == cassiatally.EndpointNone {
+		return actions
+	}
+	free := int(r.limiter.Limit()) - r.running
+	if free < 0 {
+		free = 0
+	}
+	start, dropped := r.admitter.Next(now, free)
+	for _, id := range start {
+		actions = r.start(actions, now, id)
+	}
+	return r.drop(actions, dropped)
+}
+
+func (r *Runner) start(actions []cassiatally.Action, now cassiatally.Instant, id cassiatally.CallID) []cassiatally.Action {
+	rec, ok := r.records[id]
+	if !ok || rec.phase != phaseQueued {
+		return actions
+	}
+	rec.phase = phaseRunning
+	rec.started = now
+	r.running++
+	rec.concurrency = cassiatally.Concurrency(r.running)
+	call := rec.call
+	call.Remaining = rec.deadline.Sub(now)
+	return append(actions, cassiatally.StartRun{Call: call})
+}
+
+func (r *Runner) drop(actions []cassiatally.Action, dropped []cassiatally.Dropped) []cassiatally.Action {
+	for _, d := range dropped {
+		rec, ok := r.records[d.ID]
+		if !ok || rec.phase != phaseQueued {
+			continue
+		}
+		delete(r.records, d.ID)
+		actions = r.refuse(actions, rec.from, d.ID, d.Kind, "refused before the backend server")
+	}
+	return actions
+}
+
+func (r *Runner) refuse(actions []cassiatally.Action, to cassiatally.NodeID, id cassiatally.CallID, kind cassiatally.ErrorKind, detail string) []cassiatally.Action {
+	a := notRun(id, kind, detail)
+	a.Endpoint = r.load()
+	a.Loads = r.ownLevels()
+	return append(actions, cassiatally.Send{To: to, Message: a})
+}
+
+func (r *Runner) refuseQueued(now cassiatally.Instant, actions []cassiatally.Action) []cassiatally.Action {
+	for id, rec := range r.records {
+		if rec.phase != phaseQueued {
+			continue
+		}
+		r.admitter.Remove(id)
+		actions = r.conclude(actions, now, rec, notRun(id, cassiatally.KindDraining, "the backend server takes no new work"))
+	}
+	return actions
+}
+
+func (r *Runner) ownLevels() []cassiatally.ServiceLoad {
+	if r.endpoint.Service == "" {
+		return nil
+	}
+	return []cassiatally.ServiceLoad{{
+		Service: r.endpoint.Service,
+		Weight:  float64(r.limiter.Limit()),
+		Levels:  r.admitter.Levels(),
+	}}
+}
+
+// conclude answers a call and keeps the answer for a sender whose link was lost.
+func (r *Runner) conclude(actions []cassiatally.Action, now cassiatally.Instant, rec *record, a cassiatally.Answer) []cassiatally.Action {
+	a.ID = rec.call.ID
+	a.Endpoint = r.load()
+	a.Loads = mergeLoads(r.ownLevels(), rec.children.loads)
+	a.RetriesSpent = rec.children.spent
+	rec.phase = phaseFinished
+	rec.ended = now
+	rec.answer = a
+	rec.call.Body = nil
+	rec.children.known = nil
+	r.keep(rec.call.ID)
+	return append(actions, cassiatally.Send{To: rec.from, Message: a})
+}
+
+func notRun(id cassiatally.CallID, kind cassiatally.ErrorKind, detail string) cassiatally.Answer {
+	return cassiatally.Answer{ID: id, Outcome: cassiatally.OutcomeNotRun, Kind: kind, Detail: detail}
+}
--- /dev/null
+++ b/node/backendserver/server.go
@@ -0,0 +1,210 @@
+// Package backendserver serves the backend server of the host over HTTP: its
+// announcements and its onward calls. docs/http.md describes them.
+//
+// # Usage
+//
+//	s := &backendserver.Server{Listen: "127.0.0.1:8081", Executor: x, Policies: policies, ...}
+//	if err := s.Run(); err != nil { ... }
+//	defer s.Close()
+package backendserver
+
+import (
+	"context"
+	"encoding/json"
+	"net"
+	"net/http"
+	"net/netip"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/labstack/echo/v4"
+
+	"github.com/cassiatally/cassiatally/cassiatally"
+	"github.com/cassiatally/cassiatally/cassiatally/headers"
+	"github.com/cassiatally/cassiatally/cassiatally/runner"
+	"github.com/cassiatally/cassiatally/node/executor"
+	"github.com/cassiatally/cassiatally/node/requestreader"
+	"github.com/cassiatally/cassiatally/node/responder"
+	"github.com/cassiatally/cassiatally/node/waiter"
+)
+
+const (
+	readHeaderTimeout = 5 * time.Second
+	maxHeaderBytes    = 16 << 10
+	maxAnnouncement   = 4 << 10
+	maxSlots          = 1 << 16
+	shutdownGrace     = 5 * time.Second
+	replyGrace        = 500 * time.Millisecond
+)
+
+// Server serves the backend server of the host. Its fields are set before Run.
+type Server struct {
+	Listen     cassiatally.Address
+	DataCentre cassiatally.DataCentre
+	Reader     requestreader.Reader
+	Clock      cassiatally.Clock
+	Executor   *executor.Executor
+	Policies   func() (cassiatally.Policies, bool)
+	NextID     func() cassiatally.CallID
+
+	listener net.Listener
+	server   *http.Server
+	running  sync.WaitGroup
+}
+
+// Run starts to serve.
+func (s *Server) Run() error {
+	lc := net.ListenConfig{}
+	listener, err := lc.Listen(context.Background(), "tcp", string(s.Listen))
+	if err != nil {
+		return errors.Wrapf(err, "listen for the backend server on %s", s.Listen)
+	}
+	s.listener = listener
+	e := echo.New()
+	e.HideBanner = true
+	e.HidePort = true
+	e.HTTPErrorHandler = responder.ErrorHandler
+	e.PUT("/v1/announce", s.announce)
+	e.DELETE("/v1/announce", s.withdraw)
+	e.POST("/v1/call/:service/:kind", s.call)
+	s.server = &http.Server{Handler: e, ReadHeaderTimeout: readHeaderTimeout, MaxHeaderBytes: maxHeaderBytes}
+	s.running.Go(func() { _ = s.server.Serve(listener) })
+	return nil
+}
+
+// Addr returns the address on which the backend server is served.
+func (s *Server) Addr() cassiatally.Address {
+	return cassiatally.Address(s.listener.Addr().String())
+}
+
+// Close refuses new calls and waits for those in flight.
+func (s *Server) Close() {
+	ctx, cancel := context.WithTimeout(context.Background(), shutdownGrace)
+	defer cancel()
+	if s.server.Shutdown(ctx) != nil {
+		_ = s.server.Close()
+	}
+	s.running.Wait()
+}
+
+type announcement struct {
+	Service     string `json:"service"`
+	Address     string `json:"address"`
+	Slots       int    `json:"slots"`
+	Connections int    `json:"connections"`
+	State       string `json:"state"`
+}
+
+func (s *Server) announce(c echo.Context) error {
+	var a announcement
+	dec := json.NewDecoder(http.MaxBytesReader(c.Response(), c.Request().Body, maxAnnouncement))
+	dec.DisallowUnknownFields()
+	if err := dec.Decode(&a); err != nil {
+		return responder.Responder{}.WriteError(c, cassiatally.NewError(cassiatally.KindBadRequest, "the announcement is not valid JSON: %v", err))
+	}
+	checked, failure := a.check()
+	if failure != nil {
+		return responder.Responder{}.WriteError(c, failure)
+	}
+	if !s.Executor.Announce(checked) {
+		return responder.Responder{}.WriteError(c, cassiatally.NewError(cassiatally.KindOverloaded, "the node is overloaded; announce again"))
+	}
+	return c.NoContent(http.StatusNoContent)
+}
+
+func (a announcement) check() (executor.Announcement, *cassiatally.Error) {
+	state, ok := states[a.State]
+	_, addrErr := netip.ParseAddrPort(a.Address)
+	switch {
+	case a.Service == "":
+		return executor.Announcement{}, cassiatally.NewError(cassiatally.KindBadRequest, "service is missing")
+	case addrErr != nil:
+		return executor.Announcement{}, cassiatally.NewError(cassiatally.KindBadRequest, "address %q is not IP:port", a.Address)
+	case !ok:
+		return executor.Announcement{}, cassiatally.NewError(cassiatally.KindBadRequest, "state %q is neither ready nor draining", a.State)
+	case a.Slots < 0 || a.Slots > maxSlots || a.Connections < 0 || a.Connections > maxSlots:
+		return executor.Announcement{}, cassiatally.NewError(cassiatally.KindBadRequest, "slots and connections must be from 0 to %d", maxSlots)
+	}
+	return executor.Announcement{
+		Address: cassiatally.Address(a.Address),
+		Endpoint: cassiatally.Endpoint{
+			Service:     cassiatally.Service(a.Service),
+			Slots:       cassiatally.Concurrency(a.Slots),
+			Connections: cassiatally.Concurrency(a.Connections),
+			State:       state,
+		},
+	}, nil
+}
+
+var states = map[string]cassiatally.EndpointState{
+	"ready":    cassiatally.EndpointReady,
+	"draining": cassiatally.EndpointDraining,
+}
+
+func (s *Server) withdraw(c echo.Context) error {
+	s.Executor.Withdraw()
+	return c.NoContent(http.StatusNoContent)
+}
+
+func (s *Server) call(c echo.Context) error {
+	parts, failure := s.Reader.Read(c)
+	if failure != nil {
+		return responder.Responder{}.WriteError(c, failure)
+	}
+	child, failure := s.child(c, parts)
+	if failure != nil {
+		return responder.Responder{}.WriteError(c, failure)
+	}
+	w := waiter.New()
+	if !s.Executor.Child(child, w.Deliver) {
+		return responder.Responder{}.WriteError(c, cassiatally.NewError(cassiatally.KindOverloaded, "the node is overloaded"))
+	}
+	ctx, cancel := context.WithTimeout(c.Request().Context(), parts.Timeout+replyGrace)
+	defer cancel()
+	a, ok := w.Wait(ctx)
+	if !ok {
+		a = cassiatally.Answer{Kind: cassiatally.KindCancelled, Detail: "the backend server left"}
+	}
+	return responder.Responder{}.Write(c, a)
+}
+
+func (s *Server) child(c echo.Context, parts requestreader.Parts) (runner.ChildCall, *cassiatally.Error) {
+	h := c.Request().Header
+	parent, err := cassiatally.ParseCallID(h.Get(headers.Run))
+	if err != nil {
+		return runner.ChildCall{}, cassiatally.NewError(cassiatally.KindUnknownParent, "%s is missing or malformed; pass on the token of the run", headers.Run)
+	}
+	policies, ok := s.Policies()
+	if !ok {
+		return runner.ChildCall{}, cassiatally.NewError(cassiatally.KindNoBackend, "no sheet is in force yet")
+	}
+	policy, err := policies.Lookup(parts.Service, parts.Work, s.DataCentre, s.Clock.Wall())
+	if err != nil {
+		var e *cassiatally.Error
+		if errors.As(err, &e) {
+			return runner.ChildCall{}, e
+		}
+		return runner.ChildCall{}, cassiatally.NewError(cassiatally.KindInternal, "%v", err)
+	}
+	key := parts.Key
+	if policy.Idempotent {
+		key = ""
+	} else if key != "" {
+		if _, err := cassiatally.ParseKey(key); err != nil {
+			return runner.ChildCall{}, cassiatally.NewError(cassiatally.KindKeyInvalid, "%v", err)
+		}
+	}
+	return runner.ChildCall{
+		Waiter:     s.NextID(),
+		Parent:     parent,
+		Service:    parts.Service,
+		Work:       parts.Work,
+		Name:       h.Get(headers.Call),
+		Key:        key,
+		Idempotent: policy.Idempotent,
+		Remaining:  parts.Timeout,
+		Attempt:    parts.Attempt,
+		Body:       parts.Body,
+	}, nil
+}
--- /dev/null
+++ b/node/callerserver/server.go
@@ -0,0 +1,246 @@
+// Package callerserver serves callers over HTTP. docs/http.md describes the
+// requests and answers.
+//
+// # Usage
+//
+//	s := &callerserver.Server{Listen: "127.0.0.1:8080", Requests: d, Policies: policies, ...}
+//	if err := s.Run(); err != nil { ... }
+//	defer s.Close()
+package callerserver
+
+import (
+	"context"
+	"crypto/rand"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/labstack/echo/v4"
+
+	"github.com/cassiatally/cassiatally/cassiatally"
+	"github.com/cassiatally/cassiatally/node/requestreader"
+	"github.com/cassiatally/cassiatally/node/responder"
+	"github.com/cassiatally/cassiatally/node/waiter"
+)
+
+const (
+	readHeaderTimeout = 5 * time.Second
+	maxHeaderBytes    = 16 << 10
+	shutdownGrace     = 5 * time.Second
+	// replyGrace is how long the server waits for the router after the deadline of a
+	// request. The router answers at the deadline; this only guards against a lost
+	// reply.
+	replyGrace = 500 * time.Millisecond
+)
+
+// Requests takes requests; the dispatcher implements it.
+type Requests interface {
+	Submit(req cassiatally.Request, reply func(cassiatally.Answer)) bool
+	Withdraw(id cassiatally.CallID)
+}
+
+// Keys mints idempotency keys and looks up their outcomes; the claimkeeper
+// implements it.
+type Keys interface {
+	Mint(ctx context.Context) (cassiatally.Key, error)
+	Lookup(ctx context.Context, k cassiatally.Key) cassiatally.Answer
+}
+
+// Observer records how requests end.
+type Observer interface {
+	Request(p cassiatally.Policy, t cassiatally.Tenant, a cassiatally.Answer, took time.Duration)
+}
+
+// Server serves callers. Its fields are set before Run.
+type Server struct {
+	Listen      cassiatally.Address
+	DataCentre  cassiatally.DataCentre
+	Reader      requestreader.Reader
+	Clock       cassiatally.Clock
+	Requests    Requests
+	Keys        Keys
+	Observer    Observer
+	Policies    func() (cassiatally.Policies, bool)
+	NextID      func() cassiatally.CallID
+	Retries     cassiatally.RetryCount
+	MaxInFlight int
+
+	listener net.Listener
+	server   *http.Server
+	running  sync.WaitGroup
+	inFlight atomic.Int64
+}
+
+// Run starts to serve.
+func (s *Server) Run() error {
+	lc := net.ListenConfig{}
+	listener, err := lc.Listen(context.Background(), "tcp", string(s.Listen))
+	if err != nil {
+		return errors.Wrapf(err, "listen for callers on %s", s.Listen)
+	}
+	s.listener = listener
+	e := echo.New()
+	e.HideBanner = true
+	e.HidePort = true
+	e.HTTPErrorHandler = responder.ErrorHandler
+	e.POST("/v1/call/:service/:kind", s.call)
+	e.POST("/v1/keys", s.mint)
+	e.GET("/v1/keys/:key", s.lookup)
+	s.server = &http.Server{Handler: e, ReadHeaderTimeout: readHeaderTimeout, MaxHeaderBytes: maxHeaderBytes}
+	s.running.Go(func() { _ = s.server.Serve(listener) })
+	return nil
+}
+
+// Addr returns the address on which callers are served.
+func (s *Server) Addr() cassiatally.Address {
+	return cassiatally.Address(s.listener.Addr().String())
+}
+
+// InFlight returns the number of requests that wait for an answer.
+func (s *Server) InFlight() int { return int(s.inFlight.Load()) }
+
+// Close refuses new requests and waits for those in flight.
+func (s *Server) Close() {
+	ctx, cancel := context.WithTimeout(context.Background(), shutdownGrace)
+	defer cancel()
+	if s.server.Shutdown(ctx) != nil {
+		_ = s.server.Close()
+	}
+	s.running.Wait()
+}
+
+func (s *Server) call(c echo.Context) error {
+	arrived := s.Clock.Now()
+	if s.inFlight.Add(1) > int64(s.MaxInFlight) {
+		s.inFlight.Add(-1)
+		return responder.Responder{}.WriteError(c, cassiatally.NewError(cassiatally.KindOverloaded, "the node has too many requests in flight; send again later"))
+	}
+	defer s.inFlight.Add(-1)
+	parts, failure := s.Reader.Read(c)
+	if failure != nil {
+		return responder.Responder{}.WriteError(c, failure)
+	}
+	policy, failure := s.policyOf(parts)
+	if failure != nil {
+		return responder.Responder{}.WriteError(c, failure)
+	}
+	req, failure := s.request(parts, policy, arrived)
+	if failure != nil {
+		return responder.Responder{}.WriteError(c, failure)
+	}
+	a := s.await(c.Request().Context(), req, parts.Timeout)
+	s.Observer.Request(policy, parts.Tenant, a, s.Clock.Now().Sub(arrived))
+	return responder.Responder{Root: req.Root}.Write(c, a)
+}
+
+func (s *Server) policyOf(parts requestreader.Parts) (cassiatally.Policy, *cassiatally.Error) {
+	policies, ok := s.Policies()
+	if !ok {
+		return cassiatally.Policy{}, cassiatally.NewError(cassiatally.KindNoBackend, "no sheet is in force yet; publish one")
+	}
+	policy, err := policies.Lookup(parts.Service, parts.Work, s.DataCentre, s.Clock.Wall())
+	if err == nil {
+		return policy, nil
+	}
+	var e *cassiatally.Error
+	if errors.As(err, &e) {
+		return cassiatally.Policy{}, e
+	}
+	return cassiatally.Policy{}, cassiatally.NewError(cassiatally.KindInternal, "%v", err)
+}
+
+func (s *Server) request(parts requestreader.Parts, policy cassiatally.Policy, arrived cassiatally.Instant) (cassiatally.Request, *cassiatally.Error) {
+	root, failure := rootOf(parts, policy)
+	if failure != nil {
+		return cassiatally.Request{}, failure
+	}
+	key := parts.Key
+	if policy.Idempotent {
+		key = ""
+	}
+	return cassiatally.Request{
+		ID:       s.NextID(),
+		Root:     root,
+		Service:  parts.Service,
+		Work:     parts.Work,
+		Tenant:   parts.Tenant,
+		Policy:   policy,
+		Order:    root.Order(),
+		Key:      key,
+		Deadline: arrived.Add(parts.Timeout),
+		Retries:  s.Retries,
+		Attempt:  parts.Attempt,
+		Body:     parts.Body,
+	}, nil
+}
+
+func rootOf(parts requestreader.Parts, policy cassiatally.Policy) (cassiatally.RootID, *cassiatally.Error) {
+	if policy.Idempotent {
+		var root cassiatally.RootID
+		_, _ = rand.Read(root[:]) // crypto/rand.Read never fails
+		return root, nil
+	}
+	if parts.Key == "" {
+		return cassiatally.RootID{}, cassiatally.NewError(cassiatally.KindKeyRequired, "%s/%s is not idempotent; mint a key with POST /v1/keys and send it as Idempotency-Key", parts.Service, parts.Work)
+	}
+	if _, err := cassiatally.ParseKey(parts.Key); err != nil {
+		return cassiatally.RootID{}, cassiatally.NewError(cassiatally.KindKeyInvalid, "%v; mint a key with POST /v1/keys", err)
+	}
+	return cassiatally.RootOfKey(parts.Key), nil
+}
+
+func (s *Server) await(ctx context.Context, req cassiatally.Request, timeout time.Duration) cassiatally.Answer {
+	w := waiter.New()
+	if !s.Requests.Submit(req, w.Deliver) {
+		return busy(req)
+	}
+	ctx, cancel := context.WithTimeout(ctx, timeout+replyGrace)
+	defer cancel()
+	a, ok := w.Wait(ctx)
+	if ok {
+		return a
+	}
+	s.Requests.Withdraw(req.ID)
+	return cassiatally.Answer{Outcome: cassiatally.OutcomeUnknown, Kind: cassiatally.KindCancelled, Detail: "the caller left"}
+}
+
+// busy is the answer when the dispatcher takes no more requests. Only a request
+// of which no earlier copy exists is certainly not run.
+func busy(req cassiatally.Request) cassiatally.Answer {
+	a := cassiatally.Answer{Outcome: cassiatally.OutcomeNotRun, Kind: cassiatally.KindOverloaded, Detail: "the node is overloaded; send again later", RetryAfter: time.Second}
+	if req.Key != "" && req.Attempt != 1 {
+		a.Outcome = cassiatally.OutcomeUnknown
+	}
+	return a
+}
+
+type keyBody struct {
+	Key string `json:"key"`
+}
+
+func (s *Server) mint(c echo.Context) error {
+	k, err := s.Keys.Mint(c.Request().Context())
+	if err != nil {
+		return responder.Responder{}.WriteError(c, asError(err))
+	}
+	return c.JSON(http.StatusCreated, keyBody{Key: string(k)})
+}
+
+func (s *Server) lookup(c echo.Context) error {
+	k := cassiatally.Key(c.Param("key"))
+	if _, err := cassiatally.ParseKey(k); err != nil {
+		return responder.Responder{}.WriteError(c, cassiatally.NewError(cassiatally.KindKeyInvalid, "%v", err))
+	}
+	return responder.Responder{Root: cassiatally.RootOfKey(k)}.Write(c, s.Keys.Lookup(c.Request().Context(), k))
+}
+
+func asError(err error) *cassiatally.Error {
+	var e *cassiatally.Error
+	if errors.As(err, &e) {
+		return e
+	}
+	return cassiatally.NewError(cassiatally.KindInternal, "%v", err)
+}
--- /dev/null
+++ b/node/dispatcher/dispatcher.go
@@ -0,0 +1,225 @@
+// Package dispatcher is the duty that owns the router of a node: the calls that
+// the node sends on, their retries and their timers.
+//
+// # Usage
+//
+//	d := &dispatcher.Dispatcher{Router: r, Clock: clock, Transport: links}
+//	d.Run()
+//	defer d.Close()
+//	d.Submit(request, func(a cassiatally.Answer) { ... })
+//
+// The reply function is called once, by the duty, and must not block.
+package dispatcher
+
+import (
+	"context"
+	"sync/atomic"
+	"time"
+
+	"github.com/cassiatally/cassiatally/cassiatally"
+	"github.com/cassiatally/cassiatally/cassiatally/looper"
+	"github.com/cassiatally/cassiatally/cassiatally/ring"
+	"github.com/cassiatally/cassiatally/cassiatally/router"
+)
+
+const (
+	inboxSize = 4096
+	// answerReserve keeps places for answers, which complete work, when requests
+	// fill the ring.
+	answerReserve = 1024
+	tickEvery     = 20 * time.Millisecond
+)
+
+// Reply takes the answer to a submitted request.
+type Reply func(cassiatally.Answer)
+
+// Dispatcher is the duty. Its fields are set before Run.
+type Dispatcher struct {
+	Router    *router.Router
+	Balancer  cassiatally.Balancer
+	Loads     cassiatally.LoadTracker
+	Clock     cassiatally.Clock
+	Transport cassiatally.Transport
+
+	inbox  *ring.Ring[event]
+	duty   looper.Looper[event]
+	waits  map[cassiatally.CallID]Reply
+	asks   map[cassiatally.CallID]ask
+	counts atomic.Pointer[router.Counts]
+}
+
+type ask struct {
+	reply    Reply
+	deadline cassiatally.Instant
+}
+
+type event interface {
+	apply(d *Dispatcher, now cassiatally.Instant)
+}
+
+type (
+	submitEvent struct {
+		req   cassiatally.Request
+		reply Reply
+	}
+	withdrawEvent struct{ id cassiatally.CallID }
+	answerEvent   struct {
+		from   cassiatally.NodeID
+		answer cassiatally.Answer
+	}
+	lostEvent   struct{ peer cassiatally.NodeRef }
+	failedEvent struct {
+		to cassiatally.NodeID
+		m  cassiatally.Message
+	}
+	endpointsEvent struct {
+		candidates []cassiatally.Candidate
+		loads      []EndpointLevels
+	}
+	askEvent struct {
+		to      cassiatally.NodeID
+		query   cassiatally.KeyQuery
+		timeout time.Duration
+		reply   Reply
+	}
+)
+
+// EndpointLevels are the levels that gossip reports for one endpoint.
+type EndpointLevels struct {
+	Node cassiatally.NodeID
+	Load cassiatally.ServiceLoad
+}
+
+// Run starts the duty.
+func (d *Dispatcher) Run() {
+	d.inbox = ring.New[event](inboxSize, ring.Wait)
+	d.waits = make(map[cassiatally.CallID]Reply)
+	d.asks = make(map[cassiatally.CallID]ask)
+	d.counts.Store(&router.Counts{})
+	d.duty = looper.Looper[event]{
+		Clock:    d.Clock,
+		Inbox:    d.inbox,
+		Handle:   func(now cassiatally.Instant, e event) { e.apply(d, now) },
+		Tick:     d.tick,
+		Every:    tickEvery,
+		NextWake: d.Router.NextWake,
+	}
+	d.duty.Run()
+}
+
+// Close stops the duty and waits for it.
+func (d *Dispatcher) Close() { d.duty.Close() }
+
+// Counts returns the totals of the router as of the last tick.
+func (d *Dispatcher) Counts() router.Counts { return *d.counts.Load() }
+
+// Submit hands over a request. It returns false when the ring is full; reply is
+// then not called.
+func (d *Dispatcher) Submit(req cassiatally.Request, reply Reply) bool {
+	return d.inbox.Offer(submitEvent{req: req, reply: reply}, answerReserve)
+}
+
+// Withdraw tells that nobody waits for a request any more.
+func (d *Dispatcher) Withdraw(id cassiatally.CallID) {
+	d.inbox.Offer(withdrawEvent{id: id}, 0)
+}
+
+// Ask sends a query for a key's outcome to a node.
+func (d *Dispatcher) Ask(to cassiatally.NodeID, q cassiatally.KeyQuery, timeout time.Duration, reply Reply) bool {
+	return d.inbox.Offer(askEvent{to: to, query: q, timeout: timeout, reply: reply}, answerReserve)
+}
+
+// Answer hands over an answer from a node. It never waits, since the executor of
+// this node may be the sender. An answer that finds no room is lost, and the call
+// ends at its deadline.
+func (d *Dispatcher) Answer(from cassiatally.NodeID, a cassiatally.Answer) {
+	d.inbox.Offer(answerEvent{from: from, answer: a}, 0)
+}
+
+// LinkLost hands over the loss of a link.
+func (d *Dispatcher) LinkLost(peer cassiatally.NodeRef) {
+	d.inbox.Push(context.Background(), lostEvent{peer: peer})
+}
+
+// SendFailed hands over a message that was certainly not delivered.
+func (d *Dispatcher) SendFailed(to cassiatally.NodeID, m cassiatally.Message) {
+	// The duty itself may be the sender, so this must not wait for room.
+	d.inbox.Offer(failedEvent{to: to, m: m}, 0)
+}
+
+// Endpoints hands over the endpoints that membership knows.
+func (d *Dispatcher) Endpoints(candidates []cassiatally.Candidate, loads []EndpointLevels) {
+	d.inbox.Offer(endpointsEvent{candidates: candidates, loads: loads}, 0)
+}
+
+func (d *Dispatcher) tick(now cassiatally.Instant) {
+	d.carryOut(now, d.Router.Tick(now))
+	counts := d.Router.Counts()
+	d.counts.Store(&counts)
+	for id, a := range d.asks {
+		if now.Reached(a.deadline) {
+			delete(d.asks, id)
+			a.reply(cassiatally.Answer{ID: id, Kind: cassiatally.KindUnavailable, Detail: "the holder of the key's shard did not answer"})
+		}
+	}
+}
+
+func (e submitEvent) apply(d *Dispatcher, now cassiatally.Instant) {
+	d.waits[e.req.ID] = e.reply
+	d.carryOut(now, d.Router.Submit(now, e.req))
+}
+
+func (e withdrawEvent) apply(d *Dispatcher, now cassiatally.Instant) {
+	delete(d.waits, e.id)
+	d.carryOut(now, d.Router.Cancel(now, e.id))
+}
+
+func (e answerEvent) apply(d *Dispatcher, now cassiatally.Instant) {
+	if a, ok := d.asks[e.answer.ID]; ok {
+		delete(d.asks, e.answer.ID)
+		a.reply(e.answer)
+		return
+	}
+	d.carryOut(now, d.Router.HandleAnswer(now, e.from, e.answer))
+}
+
+func (e lostEvent) apply(d *Dispatcher, now cassiatally.Instant) {
+	d.carryOut(now, d.Router.LinkLost(now, e.peer))
+}
+
+func (e failedEvent) apply(d *Dispatcher, now cassiatally.Instant) {
+	d.carryOut(now, d.Router.SendFailed(now, e.to, e.m))
+}
+
+func (e endpointsEvent) apply(d *Dispatcher, now cassiatally.Instant) {
+	d.Balancer.Update(now, e.candidates)
+	for _, l := range e.loads {
+		d.Loads.Observe(now, l.Node, l.Load)
+	}
+}
+
+func (e askEvent) apply(d *Dispatcher, now cassiatally.Instant) {
+	d.asks[e.query.ID] = ask{reply: e.reply, deadline: now.Add(e.timeout)}
+	if err := d.Transport.Send(e.to, e.query); err != nil {
+		delete(d.asks, e.query.ID)
+		e.reply(cassiatally.Answer{ID: e.query.ID, Kind: cassiatally.KindUnavailable, Detail: err.Error()})
+	}
+}
+
+func (d *Dispatcher) carryOut(now cassiatally.Instant, actions []cassiatally.Action) {
+	for _, a := range actions {
+		switch a := a.(type) {
+		case cassiatally.Send:
+			if err := d.Transport.Send(a.To, a.Message); err != nil {
+				d.carryOut(now, d.Router.SendFailed(now, a.To, a.Message))
+			}
+		case cassiatally.Deliver:
+			reply, ok := d.waits[a.Call]
+			delete(d.waits, a.Call)
+			if ok {
+				reply(a.Answer)
+			}
+		default:
+		}
+	}
+}
--- /dev/null
+++ b/node/executor/executor.go
@@ -0,0 +1,328 @@
+// Package executor is the duty that owns the calls at the local backend server.
+// Its workers each make one HTTP call to the backend server at a time.
+//
+// # Usage
+//
+//	x := &executor.Executor{Runner: r, Clock: clock, Transport: links, Requests: d}
+//	x.Run()
+//	defer x.Close()
+//	x.Call("node-2", call)
+package executor
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/charmbracelet/log"
+
+	"github.com/cassiatally/cassiatally/cassiatally"
+	"github.com/cassiatally/cassiatally/cassiatally/looper"
+	"github.com/cassiatally/cassiatally/cassiatally/ring"
+	"github.com/cassiatally/cassiatally/cassiatally/runner"
+)
+
+const (
+	inboxSize = 4096
+	// resultReserve keeps places for results, which complete work, when calls fill
+	// the ring.
+	resultReserve = 1024
+	tickEvery     = 20 * time.Millisecond
+	// MaxWorkers bounds the calls to one backend server.
+	MaxWorkers = 1024
+	// announceTTL is how long an announcement of the backend server holds.
+	announceTTL = 3 * time.Second
+)
+
+// Requests takes onward calls; the dispatcher implements it.
+type Requests interface {
+	Submit(req cassiatally.Request, reply func(cassiatally.Answer)) bool
+	Withdraw(id cassiatally.CallID)
+}
+
+// Announcement is what the backend server says about itself.
+type Announcement struct {
+	Address  cassiatally.Address
+	Endpoint cassiatally.Endpoint
+}
+
+// Executor is the duty. Its fields are set before Run.
+type Executor struct {
+	Runner     *runner.Runner
+	Quarantine cassiatally.Quarantine
+	Clock      cassiatally.Clock
+	Transport  cassiatally.Transport
+	Requests   Requests
+	Logger     *log.Logger
+	// Changed is called by the duty when the announced endpoint changes and with
+	// fresh load at every tick; it must not block.
+	Changed func(cassiatally.Endpoint, []cassiatally.CrashReport)
+
+	inbox   *ring.Ring[event]
+	duty    looper.Looper[event]
+	work    *ring.Ring[job]
+	workers sync.WaitGroup
+	started int
+	backend atomic.Pointer[client]
+	waits   map[cassiatally.CallID]func(cassiatally.Answer)
+	cancels map[cassiatally.CallID]context.CancelFunc
+	ctx     context.Context
+	cancel  context.CancelFunc
+	state   cassiatally.EndpointState
+	running atomic.Int64
+}
+
+type job struct {
+	ctx  context.Context
+	call cassiatally.Call
+}
+
+type event interface {
+	apply(x *Executor, now cassiatally.Instant)
+}
+
+type (
+	callEvent struct {
+		from cassiatally.NodeID
+		call cassiatally.Call
+	}
+	cancelEvent struct{ id cassiatally.CallID }
+	queryEvent  struct {
+		from  cassiatally.NodeID
+		query cassiatally.RunQuery
+	}
+	resultEvent struct {
+		id  cassiatally.CallID
+		res runner.Result
+	}
+	announceEvent struct{ a Announcement }
+	withdrawEvent struct{}
+	leaveEvent    struct{}
+	sharesEvent   struct {
+		shares [cassiatally.MaxRanks]cassiatally.Share
+	}
+	crashesEvent struct{ reports []cassiatally.CrashReport }
+	childEvent   struct {
+		call  runner.ChildCall
+		reply func(cassiatally.Answer)
+	}
+	childAnswerEvent struct {
+		id     cassiatally.CallID
+		answer cassiatally.Answer
+	}
+)
+
+// Run starts the duty.
+func (x *Executor) Run() {
+	x.ctx, x.cancel = context.WithCancel(context.Background())
+	x.inbox = ring.New[event](inboxSize, ring.Wait)
+	x.work = ring.New[job](MaxWorkers, ring.RefuseNewest)
+	x.waits = make(map[cassiatally.CallID]func(cassiatally.Answer))
+	x.cancels = make(map[cassiatally.CallID]context.CancelFunc)
+	x.duty = looper.Looper[event]{
+		Clock:  x.Clock,
+		Inbox:  x.inbox,
+		Handle: func(now cassiatally.Instant, e event) { e.apply(x, now) },
+		Tick:   x.tick,
+		Every:  tickEvery,
+	}
+	x.duty.Run()
+}
+
+// Close stops the workers and the duty and waits for them.
+func (x *Executor) Close() {
+	x.cancel()
+	x.work.Close()
+	x.workers.Wait()
+	x.duty.Close()
+}
+
+// Running returns the runs in flight as of the last tick.
+func (x *Executor) Running() int { return int(x.running.Load()) }
+
+// Call hands over a call from a node. It returns false when the ring is full.
+func (x *Executor) Call(from cassiatally.NodeID, c cassiatally.Call) bool {
+	return x.inbox.Offer(callEvent{from: from, call: c}, resultReserve)
+}
+
+// Cancel hands over a cancellation.
+func (x *Executor) Cancel(id cassiatally.CallID) { x.inbox.Offer(cancelEvent{id: id}, 0) }
+
+// Query hands over a question about a call.
+func (x *Executor) Query(from cassiatally.NodeID, q cassiatally.RunQuery) {
+	x.inbox.Offer(queryEvent{from: from, query: q}, 0)
+}
+
+// Announce hands over what the backend server says about itself.
+func (x *Executor) Announce(a Announcement) bool {
+	return x.inbox.Offer(announceEvent{a: a}, 0)
+}
+
+// Withdraw tells that the backend server has left.
+func (x *Executor) Withdraw() { x.inbox.Offer(withdrawEvent{}, 0) }
+
+// Leave refuses new work because the node is told to stop.
+func (x *Executor) Leave() { x.inbox.Push(x.ctx, leaveEvent{}) }
+
+// SetShares hands over the kept shares of the sheet in force.
+func (x *Executor) SetShares(shares [cassiatally.MaxRanks]cassiatally.Share) {
+	x.inbox.Offer(sharesEvent{shares: shares}, 0)
+}
+
+// Crashes hands over crash reports of other nodes.
+func (x *Executor) Crashes(reports []cassiatally.CrashReport) {
+	x.inbox.Offer(crashesEvent{reports: reports}, 0)
+}
+
+// Child hands over an onward call of the backend server.
+func (x *Executor) Child(c runner.ChildCall, reply func(cassiatally.Answer)) bool {
+	return x.inbox.Offer(childEvent{call: c, reply: reply}, resultReserve)
+}
+
+func (x *Executor) tick(now cassiatally.Instant) {
+	x.carryOut(now, x.Runner.Tick(now))
+	x.report(now)
+}
+
+func (x *Executor) report(now cassiatally.Instant) {
+	e := x.Runner.Endpoint()
+	x.running.Store(int64(x.Runner.Running()))
+	if e.State != x.state {
+		x.state = e.State
+		x.Logger.Info("backend server state changed", "service", e.Service, "state", e.State)
+	}
+	x.Changed(e, x.Quarantine.Reports(now))
+}
+
+func (e callEvent) apply(x *Executor, now cassiatally.Instant) {
+	x.carryOut(now, x.Runner.HandleCall(now, e.from, e.call))
+}
+
+func (e cancelEvent) apply(x *Executor, now cassiatally.Instant) {
+	x.carryOut(now, x.Runner.HandleCancel(now, e.id))
+}
+
+func (e queryEvent) apply(x *Executor, now cassiatally.Instant) {
+	x.carryOut(now, x.Runner.HandleRunQuery(now, e.from, e.query))
+}
+
+func (e resultEvent) apply(x *Executor, now cassiatally.Instant) {
+	if cancel, ok := x.cancels[e.id]; ok {
+		cancel()
+		delete(x.cancels, e.id)
+	}
+	if e.res.Kind == runner.ResultBroken {
+		x.Logger.Warn("backend server broke off a run", "call", e.id, "detail", e.res.Detail)
+	}
+	x.carryOut(now, x.Runner.Finished(now, e.id, e.res))
+}
+
+func (e announceEvent) apply(x *Executor, now cassiatally.Instant) {
+	if c := x.backend.Load(); c == nil || c.address != e.a.Address || c.connections != e.a.Endpoint.Connections {
+		x.backend.Store(newClient(e.a.Address, e.a.Endpoint.Connections))
+	}
+	x.addWorkers(int(e.a.Endpoint.Slots))
+	x.carryOut(now, x.Runner.Announce(now, e.a.Endpoint, announceTTL))
+	x.report(now)
+}
+
+// addWorkers starts workers up to the slots that the backend server announces.
+func (x *Executor) addWorkers(slots int) {
+	for x.started < min(slots, MaxWorkers) {
+		x.started++
+		x.workers.Go(x.serve)
+	}
+}
+
+func (e withdrawEvent) apply(x *Executor, now cassiatally.Instant) {
+	x.carryOut(now, x.Runner.Withdraw(now))
+	x.report(now)
+}
+
+func (e leaveEvent) apply(x *Executor, now cassiatally.Instant) {
+	x.carryOut(now, x.Runner.Leave(now))
+	x.report(now)
+}
+
+func (e sharesEvent) apply(x *Executor, _ cassiatally.Instant) { x.Runner.SetShares(e.shares) }
+
+func (e crashesEvent) apply(x *Executor, now cassiatally.Instant) {
+	x.Quarantine.Merge(now, e.reports)
+}
+
+func (e childEvent) apply(x *Executor, now cassiatally.Instant) {
+	x.waits[e.call.Waiter] = e.reply
+	x.carryOut(now, x.Runner.BeginChild(now, e.call))
+}
+
+func (e childAnswerEvent) apply(x *Executor, now cassiatally.Instant) {
+	x.carryOut(now, x.Runner.ChildAnswered(now, e.id, e.answer))
+}
+
+func (x *Executor) carryOut(now cassiatally.Instant, actions []cassiatally.Action) {
+	for _, a := range actions {
+		switch a := a.(type) {
+		case cassiatally.Send:
+			if err := x.Transport.Send(a.To, a.Message); err != nil {
+				x.Logger.Debug("answer not sent", "to", a.To, "error", err)
+			}
+		case cassiatally.StartRun:
+			x.start(now, a.Call)
+		case cassiatally.AbortRun:
+			if cancel, ok := x.cancels[a.Call]; ok {
+				cancel()
+			}
+		case cassiatally.Submit:
+			x.submit(now, a.Request)
+		case cassiatally.Withdraw:
+			x.Requests.Withdraw(a.Call)
+		case cassiatally.Deliver:
+			x.deliver(a)
+		default:
+		}
+	}
+}
+
+func (x *Executor) deliver(d cassiatally.Deliver) {
+	reply, ok := x.waits[d.Call]
+	delete(x.waits, d.Call)
+	if ok {
+		reply(d.Answer)
+	}
+}
+
+func (x *Executor) start(now cassiatally.Instant, c cassiatally.Call) {
+	ctx, cancel := context.WithTimeout(x.ctx, c.Remaining)
+	x.cancels[c.ID] = cancel
+	if x.work.Offer(job{ctx: ctx, call: c}, 0) {
+		return
+	}
+	cancel()
+	delete(x.cancels, c.ID)
+	x.carryOut(now, x.Runner.Finished(now, c.ID, runner.Result{Kind: runner.ResultRefused, Detail: "no worker is free"}))
+}
+
+func (x *Executor) submit(now cassiatally.Instant, req cassiatally.Request) {
+	id := req.ID
+	ok := x.Requests.Submit(req, func(a cassiatally.Answer) {
+		x.inbox.Push(x.ctx, childAnswerEvent{id: id, answer: a})
+	})
+	if !ok {
+		x.carryOut(now, x.Runner.ChildAnswered(now, id, cassiatally.Answer{
+			ID: id, Outcome: cassiatally.OutcomeNotRun, Kind: cassiatally.KindOverloaded, Detail: "the node is overloaded",
+		}))
+	}
+}
+
+func (x *Executor) serve() {
+	for {
+		j, ok := x.work.Pop(x.ctx)
+		if !ok {
+			return
+		}
+		c := x.backend.Load()
+		res := c.do(j.ctx, j.call)
+		x.inbox.Push(x.ctx, resultEvent{id: j.call.ID, res: res})
+	}
+}
--- /dev/null
+++ b/node/linker/link.go
@@ -0,0 +1,228 @@
+package linker
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/coder/websocket"
+
+	"github.com/cassiatally/cassiatally/cassiatally"
+	"github.com/cassiatally/cassiatally/cassiatally/protocol"
+	"github.com/cassiatally/cassiatally/cassiatally/ring"
+)
+
+type link struct {
+	owner    *Linker
+	addr     cassiatally.Address
+	outbound bool
+	// expected is the node that the address belongs to, when that is known.
+	expected cassiatally.NodeID
+	// served is guarded by the mutex of the owner.
+	served bool
+	outbox *ring.Ring[cassiatally.Message]
+	ctx    context.Context
+	cancel context.CancelFunc
+	peer   cassiatally.NodeRef
+	// lastRequest and lastControl are when a message of a request, or any other but
+	// a heartbeat, was last sent or received.
+	lastRequest, lastControl atomic.Int64
+	pong                     chan uint64
+
+	mu   sync.Mutex
+	conn *websocket.Conn
+	why  string
+}
+
+func newLink(l *Linker, addr cassiatally.Address) *link {
+	ctx, cancel := context.WithCancel(l.ctx)
+	k := &link{
+		owner:    l,
+		addr:     addr,
+		outbound: addr != "",
+		outbox:   ring.New[cassiatally.Message](l.RingSize, ring.RefuseNewest),
+		ctx:      ctx,
+		cancel:   cancel,
+		pong:     make(chan uint64, 1),
+	}
+	k.lastControl.Store(time.Now().UnixNano())
+	return k
+}
+
+func (k *link) push(m cassiatally.Message) error {
+	if !k.outbox.Push(k.ctx, m) {
+		return cassiatally.NewError(cassiatally.KindUnreachable, "the link to %s is full or has ended", k.peer.Node)
+	}
+	return nil
+}
+
+// greet exchanges Hello frames.
+func (k *link) greet(ctx context.Context, conn *websocket.Conn) error {
+	conn.SetReadLimit(protocol.MaxFrame)
+	k.mu.Lock()
+	k.conn = conn
+	k.mu.Unlock()
+	hello := cassiatally.Hello{From: k.owner.Self, DataCentre: k.owner.DataCentre, Address: k.owner.Advertise}
+	if err := k.writeFrame(ctx, hello); err != nil {
+		return err
+	}
+	m, err := k.readFrame(ctx)
+	if err != nil {
+		return err
+	}
+	theirs, ok := m.(cassiatally.Hello)
+	if !ok || theirs.From.IsZero() {
+		return cassiatally.NewError(cassiatally.KindProtocol, "the first frame of a link is not a hello")
+	}
+	k.peer = theirs.From
+	return nil
+}
+
+// end closes the link for a reason; the first reason stays.
+func (k *link) end(why string) {
+	k.mu.Lock()
+	if k.why == "" {
+		k.why = why
+	}
+	conn := k.conn
+	k.mu.Unlock()
+	k.outbox.Close()
+	k.cancel()
+	if conn != nil {
+		_ = conn.CloseNow()
+	}
+}
+
+func (k *link) reason() string {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.why
+}
+
+func (k *link) write() {
+	defer k.end("writer ended")
+	beat := time.NewTicker(k.owner.Heartbeat)
+	defer beat.Stop()
+	var seq uint64
+	wrote := false
+	for {
+		select {
+		case <-k.outbox.Ready():
+			if !k.writeQueued() {
+				return
+			}
+			wrote = true
+		case n := <-k.pong:
+			if k.writeFrame(k.ctx, cassiatally.Pong{Seq: n}) != nil {
+				return
+			}
+		case <-beat.C:
+			if k.idle() {
+				k.end("idle")
+				return
+			}
+			if !wrote {
+				seq++
+				if k.writeFrame(k.ctx, cassiatally.Ping{Seq: seq}) != nil {
+					return
+				}
+			}
+			wrote = false
+		case <-k.ctx.Done():
+			return
+		}
+	}
+}
+
+func (k *link) idle() bool {
+	return k.outbound && k.quiet() && !k.owner.otherLinkActive(k)
+}
+
+func (k *link) quiet() bool {
+	now := time.Now().UnixNano()
+	return now-k.lastRequest.Load() > int64(requestIdle) && now-k.lastControl.Load() > int64(controlIdle)
+}
+
+func (k *link) touch(m cassiatally.Message) {
+	now := time.Now().UnixNano()
+	if ofRequest(m) {
+		k.lastRequest.Store(now)
+		return
+	}
+	k.lastControl.Store(now)
+}
+
+// writeQueued writes messages one by one, so that those not yet written are
+// still in the ring when the link ends and can be reported as not sent.
+func (k *link) writeQueued() bool {
+	for k.outbox.Len() > 0 {
+		m, ok := k.outbox.Pop(k.ctx)
+		if !ok {
+			return false
+		}
+		k.touch(m)
+		if k.writeFrame(k.ctx, m) != nil {
+			return false
+		}
+	}
+	return true
+}
+
+func (k *link) writeFrame(ctx context.Context, m cassiatally.Message) error {
+	frame, err := k.owner.Codec.Encode(m)
+	if err != nil {
+		// One message that cannot be encoded must not end the link of the others.
+		k.owner.Logger.Error("message not encoded", "peer", k.peer, "error", err)
+		return nil
+	}
+	k.owner.bytes.sent(m, len(frame))
+	ctx, cancel := context.WithTimeout(ctx, k.owner.DeadAfter)
+	defer cancel()
+	return k.conn.Write(ctx, websocket.MessageBinary, frame)
+}
+
+func (k *link) read() {
+	defer k.end("reader ended")
+	watchdog := time.AfterFunc(k.owner.DeadAfter, func() { k.end("silent") })
+	defer watchdog.Stop()
+	for {
+		m, err := k.readFrame(k.ctx)
+		if err != nil {
+			if cassiatally.KindOf(err) != cassiatally.KindInternal {
+				k.owner.Logger.Warn("frame refused", "peer", k.peer, "error", err)
+				k.end("malformed frame")
+			}
+			return
+		}
+		watchdog.Reset(k.owner.DeadAfter)
+		k.handle(m)
+	}
+}
+
+func (k *link) readFrame(ctx context.Context) (cassiatally.Message, error) {
+	_, frame, err := k.conn.Read(ctx)
+	if err != nil {
+		return nil, err
+	}
+	m, err := k.owner.Codec.Decode(frame)
+	if err != nil {
+		return nil, err
+	}
+	k.owner.bytes.received(m, len(frame))
+	return m, nil
+}
+
+func (k *link) handle(m cassiatally.Message) {
+	switch m := m.(type) {
+	case cassiatally.Ping:
+		select {
+		case k.pong <- m.Seq:
+		default:
+		}
+	case cassiatally.Pong, cassiatally.Hello:
+	default:
+		k.touch(m)
+		k.owner.Inbound(k.peer, m)
+	}
+}
--- /dev/null
+++ b/node/linker/linker.go
@@ -0,0 +1,325 @@
+// Package linker carries messages between nodes over WebSocket. Two nodes share a
+// link that either of them opens; answers return on the link that the call came
+// on, so that its loss is noticed by the node that waits.
+//
+// Each link has two duties: a writer that takes messages from a bounded ring, and
+// a reader that hands messages to Inbound. Both ends send a Ping when they have
+// nothing else to send, and close a link on which nothing arrives for DeadAfter.
+// That finds connections that have gone silent for good.
+//
+// # Usage
+//
+//	l := &linker.Linker{Self: self, Listen: addr, Codec: codec, Inbound: f, ...}
+//	if err := l.Run(); err != nil { ... }
+//	defer l.Close()
+//	err := l.Send("node-2", cassiatally.Ping{Seq: 1})
+package linker
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/charmbracelet/log"
+	"github.com/cockroachdb/errors"
+	"github.com/coder/websocket"
+	"github.com/labstack/echo/v4"
+
+	"github.com/cassiatally/cassiatally/cassiatally"
+	"github.com/cassiatally/cassiatally/cassiatally/protocol"
+)
+
+const (
+	// dialTimeout bounds the opening of a link, the first frames included.
+	dialTimeout = time.Second
+	// redialPause is the least time between two attempts to open a link. Without it
+	// a dead node would cost a dial for each call.
+	redialPause = 200 * time.Millisecond
+	// requestIdle and controlIdle are the times without a request and without any
+	// message but heartbeats after which the node that opened a link closes it.
+	// requestIdle exceeds the longest timeout of a request, so that no call is in
+	// flight. controlIdle is short, since gossip picks other nodes each round and
+	// each open link costs heartbeats.
+	requestIdle = time.Minute
+	controlIdle = 3 * time.Second
+	// linkPath is where nodes accept links.
+	linkPath = "/v1/link"
+	// shutdownGrace bounds the closing of the HTTP server.
+	shutdownGrace = 2 * time.Second
+)
+
+// Linker owns the links of a node. Its fields are set before Run.
+type Linker struct {
+	Self       cassiatally.NodeRef
+	DataCentre cassiatally.DataCentre
+	// Advertise is the address that other nodes connect to; empty means Listen.
+	Advertise cassiatally.Address
+	Listen    cassiatally.Address
+	Codec     *protocol.Codec
+	Logger    *log.Logger
+	Heartbeat time.Duration
+	DeadAfter time.Duration
+	// RingSize bounds the messages that wait to be written to one link.
+	RingSize int
+	// AddressOf returns where a node accepts links.
+	AddressOf func(cassiatally.NodeID) (cassiatally.Address, bool)
+	// Inbound takes each message; it must not block. Messages to the own node go
+	// there directly.
+	Inbound func(from cassiatally.NodeRef, m cassiatally.Message)
+	// Lost is called when a link over which messages were exchanged has ended.
+	Lost func(peer cassiatally.NodeRef)
+	// Undelivered is called with each message that was certainly not sent.
+	Undelivered func(to cassiatally.NodeID, m cassiatally.Message)
+
+	ctx      context.Context
+	cancel   context.CancelFunc
+	listener net.Listener
+	server   *http.Server
+	running  sync.WaitGroup
+	bytes    counters
+
+	mu     sync.Mutex
+	closed bool
+	byNode map[cassiatally.NodeID]*link
+	byAddr map[cassiatally.Address]*link
+	all    map[*link]struct{}
+	failed map[cassiatally.Address]time.Time
+}
+
+// Run starts to accept links.
+func (l *Linker) Run() error {
+	l.ctx, l.cancel = context.WithCancel(context.Background())
+	l.byNode = make(map[cassiatally.NodeID]*link)
+	l.byAddr = make(map[cassiatally.Address]*link)
+	l.all = make(map[*link]struct{})
+	l.failed = make(map[cassiatally.Address]time.Time)
+	lc := net.ListenConfig{}
+	listener, err := lc.Listen(l.ctx, "tcp", string(l.Listen))
+	if err != nil {
+		return errors.Wrapf(err, "listen for links on %s", l.Listen)
+	}
+	l.listener = listener
+	if l.Advertise == "" {
+		l.Advertise = cassiatally.Address(listener.Addr().String())
+	}
+	e := echo.New()
+	e.HideBanner = true
+	e.HidePort = true
+	e.GET(linkPath, l.accept)
+	l.server = &http.Server{Handler: e, ReadHeaderTimeout: dialTimeout}
+	l.running.Go(func() { _ = l.server.Serve(listener) })
+	return nil
+}
+
+// Addr returns the address on which links are accepted.
+func (l *Linker) Addr() cassiatally.Address {
+	return cassiatally.Address(l.listener.Addr().String())
+}
+
+// Close ends all links and waits for their duties.
+func (l *Linker) Close() {
+	l.mu.Lock()
+	l.closed = true
+	l.mu.Unlock()
+	l.cancel()
+	ctx, cancel := context.WithTimeout(context.Background(), shutdownGrace)
+	defer cancel()
+	_ = l.server.Shutdown(ctx)
+	l.mu.Lock()
+	links := make([]*link, 0, len(l.all))
+	for k := range l.all {
+		links = append(links, k)
+	}
+	l.mu.Unlock()
+	for _, k := range links {
+		k.end("node stops")
+	}
+	l.running.Wait()
+}
+
+// Bytes returns the bytes of frames sent and received so far, without the bodies
+// of calls and answers counted apart.
+func (l *Linker) Bytes() Traffic { return l.bytes.read() }
+
+// Links returns the number of open links.
+func (l *Linker) Links() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return len(l.all)
+}
+
+// Send queues a message for a node. It never blocks.
+func (l *Linker) Send(to cassiatally.NodeID, m cassiatally.Message) error {
+	if to == l.Self.Node {
+		l.Inbound(l.Self, m)
+		return nil
+	}
+	l.mu.Lock()
+	k, ok := l.byNode[to]
+	l.mu.Unlock()
+	if ok {
+		return k.push(m)
+	}
+	addr, ok := l.AddressOf(to)
+	if !ok {
+		return cassiatally.NewError(cassiatally.KindUnreachable, "no address is known for node %s", to)
+	}
+	k, err := l.linkTo(addr, to)
+	if err != nil {
+		return err
+	}
+	return k.push(m)
+}
+
+// SendAddress queues a message for the node that accepts links at an address.
+func (l *Linker) SendAddress(to cassiatally.Address, m cassiatally.Message) error {
+	k, err := l.linkTo(to, "")
+	if err != nil {
+		return err
+	}
+	return k.push(m)
+}
+
+func (l *Linker) linkTo(to cassiatally.Address, node cassiatally.NodeID) (*link, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if k, ok := l.byAddr[to]; ok {
+		return k, nil
+	}
+	if l.closed {
+		return nil, cassiatally.NewError(cassiatally.KindUnreachable, "the node stops")
+	}
+	if at, ok := l.failed[to]; ok && time.Since(at) < redialPause {
+		return nil, cassiatally.NewError(cassiatally.KindUnreachable, "address %s could not be reached a moment ago", to)
+	}
+	k := newLink(l, to)
+	k.expected = node
+	l.byAddr[to] = k
+	l.all[k] = struct{}{}
+	l.running.Go(func() { l.open(k) })
+	return k, nil
+}
+
+// open dials and then serves as the writer of the link.
+func (l *Linker) open(k *link) {
+	ctx, cancel := context.WithTimeout(l.ctx, dialTimeout)
+	conn, resp, err := websocket.Dial(ctx, "ws://"+string(k.addr)+linkPath, &websocket.DialOptions{
+		CompressionMode: websocket.CompressionDisabled,
+	})
+	if resp != nil && resp.Body != nil {
+		_ = resp.Body.Close()
+	}
+	if err == nil {
+		err = k.greet(ctx, conn)
+	}
+	if err == nil && k.expected != "" && k.expected != k.peer.Node {
+		err = cassiatally.NewError(cassiatally.KindUnreachable, "node %s answers at the address of node %s", k.peer.Node, k.expected)
+	}
+	cancel()
+	if err != nil {
+		l.dialFailed(k, err)
+		return
+	}
+	l.serve(k)
+}
+
+func (l *Linker) dialFailed(k *link, err error) {
+	l.mu.Lock()
+	l.failed[k.addr] = time.Now()
+	if len(l.failed) > maxFailedAddresses {
+		clear(l.failed)
+	}
+	l.mu.Unlock()
+	l.Logger.Debug("link not opened", "address", k.addr, "error", err)
+	k.end("dial failed")
+	l.forget(k)
+}
+
+// otherLinkActive reports whether another link to the same node carries requests.
+func (l *Linker) otherLinkActive(k *link) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for other := range l.all {
+		if other != k && other.served && other.peer.Node == k.peer.Node && !other.quiet() {
+			return true
+		}
+	}
+	return false
+}
+
+// maxFailedAddresses bounds the memory of addresses that could not be reached.
+const maxFailedAddresses = 4096
+
+func (l *Linker) accept(c echo.Context) error {
+	conn, err := websocket.Accept(c.Response(), c.Request(), &websocket.AcceptOptions{
+		CompressionMode: websocket.CompressionDisabled,
+	})
+	if err != nil {
+		// Accept has written the HTTP error.
+		return nil
+	}
+	k := newLink(l, "")
+	l.mu.Lock()
+	if l.closed {
+		l.mu.Unlock()
+		return conn.Close(websocket.StatusGoingAway, "node stops")
+	}
+	l.all[k] = struct{}{}
+	l.running.Add(1)
+	l.mu.Unlock()
+	defer l.running.Done()
+	ctx, cancel := context.WithTimeout(l.ctx, dialTimeout)
+	err = k.greet(ctx, conn)
+	cancel()
+	if err != nil {
+		l.Logger.Warn("link refused", "remote", c.RealIP(), "error", err)
+		k.end("greeting failed")
+		l.forget(k)
+		return nil
+	}
+	l.serve(k)
+	return nil
+}
+
+// serve runs reader and writer of an open link until it ends.
+func (l *Linker) serve(k *link) {
+	l.mu.Lock()
+	l.byNode[k.peer.Node] = k
+	k.served = true
+	l.mu.Unlock()
+	l.Logger.Debug("link opened", "peer", k.peer, "address", k.addr)
+	var reader sync.WaitGroup
+	reader.Go(k.read)
+	k.write()
+	reader.Wait()
+	l.forget(k)
+	l.Logger.Debug("link ended", "peer", k.peer, "reason", k.reason())
+	l.Lost(k.peer)
+}
+
+// forget removes an ended link and reports the messages that were not sent.
+func (l *Linker) forget(k *link) {
+	l.mu.Lock()
+	delete(l.all, k)
+	if l.byNode[k.peer.Node] == k {
+		delete(l.byNode, k.peer.Node)
+		for other := range l.all {
+			if other.served && other.peer.Node == k.peer.Node {
+				l.byNode[k.peer.Node] = other
+			}
+		}
+	}
+	if k.addr != "" && l.byAddr[k.addr] == k {
+		delete(l.byAddr, k.addr)
+	}
+	l.mu.Unlock()
+	to := k.expected
+	if to == "" {
+		to = k.peer.Node
+	}
+	for _, m := range k.outbox.Take(nil) {
+		l.Undelivered(to, m)
+	}
+}
