library: add the decisions under load

Cause: the node needs its decisions on admission, limits, routing, retries and refusal at the entry before its duties can be wired.

--- /dev/null
+++ b/cassiatally/admitter/admitter.go
@@ -0,0 +1,340 @@
+// Package admitter decides which calls a backend server runs, in which order,
+// and which are refused.
+//
+// An Admitter queues calls by rank. Free capacity goes first to ranks below
+// their kept share, and then by strict precedence of ranks. Within a rank the
+// lowest order value goes first, so that every service of a chain serves the
+// same call trees. Calls that cannot finish before their deadline are dropped
+// before work is spent on them. The queue is bounded by the time it takes to
+// serve it; when it is full, the entry that would be served last is refused.
+//
+// Every 100 ms the Admitter computes a level per rank: the fraction of order
+// values that it can serve. Entry nodes refuse the rest.
+//
+// # Usage
+//
+//	a := &admitter.Admitter{}
+//	refused := a.Offer(now, entry)
+//	start, dropped := a.Next(now, free)
+//	a.Done(now, rank, busy) // at the end of each run
+//	a.Tick(now, limit)      // every 100 ms
+//	levels := a.Levels()
+//
+// An Admitter is not safe for concurrent use.
+package admitter
+
+import (
+	"time"
+
+	"github.com/cassiatally/cassiatally/cassiatally"
+)
+
+const (
+	defaultTargetWait = 100 * time.Millisecond
+	defaultLeastQueue = 16
+	// typicalWeight is the weight of one run in the typical run time.
+	typicalWeight = 0.1
+	// typicalDecay lowers the typical run time in a window in which calls were
+	// dropped for it and none ended. Without it, one slow spell could have every
+	// call dropped and the run time never measured again.
+	typicalDecay = 0.8
+	// tokenTime is the time for which a rank can save up its kept share. A longer
+	// time would let a rank that was idle hold up urgent work.
+	tokenTime = 250 * time.Millisecond
+	// leastTokens and leastQuota let a rank with a small kept share survive the
+	// unevenness of its own arrivals.
+	leastTokens = 4
+	leastQuota  = 4
+)
+
+// Admitter is the queue in front of one backend server.
+type Admitter struct {
+	// TargetWait is the time worth of work that may queue; 0 means 100 ms.
+	TargetWait time.Duration
+	// LeastQueue is the least bound of the queue in entries; 0 means 16.
+	LeastQueue int
+
+	q     *queue
+	ranks [cassiatally.MaxRanks]rankState
+	meter meter
+	// typical is the typical run time over all ranks.
+	typical time.Duration
+	// starved is set when a call was dropped because of its deadline.
+	starved bool
+}
+
+type rankState struct {
+	share   cassiatally.Share
+	tokens  float64
+	typical time.Duration
+	tenants tenants
+}
+
+var _ cassiatally.Admitter = (*Admitter)(nil)
+
+// Offer queues the entry. It returns the entries refused because of it.
+func (a *Admitter) Offer(now cassiatally.Instant, e cassiatally.Entry) []cassiatally.Dropped {
+	a.prepare(now)
+	r := min(e.Rank, cassiatally.MaxRanks-1)
+	s := &a.ranks[r]
+	s.share = e.Share
+	a.meter.arrived(r)
+	key := float64(e.Order) * s.tenants.arrived(e.Tenant)
+	if kind := a.hopeless(now, e, r, key); kind != cassiatally.KindNone {
+		return []cassiatally.Dropped{{ID: e.ID, Kind: kind}}
+	}
+	if old := a.q.byID[e.ID]; old != nil {
+		a.q.remove(old)
+	}
+	a.q.add(e, r, key)
+	if a.q.len() <= a.bound()+a.meter.free() {
+		return nil
+	}
+	worst := a.q.remove(a.worst())
+	return []cassiatally.Dropped{{ID: worst.ID, Kind: cassiatally.KindOverloaded}}
+}
+
+func (a *Admitter) prepare(now cassiatally.Instant) {
+	if a.q == nil {
+		a.q = newQueue()
+		a.meter.begin(now)
+	}
+}
+
+// hopeless returns the kind of error of an entry that cannot be served before
+// its deadline, and KindNone for any other.
+func (a *Admitter) hopeless(now cassiatally.Instant, e cassiatally.Entry, r cassiatally.Rank, key float64) cassiatally.ErrorKind {
+	if e.Deadline == 0 {
+		return cassiatally.KindNone
+	}
+	left := e.Deadline.Sub(now) - a.typicalOf(r)
+	if left < 0 {
+		a.starved = true
+		return cassiatally.KindExpired
+	}
+	if left < a.predictedWait(r, key) {
+		return cassiatally.KindOverloaded
+	}
+	return cassiatally.KindNone
+}
+
+// predictedWait returns the time until an entry would start. It is 0 while the
+// capacity is unknown.
+func (a *Admitter) predictedWait(r cassiatally.Rank, key float64) time.Duration {
+	rate := a.meter.capacity
+	if a.q.len() == 0 || rate <= 0 || a.meter.free() > a.q.len() {
+		return 0
+	}
+	own := a.ahead(r, key)
+	all := own
+	for q := range r {
+		all += float64(a.q.rankLen(q))
+	}
+	wait := all / rate
+	if share := float64(a.ranks[r].share); share > 0 {
+		wait = min(wait, own/(share*rate))
+	}
+	return time.Duration(wait * float64(time.Second))
+}
+
+// ahead estimates how many entries of the rank go before the key, as if the keys
+// in the queue were spread evenly.
+func (a *Admitter) ahead(r cassiatally.Rank, key float64) float64 {
+	n := a.q.rankLen(r)
+	if n == 0 {
+		return 0
+	}
+	low, high := a.q.first[r].top().key, a.q.last[r].top().key
+	if key <= low {
+		return 0
+	}
+	if key >= high {
+		return float64(n)
+	}
+	return float64(n) * (key - low) / (high - low)
+}
+
+// bound returns the number of entries that may queue.
+func (a *Admitter) bound() int {
+	target := a.TargetWait
+	if target <= 0 {
+		target = defaultTargetWait
+	}
+	least := a.LeastQueue
+	if least <= 0 {
+		least = defaultLeastQueue
+	}
+	return max(int(a.meter.capacity*target.Seconds()), least)
+}
+
+// worst returns the entry that would be served last: of the least urgent rank
+// that has more entries than its kept share of the queue, the one with the
+// highest key.
+func (a *Admitter) worst() *item {
+	var fallback *item
+	bound := float64(a.bound())
+	for r := cassiatally.Rank(cassiatally.MaxRanks); r > 0; r-- {
+		it := a.q.last[r-1].top()
+		if it == nil {
+			continue
+		}
+		if fallback == nil {
+			fallback = it
+		}
+		if float64(a.q.rankLen(r-1)) > a.quota(r-1, bound) {
+			return it
+		}
+	}
+	return fallback
+}
+
+func (a *Admitter) quota(r cassiatally.Rank, bound float64) float64 {
+	share := float64(a.ranks[r].share)
+	if share <= 0 {
+		return 0
+	}
+	return max(share*bound, leastQuota)
+}
+
+// Next returns up to free entries to start now, and the entries dropped because
+// their deadlines cannot be met.
+func (a *Admitter) Next(now cassiatally.Instant, free int) (start []cassiatally.CallID, dropped []cassiatally.Dropped) {
+	a.prepare(now)
+	dropped = a.dropDue(now)
+	for len(start) < free {
+		it := a.choose()
+		if it == nil {
+			break
+		}
+		e, r := it.entry, it.rank
+		a.q.remove(it)
+		if e.Deadline != 0 && e.Deadline.Sub(now) < a.typicalOf(r) {
+			a.starved = true
+			dropped = append(dropped, cassiatally.Dropped{ID: e.ID, Kind: cassiatally.KindExpired})
+			continue
+		}
+		a.ranks[r].tokens = max(a.ranks[r].tokens-1, 0)
+		start = append(start, e.ID)
+	}
+	a.meter.started(now, len(start))
+	return start, dropped
+}
+
+func (a *Admitter) dropDue(now cassiatally.Instant) (dropped []cassiatally.Dropped) {
+	for {
+		it := a.q.due.top()
+		if it == nil || it.entry.Deadline.Sub(now) >= a.typicalOf(it.rank) {
+			return dropped
+		}
+		a.starved = true
+		e := a.q.remove(it)
+		dropped = append(dropped, cassiatally.Dropped{ID: e.ID, Kind: cassiatally.KindExpired})
+	}
+}
+
+// choose returns the entry to start next: of the most urgent rank that is below
+// its kept share, else of the most urgent rank.
+func (a *Admitter) choose() *item {
+	var first *item
+	for r := range a.q.first {
+		it := a.q.first[r].top()
+		if it == nil {
+			continue
+		}
+		if a.ranks[r].tokens >= 1 {
+			return it
+		}
+		if first == nil {
+			first = it
+		}
+	}
+	return first
+}
+
+// Remove takes a cancelled entry out of the queue.
+func (a *Admitter) Remove(id cassiatally.CallID) bool {
+	if a.q == nil {
+		return false
+	}
+	it := a.q.byID[id]
+	if it == nil {
+		return false
+	}
+	a.q.remove(it)
+	return true
+}
+
+// Done records the end of a run. Each end fills the kept shares, so a share is a
+// share of what the backend server completes, whatever its speed.
+func (a *Admitter) Done(now cassiatally.Instant, r cassiatally.Rank, busy time.Duration) {
+	a.prepare(now)
+	r = min(r, cassiatally.MaxRanks-1)
+	a.meter.ended(now)
+	a.typical = smooth(a.typical, busy)
+	a.ranks[r].typical = smooth(a.ranks[r].typical, busy)
+	for i := range a.ranks {
+		s := &a.ranks[i]
+		if s.share > 0 {
+			most := max(float64(s.share)*a.meter.capacity*tokenTime.Seconds(), leastTokens)
+			s.tokens = min(s.tokens+float64(s.share), most)
+		}
+	}
+}
+
+// Tick closes the window and updates the levels.
+func (a *Admitter) Tick(now cassiatally.Instant, limit cassiatally.Concurrency) {
+	a.prepare(now)
+	if !a.meter.close(now, limit, a.typical) {
+		return
+	}
+	if a.starved && a.meter.idle() {
+		a.decayTypical()
+	}
+	a.starved = false
+	backlog := float64(a.q.len()) / float64(a.bound())
+	available := a.meter.update(a.shares(), backlog)
+	for r := range a.ranks {
+		a.ranks[r].tenants.divide(a.meter.window(), available[r])
+	}
+}
+
+func (a *Admitter) shares() (shares [cassiatally.MaxRanks]float64) {
+	for r := range a.ranks {
+		shares[r] = float64(a.ranks[r].share)
+	}
+	return shares
+}
+
+func (a *Admitter) decayTypical() {
+	a.typical = time.Duration(float64(a.typical) * typicalDecay)
+	for r := range a.ranks {
+		a.ranks[r].typical = time.Duration(float64(a.ranks[r].typical) * typicalDecay)
+	}
+}
+
+// Levels returns the level of each rank.
+func (a *Admitter) Levels() []cassiatally.Level { return a.meter.published() }
+
+// Len returns the number of entries in the queue.
+func (a *Admitter) Len() int {
+	if a.q == nil {
+		return 0
+	}
+	return a.q.len()
+}
+
+// typicalOf returns the typical run time of a rank, or that of all ranks while
+// the rank has had no run.
+func (a *Admitter) typicalOf(r cassiatally.Rank) time.Duration {
+	if t := a.ranks[r].typical; t > 0 {
+		return t
+	}
+	return a.typical
+}
+
+func smooth(old, sample time.Duration) time.Duration {
+	if old == 0 {
+		return sample
+	}
+	return old + time.Duration(typicalWeight*float64(sample-old))
+}
--- /dev/null
+++ b/cassiatally/admitter/meter.go
@@ -0,0 +1,209 @@
+package admitter
+
+import (
+	"math"
+	"time"
+
+	"github.com/cassiatally/cassiatally/cassiatally"
+)
+
+const (
+	windowTime = 100 * time.Millisecond
+	// windowCount windows are averaged, so that a single odd one moves the levels
+	// by a quarter at most.
+	windowCount = 4
+	leastLevel  = 0.01
+	mostGrowth  = 1.5
+	// mostShrink bounds the fall of a level in one window for the same reason.
+	mostShrink = 0.5
+	// leastEnded is the number of ended runs below which the throughput of the
+	// windows is too coarse to be used.
+	leastEnded = 8
+	// headroom shifts the levels so that the queue stays about half full: a dry
+	// queue wastes capacity and a full one refuses calls that passed the entry.
+	headroom = 0.04
+	// spareCapacity is the part of the capacity that must be left for a rank
+	// without arrivals before its level grows.
+	spareCapacity = 0.05
+)
+
+type perRank [cassiatally.MaxRanks]float64
+
+// meter measures arrivals and capacity and computes the levels.
+type meter struct {
+	levels [cassiatally.MaxRanks]cassiatally.Level
+	// lagged is the levels of the previous window. Entry nodes learn a level about
+	// a window after it was set.
+	lagged  [cassiatally.MaxRanks]cassiatally.Level
+	limit   cassiatally.Concurrency
+	windows [windowCount]sample
+	next    int
+	now     sample
+
+	begun, touched, lastEnded cassiatally.Instant
+	inFlight                  int
+	// capacity is in runs per second; 0 means unknown.
+	capacity float64
+}
+
+// sample is what was seen in one window.
+type sample struct {
+	seconds  float64
+	arrivals perRank
+	ended    float64
+	// busy is the sum of run time in the window, in seconds.
+	busy float64
+	// passed is level times seconds: how much of the window's demand was let in.
+	passed perRank
+}
+
+func (m *meter) begin(now cassiatally.Instant) {
+	m.begun, m.touched, m.lastEnded = now, now, now
+	for r := range m.levels {
+		m.levels[r], m.lagged[r] = 1, 1
+	}
+}
+
+func (m *meter) arrived(r cassiatally.Rank) { m.now.arrivals[r]++ }
+
+func (m *meter) started(now cassiatally.Instant, n int) {
+	m.advance(now)
+	if m.inFlight == 0 && n > 0 {
+		m.lastEnded = now
+	}
+	m.inFlight += n
+}
+
+func (m *meter) ended(now cassiatally.Instant) {
+	m.advance(now)
+	m.inFlight = max(m.inFlight-1, 0)
+	m.lastEnded = now
+	m.now.ended++
+}
+
+func (m *meter) advance(now cassiatally.Instant) {
+	m.now.busy += float64(m.inFlight) * now.Sub(m.touched).Seconds()
+	m.touched = now
+}
+
+// free returns how many calls could start at once.
+func (m *meter) free() int { return max(int(m.limit)-m.inFlight, 0) }
+
+// idle reports whether no run ended in the last window.
+func (m *meter) idle() bool {
+	return m.windows[(m.next+windowCount-1)%windowCount].ended == 0
+}
+
+// window returns the time over which the last window ran, in seconds.
+func (m *meter) window() float64 {
+	return m.windows[(m.next+windowCount-1)%windowCount].seconds
+}
+
+// close ends the window if it is long enough, and reports whether it did.
+func (m *meter) close(now cassiatally.Instant, limit cassiatally.Concurrency, typical time.Duration) bool {
+	m.limit = limit
+	d := now.Sub(m.begun)
+	if d < windowTime {
+		return false
+	}
+	m.advance(now)
+	m.now.seconds = d.Seconds()
+	for r, l := range m.lagged {
+		m.now.passed[r] = float64(l) * m.now.seconds
+	}
+	m.windows[m.next] = m.now
+	m.next = (m.next + 1) % windowCount
+	m.now = sample{}
+	m.begun = now
+	m.measure(now, typical)
+	return true
+}
+
+// measure derives the capacity by Little's law: limit divided by the mean run
+// time. While the limit is in use this is the throughput itself.
+func (m *meter) measure(now cassiatally.Instant, typical time.Duration) {
+	sum := m.sum()
+	run := typical.Seconds()
+	if sum.ended >= leastEnded {
+		run = sum.busy / sum.ended
+	} else if m.inFlight > 0 {
+		// A backend server from which nothing returns is slower than it was.
+		run = max(run, now.Sub(m.lastEnded).Seconds())
+	}
+	m.capacity = 0
+	if run > 0 {
+		m.capacity = float64(m.limit) / run
+	}
+}
+
+func (m *meter) sum() (sum sample) {
+	for _, w := range m.windows {
+		sum.seconds += w.seconds
+		sum.ended += w.ended
+		sum.busy += w.busy
+		for r := range w.arrivals {
+			sum.arrivals[r] += w.arrivals[r]
+			sum.passed[r] += w.passed[r]
+		}
+	}
+	return sum
+}
+
+// update sets the levels and returns the capacity available to each rank, in
+// runs per second. Backlog is the part of the queue in use.
+func (m *meter) update(shares perRank, backlog float64) perRank {
+	sum := m.sum()
+	rates := sum.arrivals
+	for r := range rates {
+		rates[r] /= sum.seconds
+	}
+	available := m.available(rates, shares)
+	m.lagged = m.levels
+	for r, l := range m.levels {
+		level := float64(l)
+		next := level
+		switch {
+		case rates[r] > 0:
+			demand := sum.arrivals[r] / max(sum.passed[r], leastLevel*sum.seconds)
+			next = available[r] * (1 + headroom*(0.5-backlog)) / demand
+		case available[r] > spareCapacity*m.capacity:
+			next = level * mostGrowth
+		}
+		next = min(max(next, level*mostShrink), level*mostGrowth)
+		m.levels[r] = cassiatally.Level(min(max(next, leastLevel), 1))
+	}
+	return available
+}
+
+// available allocates the capacity: kept shares first, then strict precedence.
+func (m *meter) available(rates, shares perRank) (available perRank) {
+	if m.capacity <= 0 {
+		for r := range available {
+			available[r] = math.Inf(1)
+		}
+		return available
+	}
+	var kept perRank
+	left := m.capacity
+	for r := range kept {
+		kept[r] = min(shares[r]*m.capacity, rates[r])
+		left -= kept[r]
+	}
+	for r := range available {
+		own := max(left, 0) + kept[r]
+		available[r] = max(own, shares[r]*m.capacity)
+		left -= max(min(rates[r], own)-kept[r], 0)
+	}
+	return available
+}
+
+func (m *meter) published() []cassiatally.Level {
+	levels := make([]cassiatally.Level, cassiatally.MaxRanks)
+	for r := range levels {
+		levels[r] = 1
+		if m.levels[r] > 0 {
+			levels[r] = m.levels[r]
+		}
+	}
+	return levels
+}
--- /dev/null
+++ b/cassiatally/admitter/tenants.go
@@ -0,0 +1,86 @@
+package admitter
+
+import (
+	"math"
+	"slices"
+
+	"github.com/cassiatally/cassiatally/cassiatally"
+)
+
+const (
+	// maxTenants bounds the tenants of a rank that are told apart. The rest share
+	// one account.
+	maxTenants = 1024
+	// demandWeight is the weight of one window in a tenant's demand.
+	demandWeight = 0.25
+	// leastDemand, in calls per second, is the demand below which a tenant is
+	// forgotten.
+	leastDemand = 0.05
+)
+
+// tenants divides the capacity of a rank fairly among its tenants.
+type tenants struct {
+	accounts map[cassiatally.Tenant]*account
+	// fair is the demand, in calls per second, up to which a tenant is served in
+	// full; 0 means that all demand can be served.
+	fair    float64
+	demands []float64
+}
+
+type account struct {
+	arrivals float64
+	demand   float64
+}
+
+// arrived counts a call of the tenant and returns the factor by which its order
+// values are scaled: how far the tenant is above its fair share, at least 1.
+func (t *tenants) arrived(name cassiatally.Tenant) float64 {
+	if t.accounts == nil {
+		t.accounts = make(map[cassiatally.Tenant]*account)
+	}
+	a := t.accounts[name]
+	if a == nil && len(t.accounts) >= maxTenants {
+		name = ""
+		a = t.accounts[name]
+	}
+	if a == nil {
+		a = &account{}
+		t.accounts[name] = a
+	}
+	a.arrivals++
+	if t.fair <= 0 {
+		return 1
+	}
+	return max(a.demand/t.fair, 1)
+}
+
+// divide closes a window. It sets the fair share such that the demands of all
+// tenants, each cut to the fair share, add up to the available capacity.
+func (t *tenants) divide(seconds, available float64) {
+	t.demands = t.demands[:0]
+	total := 0.0
+	for name, a := range t.accounts {
+		a.demand += demandWeight * (a.arrivals/seconds - a.demand)
+		a.arrivals = 0
+		if a.demand < leastDemand {
+			delete(t.accounts, name)
+			continue
+		}
+		total += a.demand
+		t.demands = append(t.demands, a.demand)
+	}
+	t.fair = 0
+	if total <= available || math.IsInf(available, 1) {
+		return
+	}
+	slices.Sort(t.demands)
+	left := available
+	for i, d := range t.demands {
+		t.fair = left / float64(len(t.demands)-i)
+		if d >= t.fair {
+			break
+		}
+		left -= d
+	}
+	t.fair = max(t.fair, leastDemand)
+}
--- /dev/null
+++ b/cassiatally/budgeter/budgeter.go
@@ -0,0 +1,165 @@
+// Package budgeter bounds retries, so that they cannot multiply along a call
+// chain.
+//
+// A Budgeter has a token bucket per pair of services: a retry costs a token, and
+// tokens come from successes. An Allotment divides the retry budget of one root
+// request among the child calls of a run.
+//
+// # Usage
+//
+//	b := &budgeter.Budgeter{}
+//	b.Succeeded(now, pair)
+//	if b.Take(now, pair, level) {
+//		// send the retry
+//	}
+//
+//	a := budgeter.NewAllotment(call.Retries)
+//	granted := a.Grant()         // for a child call
+//	a.Settle(granted, spent)     // when the child has answered
+package budgeter
+
+import (
+	"time"
+
+	"github.com/cassiatally/cassiatally/cassiatally"
+)
+
+const (
+	defaultRatio   = 0.1
+	defaultMinRate = 1.0
+	defaultBurst   = 10.0
+	defaultIdle    = 5 * time.Minute
+	// defaultMaxPairs is above the pairs that 210 services form in practice.
+	defaultMaxPairs = 4096
+	// period is the time over which earned tokens and the minimum rate are
+	// compared.
+	period = time.Second
+)
+
+// Budgeter bounds retries per pair of services.
+type Budgeter struct {
+	// Ratio is the number of tokens that a success earns; 0 means 0.1.
+	Ratio float64
+	// MinRate is the least number of tokens per second; 0 means 1.
+	MinRate float64
+	// Burst is the least capacity of a bucket, in tokens; 0 means 10. A busier
+	// pair can save the tokens of one second.
+	Burst float64
+	// MaxPairs bounds the pairs that are remembered; 0 means 4096. Pairs beyond
+	// the bound get no retries.
+	MaxPairs int
+	// Idle is the time after which an unused pair is forgotten; 0 means 5 min.
+	Idle time.Duration
+
+	pairs map[cassiatally.ServicePair]*bucket
+	swept cassiatally.Instant
+}
+
+type bucket struct {
+	// saved tokens come from past periods, earned ones from the current period.
+	saved, earned float64
+	// spent counts tokens taken in the current period.
+	spent float64
+	begun cassiatally.Instant
+	used  cassiatally.Instant
+}
+
+var _ cassiatally.RetryBudget = (*Budgeter)(nil)
+
+// Take spends a token of the pair. A level below 1 means that the target is
+// already short of capacity: the bucket is emptied and nothing may be retried.
+func (b *Budgeter) Take(now cassiatally.Instant, p cassiatally.ServicePair, level cassiatally.Level) bool {
+	k := b.bucket(now, p)
+	if k == nil {
+		return false
+	}
+	if level < 1 {
+		*k = bucket{begun: now, used: now}
+		return false
+	}
+	if k.saved+b.income(k, now)-k.spent < 1 {
+		return false
+	}
+	k.spent++
+	return true
+}
+
+// Succeeded adds what a success earns.
+func (b *Budgeter) Succeeded(now cassiatally.Instant, p cassiatally.ServicePair) {
+	if k := b.bucket(now, p); k != nil {
+		k.earned += positive(b.Ratio, defaultRatio)
+	}
+}
+
+// income returns the tokens of the current period: those earned, or those of the
+// minimum rate if they are more.
+func (b *Budgeter) income(k *bucket, now cassiatally.Instant) float64 {
+	least := positive(b.MinRate, defaultMinRate) * now.Sub(k.begun).Seconds()
+	return max(k.earned, least)
+}
+
+func (b *Budgeter) bucket(now cassiatally.Instant, p cassiatally.ServicePair) *bucket {
+	k := b.pairs[p]
+	if k == nil {
+		k = b.add(now, p)
+	}
+	if k == nil {
+		return nil
+	}
+	k.used = now
+	if now.Sub(k.begun) >= period {
+		b.closePeriod(now, k)
+	}
+	return k
+}
+
+func (b *Budgeter) closePeriod(now cassiatally.Instant, k *bucket) {
+	income := b.income(k, now)
+	capacity := max(positive(b.Burst, defaultBurst), k.earned)
+	k.saved = min(max(k.saved+income-k.spent, 0), capacity)
+	k.earned, k.spent, k.begun = 0, 0, now
+}
+
+func (b *Budgeter) add(now cassiatally.Instant, p cassiatally.ServicePair) *bucket {
+	if b.pairs == nil {
+		b.pairs = make(map[cassiatally.ServicePair]*bucket)
+	}
+	bound := b.MaxPairs
+	if bound <= 0 {
+		bound = defaultMaxPairs
+	}
+	if len(b.pairs) >= bound {
+		b.sweep(now)
+	}
+	if len(b.pairs) >= bound {
+		return nil
+	}
+	// A new pair starts with one token, so that its first refusal can be retried.
+	k := &bucket{saved: 1, begun: now}
+	b.pairs[p] = k
+	return k
+}
+
+// sweep forgets idle pairs, at most once per period because it visits them all.
+func (b *Budgeter) sweep(now cassiatally.Instant) {
+	if b.swept != 0 && now.Sub(b.swept) < period {
+		return
+	}
+	b.swept = now
+	idle := b.Idle
+	if idle <= 0 {
+		idle = defaultIdle
+	}
+	for p, k := range b.pairs {
+		if now.Sub(k.used) > idle {
+			delete(b.pairs, p)
+		}
+	}
+}
+
+func positive(v, otherwise float64) float64 {
+	if v > 0 {
+		return v
+	}
+	return otherwise
+}
--- /dev/null
+++ b/cassiatally/fixedlimiter/fixedlimiter.go
@@ -0,0 +1,65 @@
+// Package fixedlimiter provides the baseline limiter: a concurrency limit that
+// never changes. It exists for comparison with the adaptive limiter.
+//
+// # Usage
+//
+//	l := &fixedlimiter.Limiter{Fixed: 64}
+//	free := int(l.Limit()) - inFlight
+package fixedlimiter
+
+import (
+	"math"
+	"time"
+
+	"github.com/cassiatally/cassiatally/cassiatally"
+)
+
+const (
+	// Unlimited is the limit that is returned when no limit applies.
+	Unlimited = cassiatally.Concurrency(math.MaxInt32)
+	// typicalWeight is the weight of one sample in the typical self time.
+	typicalWeight = 0.1
+)
+
+// Limiter has a fixed limit. The zero value has no limit.
+type Limiter struct {
+	// Fixed is the limit; 0 means the announced slots if UseSlots is set, and no
+	// limit otherwise.
+	Fixed cassiatally.Concurrency
+	// UseSlots takes the announced slots as the limit when Fixed is 0.
+	UseSlots bool
+
+	slots   cassiatally.Concurrency
+	typical time.Duration
+}
+
+var _ cassiatally.Limiter = (*Limiter)(nil)
+
+// Limit returns the fixed limit.
+func (l *Limiter) Limit() cassiatally.Concurrency {
+	if l.Fixed > 0 {
+		return l.Fixed
+	}
+	if l.UseSlots && l.slots > 0 {
+		return l.slots
+	}
+	return Unlimited
+}
+
+// Resize records the announced slots.
+func (l *Limiter) Resize(_ cassiatally.Instant, slots cassiatally.Concurrency) { l.slots = slots }
+
+// Observe feeds the typical self time; it does not change the limit.
+func (l *Limiter) Observe(_ cassiatally.Instant, s cassiatally.RunSample) {
+	if s.Failed {
+		return
+	}
+	if l.typical == 0 {
+		l.typical = s.Self
+		return
+	}
+	l.typical += time.Duration(typicalWeight * float64(s.Self-l.typical))
+}
+
+// Typical returns the smoothed self time.
+func (l *Limiter) Typical() time.Duration { return l.typical }
