library: test router, runner and codec

Cause: the path's decisions had no tests. Change: table tests for retries, lost links, outcomes, draining, crashes and onward calls; round trip and fuzz tests for the codec; metrics reporter.

--- /dev/null
+++ b/cassiatally/protocol/codec_test.go
@@ -0,0 +1,128 @@
+package protocol_test
+
+import (
+	"fmt"
+	"reflect"
+	"testing"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+	"github.com/matryer/is"
+
+	"github.com/cassiatally/cassiatally/cassiatally"
+	"github.com/cassiatally/cassiatally/cassiatally/protocol"
+)
+
+func messages() []cassiatally.Message {
+	ref := cassiatally.NodeRef{Node: "depot-1", Incarnation: 7}
+	id := cassiatally.CallID{Origin: 7, Seq: 9}
+	shard := cassiatally.ShardRef{DataCentre: "north", Shard: 3}
+	load := cassiatally.EndpointLoad{Node: "depot-1", Limit: 12, InFlight: 3, Queued: 1, Typical: time.Millisecond}
+	levels := cassiatally.ServiceLoad{Service: "avail-svc", Weight: 15, Levels: []cassiatally.Level{1, 0.5}}
+	answer := cassiatally.Answer{
+		ID: id, Outcome: cassiatally.OutcomeRan, Status: 200, ContentType: "text/plain",
+		Body: []byte("ok"), Digest: cassiatally.DigestOf([]byte("ok")), RetryAfter: time.Second,
+		RetriesSpent: 1, Endpoint: load, Loads: []cassiatally.ServiceLoad{levels},
+	}
+	member := cassiatally.Member{
+		Ref: ref, DataCentre: "north", Address: "127.0.0.1:1", Heartbeat: 4, Revision: 2, Leaving: true, Sheet: 3,
+		Endpoint: cassiatally.Endpoint{Service: "avail-svc", Slots: 15, Connections: 200, State: cassiatally.EndpointReady, Load: load, Levels: []cassiatally.Level{1}},
+	}
+	claim := cassiatally.Claim{Key: "north.3.1.00000000000000ff", Fingerprint: 5, State: cassiatally.ClaimRan, Answer: &answer}
+	assignment := cassiatally.Assignment{Shard: shard, Epoch: 2, Holder: ref, Standby: ref, CompleteFrom: 1, Reappend: true}
+	return []cassiatally.Message{
+		cassiatally.Hello{From: ref, DataCentre: "north", Address: "127.0.0.1:1"},
+		cassiatally.Ping{Seq: 1},
+		cassiatally.Pong{Seq: 1},
+		cassiatally.Call{ID: id, Stage: cassiatally.StageClaim, Root: cassiatally.RootID{1}, Service: "avail-svc", Work: "check", Tenant: "t", Rank: 1, Order: 0.25, Idempotent: true, Key: claim.Key, Remaining: time.Second, Retries: 2, Depth: 3, Attempt: 1, Body: []byte("x"), Digest: cassiatally.DigestOf([]byte("x"))},
+		answer,
+		cassiatally.Cancel{ID: id},
+		cassiatally.RunQuery{ID: id, Target: 7},
+		cassiatally.KeyQuery{ID: id, Key: claim.Key},
+		cassiatally.Gossip{From: ref, Reply: true, Members: []cassiatally.Member{member}, Sheet: 3, Crashes: []cassiatally.CrashReport{{Fingerprint: 1, Reporter: ref, Crashes: 2, Completed: true}}, ShardEpochs: 4},
+		cassiatally.SheetPull{Have: 2},
+		cassiatally.SheetRecord{Version: 3, BasedOn: 2, Publisher: "p", Reappend: true, Sheet: []byte("s"), Digest: cassiatally.DigestOf([]byte("s"))},
+		cassiatally.ShardPull{Have: 3},
+		cassiatally.ShardTable{Assignments: []cassiatally.Assignment{assignment}},
+		cassiatally.ClaimUpdate{Shard: shard, Epoch: 2, From: ref, Seq: 1, Claim: claim},
+		cassiatally.ClaimAck{Shard: shard, Epoch: 2, From: ref, Seq: 1, Sealed: true},
+		cassiatally.ClaimCopy{Shard: shard, Epoch: 2, From: ref, Seq: 1, CompleteFrom: 1, Claims: []cassiatally.Claim{claim}, Last: true},
+	}
+}
+
+// Guards against a field that one end writes and the other does not read.
+func TestEveryMessageSurvivesTheWire(t *testing.T) {
+	c, err := protocol.New()
+	is.New(t).NoErr(err)
+	for _, m := range messages() {
+		t.Run(fmt.Sprintf("%T", m), func(t *testing.T) {
+			is := is.New(t)
+			frame, err := c.Encode(m)
+			is.NoErr(err)
+			got, err := c.Decode(frame)
+			is.NoErr(err)
+			is.True(reflect.DeepEqual(got, m))
+		})
+	}
+}
+
+// Guards against a malformed frame that is taken for a message or reported
+// without saying what is wrong with it.
+func TestMalformedFrames(t *testing.T) {
+	encode := func(v any) []byte {
+		b, err := cbor.Marshal(v)
+		is.New(t).NoErr(err)
+		return b
+	}
+	cases := []struct {
+		name  string
+		frame []byte
+		kind  cassiatally.ErrorKind
+	}{
+		{"empty", nil, cassiatally.KindProtocol},
+		{"not CBOR", []byte("GET / HTTP/1.1"), cassiatally.KindProtocol},
+		{"truncated", encode([]any{1, 2, []any{}})[:2], cassiatally.KindProtocol},
+		{"trailing bytes", append(encode([]any{1, 2, map[int]int{1: 1}}), 0), cassiatally.KindProtocol},
+		{"other version", encode([]any{9, 2, map[int]int{1: 1}}), cassiatally.KindUnsupportedVersion},
+		{"unknown type", encode([]any{1, 200, map[int]int{1: 1}}), cassiatally.KindProtocol},
+		{"wrong field type", encode([]any{1, 2, map[int]string{1: "one"}}), cassiatally.KindProtocol},
+		{"duplicate field", []byte{0x83, 1, 2, 0xa2, 1, 1, 1, 2}, cassiatally.KindProtocol},
+		{"huge array length", []byte{0x83, 1, 13, 0xa1, 1, 0x9b, 0, 0, 0, 1, 0, 0, 0, 0}, cassiatally.KindProtocol},
+		{"too large", make([]byte, protocol.MaxFrame+1), cassiatally.KindTooLarge},
+	}
+	c, err := protocol.New()
+	is.New(t).NoErr(err)
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			is := is.New(t)
+			_, err := c.Decode(tc.frame)
+			is.True(err != nil)
+			is.Equal(cassiatally.KindOf(err), tc.kind)
+		})
+	}
+}
+
+// Guards against input that makes the decoder panic or return a message that it
+// cannot encode again.
+func FuzzDecode(f *testing.F) {
+	c, err := protocol.New()
+	if err != nil {
+		f.Fatal(err)
+	}
+	for _, m := range messages() {
+		frame, err := c.Encode(m)
+		if err != nil {
+			f.Fatal(err)
+		}
+		f.Add(frame)
+	}
+	f.Fuzz(func(t *testing.T, frame []byte) {
+		m, err := c.Decode(frame)
+		if err != nil {
+			return
+		}
+		if _, err := c.Encode(m); err != nil {
+			t.Fatalf("decoded %T cannot be encoded: %v", m, err)
+		}
+	})
+}
--- /dev/null
+++ b/cassiatally/router/router_test.go
@@ -0,0 +1,277 @@
+package router_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/cassiatally/cassiatally/cassiatally"
+	"github.com/cassiatally/cassiatally/cassiatally/router"
+)
+
+const (
+	start = cassiatally.Instant(time.Hour)
+	self  = cassiatally.NodeID("entry")
+)
+
+// listBalancer chooses the first node that is not avoided.
+type listBalancer struct{ nodes []cassiatally.NodeID }
+
+func (b *listBalancer) Update(cassiatally.Instant, []cassiatally.Candidate)                      {}
+func (b *listBalancer) Started(cassiatally.Instant, cassiatally.NodeID)                          {}
+func (b *listBalancer) Finished(cassiatally.Instant, cassiatally.NodeID, cassiatally.CallResult) {}
+func (b *listBalancer) Known(cassiatally.Service) bool                                           { return len(b.nodes) > 0 }
+
+func (b *listBalancer) Choose(_ cassiatally.Instant, _ cassiatally.Service, avoid []cassiatally.NodeID) (cassiatally.NodeID, bool) {
+	for _, n := range b.nodes {
+		avoided := false
+		for _, a := range avoid {
+			avoided = avoided || a == n
+		}
+		if !avoided {
+			return n, true
+		}
+	}
+	return "", false
+}
+
+type openBudget struct{ denied bool }
+
+func (b openBudget) Take(cassiatally.Instant, cassiatally.ServicePair, cassiatally.Level) bool {
+	return !b.denied
+}
+func (b openBudget) Succeeded(cassiatally.Instant, cassiatally.ServicePair) {}
+
+type fixedLoads struct{ short bool }
+
+func (l fixedLoads) Learn(cassiatally.Instant, cassiatally.Service, cassiatally.WorkKind, []cassiatally.ServiceLoad) {
+}
+func (l fixedLoads) Observe(cassiatally.Instant, cassiatally.NodeID, cassiatally.ServiceLoad) {}
+func (l fixedLoads) Admit(cassiatally.Instant, cassiatally.Service, cassiatally.WorkKind, cassiatally.Rank, cassiatally.Order) (bool, cassiatally.Service) {
+	return !l.short, "avail-svc"
+}
+
+func (l fixedLoads) Level(cassiatally.Instant, cassiatally.Service, cassiatally.Rank) cassiatally.Level {
+	return 1
+}
+
+type oneHolder struct{ holder cassiatally.NodeRef }
+
+func (h oneHolder) HolderOf(cassiatally.ShardRef) (cassiatally.NodeRef, cassiatally.Epoch, bool) {
+	return h.holder, 1, !h.holder.IsZero()
+}
+
+type harness struct {
+	*router.Router
+	seq    uint64
+	loads  fixedLoads
+	holder cassiatally.NodeRef
+}
+
+func newHarness(nodes []cassiatally.NodeID, budget cassiatally.RetryBudget, loads cassiatally.LoadTracker) *harness {
+	h := &harness{}
+	h.Router = router.New(router.Config{
+		Self:     cassiatally.NodeRef{Node: self, Incarnation: 1},
+		Balancer: &listBalancer{nodes: nodes},
+		Budget:   budget,
+		Loads:    loads,
+		Shards:   func() cassiatally.ShardView { return oneHolder{h.holder} },
+		NextID: func() cassiatally.CallID {
+			h.seq++
+			return cassiatally.CallID{Origin: 1, Seq: h.seq}
+		},
+	})
+	return h
+}
+
+func request(idempotent bool) cassiatally.Request {
+	return cassiatally.Request{
+		ID:       cassiatally.CallID{Origin: 1, Seq: 1000},
+		Service:  "avail-svc",
+		Work:     "check",
+		Policy:   cassiatally.Policy{Idempotent: idempotent},
+		Deadline: start.Add(time.Second),
+		Retries:  2,
+	}
+}
+
+// sent returns the only Call among the actions and where it goes.
+func sent(t *testing.T, actions []cassiatally.Action) (cassiatally.NodeID, cassiatally.Call) {
+	t.Helper()
+	for _, a := range actions {
+		if s, ok := a.(cassiatally.Send); ok {
+			if c, ok := s.Message.(cassiatally.Call); ok {
+				return s.To, c
+			}
+		}
+	}
+	t.Fatalf("no call in %v", actions)
+	return "", cassiatally.Call{}
+}
+
+func delivered(t *testing.T, actions []cassiatally.Action) cassiatally.Answer {
+	t.Helper()
+	for _, a := range actions {
+		if d, ok := a.(cassiatally.Deliver); ok {
+			return d.Answer
+		}
+	}
+	t.Fatalf("no answer in %v", actions)
+	return cassiatally.Answer{}
+}
+
+// Guards against a second run of a non-idempotent request: only a refusal that
+// states that nothing was run may be repeated.
+func TestRepeatAfterFailure(t *testing.T) {
+	cases := []struct {
+		name       string
+		idempotent bool
+		outcome    cassiatally.Outcome
+		kind       cassiatally.ErrorKind
+		repeated   bool
+	}{
+		{"idempotent refused by an overloaded endpoint", true, cassiatally.OutcomeNotRun, cassiatally.KindOverloaded, true},
+		{"non-idempotent refused by an overloaded endpoint", false, cassiatally.OutcomeNotRun, cassiatally.KindOverloaded, true},
+		{"non-idempotent refused by a leaving endpoint", false, cassiatally.OutcomeNotRun, cassiatally.KindDraining, true},
+		{"idempotent broken off", true, cassiatally.OutcomeUnknown, cassiatally.KindOutcomeUnknown, true},
+		{"non-idempotent broken off", false, cassiatally.OutcomeUnknown, cassiatally.KindOutcomeUnknown, false},
+		{"idempotent failed by the backend server", true, cassiatally.OutcomeRan, cassiatally.KindBackendFailed, false},
+		{"quarantined", true, cassiatally.OutcomeNotRun, cassiatally.KindQuarantined, false},
+		{"expired while it ran", true, cassiatally.OutcomeUnknown, cassiatally.KindExpired, false},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			h := newHarness([]cassiatally.NodeID{"a", "b"}, openBudget{}, fixedLoads{})
+			to, call := sent(t, h.Submit(start, request(c.idempotent)))
+			answer := cassiatally.Answer{ID: call.ID, Outcome: c.outcome, Kind: c.kind, Endpoint: cassiatally.EndpointLoad{Node: to}}
+			actions := h.HandleAnswer(start, to, answer)
+			if !c.repeated {
+				is.Equal(delivered(t, actions).Kind, c.kind)
+				return
+			}
+			again, second := sent(t, actions)
+			is.Equal(again, cassiatally.NodeID("b"))
+			is.True(second.ID != call.ID)
+		})
+	}
+}
+
+// Guards against retries that multiply: all refusals together cost no more than
+// the budget of the root request.
+func TestRetriesStayWithinTheRootBudget(t *testing.T) {
+	is := is.New(t)
+	h := newHarness([]cassiatally.NodeID{"a", "b", "c", "d", "e"}, openBudget{}, fixedLoads{})
+	actions := h.Submit(start, request(true))
+	calls := 0
+	for {
+		if _, ok := actions[0].(cassiatally.Deliver); ok {
+			break
+		}
+		to, call := sent(t, actions)
+		calls++
+		is.True(int(call.Retries)+calls-1 <= 2) // given away plus spent
+		actions = h.HandleAnswer(start, to, cassiatally.Answer{
+			ID: call.ID, Outcome: cassiatally.OutcomeNotRun, Kind: cassiatally.KindOverloaded, Endpoint: cassiatally.EndpointLoad{Node: to},
+		})
+	}
+	is.Equal(calls, 3)
+	is.Equal(delivered(t, actions).RetriesSpent, cassiatally.RetryCount(2))
+}
+
+// Guards against retries while the service pair's budget is empty.
+func TestEmptyPairBudgetStopsRetries(t *testing.T) {
+	is := is.New(t)
+	h := newHarness([]cassiatally.NodeID{"a", "b"}, openBudget{denied: true}, fixedLoads{})
+	to, call := sent(t, h.Submit(start, request(true)))
+	actions := h.HandleAnswer(start, to, cassiatally.Answer{ID: call.ID, Outcome: cassiatally.OutcomeNotRun, Kind: cassiatally.KindOverloaded})
+	is.Equal(delivered(t, actions).Kind, cassiatally.KindOverloaded)
+	is.Equal(h.Counts().RetriesDenied, uint64(1))
+}
+
+// Guards against an answer that reaches a request it does not belong to: late,
+// doubled, from another node, or changed on the way.
+func TestForeignAndDamagedAnswers(t *testing.T) {
+	is := is.New(t)
+	h := newHarness([]cassiatally.NodeID{"a", "b"}, openBudget{denied: true}, fixedLoads{})
+	to, call := sent(t, h.Submit(start, request(true)))
+	whole := cassiatally.Answer{ID: call.ID, Outcome: cassiatally.OutcomeRan, Body: []byte("own"), Digest: cassiatally.DigestOf([]byte("own"))}
+	other := whole
+	other.ID.Seq += 50
+	is.Equal(len(h.HandleAnswer(start, to, other)), 0)
+	is.Equal(len(h.HandleAnswer(start, "stranger", whole)), 0)
+	damaged := whole
+	damaged.Body = []byte("cut")
+	is.Equal(delivered(t, h.HandleAnswer(start, to, damaged)).Kind, cassiatally.KindIncompleteAnswer)
+	is.Equal(len(h.HandleAnswer(start, to, whole)), 0)
+	is.Equal(h.Counts().LateAnswers, uint64(3))
+}
+
+// Guards against a lost link that repeats a non-idempotent run or forgets it.
+func TestLostLink(t *testing.T) {
+	is := is.New(t)
+	h := newHarness([]cassiatally.NodeID{"a", "b"}, openBudget{}, fixedLoads{})
+	to, call := sent(t, h.Submit(start, request(false)))
+	actions := h.LinkLost(start, cassiatally.NodeRef{Node: to, Incarnation: 4})
+	is.Equal(len(actions), 1)
+	is.Equal(actions[0], cassiatally.Action(cassiatally.Send{To: to, Message: cassiatally.RunQuery{ID: call.ID, Target: 4}}))
+	ran := cassiatally.Answer{ID: call.ID, Outcome: cassiatally.OutcomeRan, Status: 200}
+	is.Equal(delivered(t, h.HandleAnswer(start, to, ran)).Outcome, cassiatally.OutcomeRan)
+}
+
+// Guards against a claim that is given up although another holder can take it.
+func TestClaimFollowsItsHolder(t *testing.T) {
+	is := is.New(t)
+	h := newHarness(nil, openBudget{}, fixedLoads{})
+	req := request(false)
+	req.Key = "north.0.1.00000000000000aa"
+	req.Attempt = 1
+	is.Equal(len(h.Submit(start, req)), 0) // no holder yet
+	h.holder = cassiatally.NodeRef{Node: "h1", Incarnation: 1}
+	to, first := sent(t, h.Tick(start.Add(100*time.Millisecond)))
+	is.Equal(to, cassiatally.NodeID("h1"))
+	is.Equal(first.Attempt, uint16(1))
+	h.LinkLost(start.Add(200*time.Millisecond), cassiatally.NodeRef{Node: "h1", Incarnation: 1})
+	h.holder = cassiatally.NodeRef{Node: "h2", Incarnation: 1}
+	to, second := sent(t, h.Tick(start.Add(300*time.Millisecond)))
+	is.Equal(to, cassiatally.NodeID("h2"))
+	is.True(second.Attempt > 1) // the first copy may have arrived
+	expired := h.Tick(start.Add(2 * time.Second))
+	is.Equal(delivered(t, expired).Outcome, cassiatally.OutcomeUnknown)
+}
+
+// Guards against a refusal at the entry that claims more than it knows: a re-sent
+// key may have run already, so only the holder can refuse it.
+func TestRefusalAtTheEntry(t *testing.T) {
+	cases := []struct {
+		name    string
+		key     cassiatally.Key
+		attempt uint16
+		parent  cassiatally.Service
+		refused bool
+	}{
+		{"idempotent request", "", 0, "", true},
+		{"first send of a key", "north.0.1.00000000000000aa", 1, "", true},
+		{"further send of a key", "north.0.1.00000000000000aa", 2, "", false},
+		{"send of a key without a count", "north.0.1.00000000000000aa", 0, "", false},
+		{"onward call of an admitted request", "", 0, "booking-svc", false},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			h := newHarness([]cassiatally.NodeID{"a"}, openBudget{}, fixedLoads{short: true})
+			h.holder = cassiatally.NodeRef{Node: "h1", Incarnation: 1}
+			req := request(c.key == "")
+			req.Key, req.Attempt, req.Parent = c.key, c.attempt, c.parent
+			actions := h.Submit(start, req)
+			_, refused := actions[0].(cassiatally.Deliver)
+			is.Equal(refused, c.refused)
+			if refused {
+				a := delivered(t, actions)
+				is.Equal(a.Outcome, cassiatally.OutcomeNotRun)
+				is.Equal(a.Kind, cassiatally.KindOverloaded)
+			}
+		})
+	}
+}
--- /dev/null
+++ b/cassiatally/runner/runner_test.go
@@ -0,0 +1,262 @@
+package runner_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/cassiatally/cassiatally/cassiatally"
+	"github.com/cassiatally/cassiatally/cassiatally/fifo"
+	"github.com/cassiatally/cassiatally/cassiatally/fixedlimiter"
+	"github.com/cassiatally/cassiatally/cassiatally/runner"
+)
+
+const (
+	start = cassiatally.Instant(time.Hour)
+	entry = cassiatally.NodeID("entry")
+)
+
+// listQuarantine blocks and suspects the fingerprints that a test names.
+type listQuarantine struct {
+	blocked, suspect map[cassiatally.Fingerprint]bool
+	crashes          [][]cassiatally.Fingerprint
+}
+
+func (q *listQuarantine) Blocked(_ cassiatally.Instant, f cassiatally.Fingerprint) bool {
+	return q.blocked[f]
+}
+
+func (q *listQuarantine) Suspect(_ cassiatally.Instant, f cassiatally.Fingerprint) bool {
+	return q.suspect[f]
+}
+
+func (q *listQuarantine) Crashed(_ cassiatally.Instant, inFlight []cassiatally.Fingerprint) {
+	q.crashes = append(q.crashes, inFlight)
+}
+func (q *listQuarantine) Completed(cassiatally.Instant, cassiatally.Fingerprint) {}
+func (q *listQuarantine) Reports(cassiatally.Instant) []cassiatally.CrashReport  { return nil }
+func (q *listQuarantine) Merge(cassiatally.Instant, []cassiatally.CrashReport)   {}
+
+type harness struct {
+	*runner.Runner
+	quarantine *listQuarantine
+	seq        uint64
+}
+
+func newHarness(limit cassiatally.Concurrency) *harness {
+	h := &harness{quarantine: &listQuarantine{
+		blocked: make(map[cassiatally.Fingerprint]bool),
+		suspect: make(map[cassiatally.Fingerprint]bool),
+	}}
+	h.Runner = runner.New(
+		cassiatally.NodeRef{Node: "depot-1", Incarnation: 1},
+		&fifo.Queue{},
+		&fixedlimiter.Limiter{Fixed: limit},
+		h.quarantine,
+		func() cassiatally.CallID {
+			h.seq++
+			return cassiatally.CallID{Origin: 1, Seq: h.seq}
+		},
+	)
+	h.Announce(start, cassiatally.Endpoint{Service: "depot-svc", Slots: 10, State: cassiatally.EndpointReady}, 3*time.Second)
+	return h
+}
+
+func call(seq uint64, body string) cassiatally.Call {
+	return cassiatally.Call{
+		ID:        cassiatally.CallID{Origin: 9, Seq: seq},
+		Service:   "depot-svc",
+		Work:      "reserve",
+		Remaining: time.Second,
+		Retries:   2,
+		Body:      []byte(body),
+	}
+}
+
+func started(actions []cassiatally.Action) []cassiatally.CallID {
+	var out []cassiatally.CallID
+	for _, a := range actions {
+		if s, ok := a.(cassiatally.StartRun); ok {
+			out = append(out, s.Call.ID)
+		}
+	}
+	return out
+}
+
+func answers(actions []cassiatally.Action) []cassiatally.Answer {
+	var out []cassiatally.Answer
+	for _, a := range actions {
+		if s, ok := a.(cassiatally.Send); ok {
+			if m, ok := s.Message.(cassiatally.Answer); ok {
+				out = append(out, m)
+			}
+		}
+	}
+	return out
+}
+
+// Guards against an outcome that says more than the result proves.
+func TestResultsAndOutcomes(t *testing.T) {
+	cases := []struct {
+		name    string
+		result  runner.Result
+		outcome cassiatally.Outcome
+		kind    cassiatally.ErrorKind
+	}{
+		{"whole answer", runner.Result{Kind: runner.ResultAnswered, Status: 200}, cassiatally.OutcomeRan, cassiatally.KindNone},
+		{"failure reported", runner.Result{Kind: runner.ResultAnswered, Status: 500}, cassiatally.OutcomeRan, cassiatally.KindBackendFailed},
+		{"shed by the backend server", runner.Result{Kind: runner.ResultRefused}, cassiatally.OutcomeNotRun, cassiatally.KindOverloaded},
+		{"no connection", runner.Result{Kind: runner.ResultUnreached}, cassiatally.OutcomeNotRun, cassiatally.KindUnreachable},
+		{"connection broke", runner.Result{Kind: runner.ResultBroken}, cassiatally.OutcomeUnknown, cassiatally.KindOutcomeUnknown},
+		{"deadline passed", runner.Result{Kind: runner.ResultTimedOut}, cassiatally.OutcomeUnknown, cassiatally.KindExpired},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			h := newHarness(2)
+			h.HandleCall(start, entry, call(1, "a"))
+			got := answers(h.Finished(start, call(1, "a").ID, c.result))
+			is.Equal(len(got), 1)
+			is.Equal(got[0].Outcome, c.outcome)
+			is.Equal(got[0].Kind, c.kind)
+		})
+	}
+}
+
+// Guards against a second run of one call, and against a question that is
+// answered wrongly after a lost link.
+func TestRepeatedCallsAndQueries(t *testing.T) {
+	is := is.New(t)
+	h := newHarness(2)
+	c := call(1, "a")
+	query := cassiatally.RunQuery{ID: c.ID, Target: 1}
+	is.Equal(len(started(h.HandleCall(start, entry, c))), 1)
+	is.Equal(len(started(h.HandleCall(start, "other", c))), 0)
+	is.Equal(len(h.HandleRunQuery(start, entry, query)), 0) // still running: the answer follows
+	h.Finished(start, c.ID, runner.Result{Kind: runner.ResultAnswered, Status: 200})
+	is.Equal(answers(h.HandleRunQuery(start, entry, query))[0].Outcome, cassiatally.OutcomeRan)
+
+	unseen := call(2, "b")
+	is.Equal(answers(h.HandleRunQuery(start, entry, cassiatally.RunQuery{ID: unseen.ID, Target: 1}))[0].Outcome, cassiatally.OutcomeNotRun)
+	is.Equal(len(started(h.HandleCall(start, entry, unseen))), 0) // voided by the question
+
+	restarted := cassiatally.RunQuery{ID: call(3, "c").ID, Target: 99}
+	is.Equal(answers(h.HandleRunQuery(start, entry, restarted))[0].Outcome, cassiatally.OutcomeUnknown)
+}
+
+// Guards against new work at a leaving backend server and against runs in flight
+// that are cut off.
+func TestLeaving(t *testing.T) {
+	leave := map[string]func(h *harness){
+		"drain announced": func(h *harness) {
+			h.Announce(start, cassiatally.Endpoint{Service: "depot-svc", Slots: 10, State: cassiatally.EndpointDraining}, time.Second)
+		},
+		"withdrawn":           func(h *harness) { h.Withdraw(start) },
+		"announcement lapsed": func(h *harness) { h.Tick(start.Add(4 * time.Second)) },
+		"node stops":          func(h *harness) { h.Leave(start) },
+	}
+	for name, f := range leave {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			h := newHarness(2)
+			is.Equal(len(started(h.HandleCall(start, entry, call(1, "a")))), 1)
+			f(h)
+			got := answers(h.HandleCall(start, entry, call(2, "b")))
+			is.Equal(got[0].Kind, cassiatally.KindDraining)
+			is.Equal(got[0].Outcome, cassiatally.OutcomeNotRun)
+			got = answers(h.Finished(start, call(1, "a").ID, runner.Result{Kind: runner.ResultAnswered, Status: 200}))
+			is.Equal(got[0].Outcome, cassiatally.OutcomeRan)
+		})
+	}
+}
+
+// Guards against a crash that is counted once per broken connection, and against
+// suspects that run side by side.
+func TestCrash(t *testing.T) {
+	is := is.New(t)
+	h := newHarness(4)
+	h.HandleCall(start, entry, call(1, "poison"))
+	h.HandleCall(start, entry, call(2, "innocent"))
+	h.Finished(start, call(1, "").ID, runner.Result{Kind: runner.ResultBroken})
+	h.Finished(start.Add(time.Millisecond), call(2, "").ID, runner.Result{Kind: runner.ResultBroken})
+	is.Equal(len(h.quarantine.crashes), 1)
+	is.Equal(len(h.quarantine.crashes[0]), 2)
+
+	h.Announce(start, cassiatally.Endpoint{Service: "depot-svc", Slots: 10, State: cassiatally.EndpointReady}, 3*time.Second)
+	for _, f := range h.quarantine.crashes[0] {
+		h.quarantine.suspect[f] = true
+	}
+	is.Equal(len(started(h.HandleCall(start, entry, call(3, "poison")))), 1)
+	is.Equal(answers(h.HandleCall(start, entry, call(4, "innocent")))[0].Kind, cassiatally.KindOverloaded)
+	is.Equal(len(started(h.HandleCall(start, entry, call(5, "unrelated")))), 1)
+
+	h.quarantine.blocked[cassiatally.FingerprintOf("depot-svc", "reserve", []byte("poison"))] = true
+	is.Equal(answers(h.HandleCall(start, entry, call(6, "poison")))[0].Kind, cassiatally.KindQuarantined)
+}
+
+func childOf(parent cassiatally.Call, waiter uint64, idempotent bool) runner.ChildCall {
+	return runner.ChildCall{
+		Waiter:     cassiatally.CallID{Origin: 5, Seq: waiter},
+		Parent:     parent.ID,
+		Service:    "dispatch-svc",
+		Work:       "schedule",
+		Idempotent: idempotent,
+		Body:       []byte("order"),
+	}
+}
+
+// Guards against an onward call that runs twice because the backend server sent
+// it twice, and against retries that multiply along the chain.
+func TestOnwardCalls(t *testing.T) {
+	is := is.New(t)
+	h := newHarness(2)
+	parent := call(1, "a")
+	h.HandleCall(start, entry, parent)
+	first := h.BeginChild(start, childOf(parent, 1, false))
+	req := first[0].(cassiatally.Submit).Request
+	is.Equal(req.Depth, cassiatally.Depth(1))
+	is.Equal(req.Retries, cassiatally.RetryCount(1))
+	is.Equal(len(h.BeginChild(start, childOf(parent, 2, false))), 0) // joins the first
+
+	granted := h.BeginChild(start, childOf(parent, 3, true))[0].(cassiatally.Submit).Request
+	is.True(granted.Retries+req.Retries <= parent.Retries)
+
+	delivered := h.ChildAnswered(start, req.ID, cassiatally.Answer{Outcome: cassiatally.OutcomeRan, RetriesSpent: 1})
+	is.Equal(len(delivered), 2)
+	late := h.BeginChild(start, childOf(parent, 4, false))
+	is.Equal(late[0].(cassiatally.Deliver).Answer.Outcome, cassiatally.OutcomeRan)
+
+	got := answers(h.Finished(start, parent.ID, runner.Result{Kind: runner.ResultAnswered, Status: 200}))
+	is.Equal(got[0].RetriesSpent, cassiatally.RetryCount(1))
+}
+
+// Guards against onward calls without a parent or with side effects that a retry
+// of the parent would repeat.
+func TestRefusedOnwardCalls(t *testing.T) {
+	is := is.New(t)
+	h := newHarness(2)
+	parent := call(1, "a")
+	unknown := h.BeginChild(start, childOf(parent, 1, true))
+	is.Equal(unknown[0].(cassiatally.Deliver).Answer.Kind, cassiatally.KindUnknownParent)
+	parent.Idempotent = true
+	h.HandleCall(start, entry, parent)
+	unsafe := h.BeginChild(start, childOf(parent, 2, false))
+	is.Equal(unsafe[0].(cassiatally.Deliver).Answer.Kind, cassiatally.KindParentIdempotent)
+}
+
+// Guards against a cancellation that turns the known outcome of a non-idempotent
+// run into an unknown one.
+func TestCancellation(t *testing.T) {
+	is := is.New(t)
+	h := newHarness(2)
+	lookup := call(1, "a")
+	lookup.Idempotent = true
+	h.HandleCall(start, entry, lookup)
+	h.HandleCall(start, entry, call(2, "b"))
+	is.Equal(h.HandleCancel(start, lookup.ID), []cassiatally.Action{cassiatally.AbortRun{Call: lookup.ID}})
+	is.Equal(len(h.HandleCancel(start, call(2, "b").ID)), 0)
+	h.HandleCall(start, entry, call(3, "queued"))
+	got := answers(h.HandleCancel(start, call(3, "").ID))
+	is.Equal(got[0].Outcome, cassiatally.OutcomeNotRun)
+}
--- /dev/null
+++ b/node/reporter/reporter.go
@@ -0,0 +1,113 @@
+// Package reporter keeps the metrics of a node and serves them for scraping.
+//
+// # Usage
+//
+//	rep, err := reporter.New(self)
+//	defer rep.Close()
+//	rep.Request(policy, tenant, answer, took)
+//	http.Handle("/metrics", rep.Handler())
+package reporter
+
+import (
+	"fmt"
+	"io"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/uber-go/tally/v4"
+	tallyprom "github.com/uber-go/tally/v4/prometheus"
+
+	"github.com/cassiatally/cassiatally/cassiatally"
+)
+
+const (
+	reportEvery = time.Second
+	// maxTenants bounds the histograms per tenant; further tenants share one.
+	maxTenants  = 32
+	otherTenant = "other"
+	firstBucket = time.Millisecond
+	bucketStep  = 1.6
+	buckets     = 20
+)
+
+// Reporter keeps the metrics of a node. It is safe for concurrent use.
+type Reporter struct {
+	scope   tally.Scope
+	closer  io.Closer
+	handler http.Handler
+	latency tally.Buckets
+
+	mu      sync.Mutex
+	tenants map[cassiatally.Tenant]tally.Scope
+	ranks   [cassiatally.MaxRanks]tally.Scope
+}
+
+// New returns a reporter whose metrics carry the name and data centre of the node.
+func New(node cassiatally.NodeID, dc cassiatally.DataCentre) (*Reporter, error) {
+	registry := prometheus.NewRegistry()
+	prom := tallyprom.NewReporter(tallyprom.Options{Registerer: registry, Gatherer: registry})
+	scope, closer := tally.NewRootScope(tally.ScopeOptions{
+		Prefix:                 "cassiatally",
+		Tags:                   map[string]string{"node": string(node), "data_centre": string(dc)},
+		CachedReporter:         prom,
+		Separator:              tallyprom.DefaultSeparator,
+		OmitCardinalityMetrics: true,
+	}, reportEvery)
+	latency, err := tally.ExponentialDurationBuckets(firstBucket, bucketStep, buckets)
+	if err != nil {
+		return nil, errors.Wrap(err, "latency buckets")
+	}
+	r := &Reporter{
+		scope:   scope,
+		closer:  closer,
+		handler: prom.HTTPHandler(),
+		latency: latency,
+		tenants: make(map[cassiatally.Tenant]tally.Scope),
+	}
+	for i := range r.ranks {
+		r.ranks[i] = scope.Tagged(map[string]string{"rank": fmt.Sprint(i)})
+	}
+	return r, nil
+}
+
+// Handler serves the metrics for scraping.
+func (r *Reporter) Handler() http.Handler { return r.handler }
+
+// Close stops the reports.
+func (r *Reporter) Close() { _ = r.closer.Close() }
+
+// Request records the end of a caller's request.
+func (r *Reporter) Request(p cassiatally.Policy, t cassiatally.Tenant, a cassiatally.Answer, took time.Duration) {
+	rank := r.ranks[min(p.Rank, cassiatally.MaxRanks-1)]
+	rank.Histogram("request_latency", r.latency).RecordDuration(took)
+	rank.Tagged(map[string]string{"outcome": a.Outcome.String(), "kind": a.Kind.String()}).Counter("requests").Inc(1)
+	r.tenant(t).Histogram("tenant_latency", r.latency).RecordDuration(took)
+}
+
+func (r *Reporter) tenant(t cassiatally.Tenant) tally.Scope {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if s, ok := r.tenants[t]; ok {
+		return s
+	}
+	name := string(t)
+	if len(r.tenants) >= maxTenants {
+		name = otherTenant
+	}
+	s := r.scope.Tagged(map[string]string{"tenant": name})
+	if name != otherTenant {
+		r.tenants[t] = s
+	}
+	return s
+}
+
+// Gauge sets a gauge of the node.
+func (r *Reporter) Gauge(name string, value float64) { r.scope.Gauge(name).Update(value) }
+
+// RankGauge sets a gauge of one rank.
+func (r *Reporter) RankGauge(name string, rank cassiatally.Rank, value float64) {
+	r.ranks[min(rank, cassiatally.MaxRanks-1)].Gauge(name).Update(value)
+}
