--- a/cassiatally/router/router_test.go
+++ b/cassiatally/router/router_test.go
@@ -65,7 +65,6 @@
 type harness struct {
 	*router.Router
 	seq    uint64
-	loads  fixedLoads
 	holder cassiatally.NodeRef
 }
 
