--- a/cassiatally/action.go
+++ b/cassiatally/action.go
@@ -36,3 +36,10 @@
 func (AbortRun) action() {}
 func (Submit) action()   {}
 func (Append) action()   {}
+
+// AppendAssignment has the log appender of this node append an assignment to
+// the stream of the shard's data centre. Decisions do not encode, so the record
+// is typed.
+type AppendAssignment struct{ Assignment Assignment }
+
+func (AppendAssignment) action() {}
