sheetparser: read sheets from CSV and YAML with every fault reported

Cause: nodes and operators need one reader of sheets that names the place of each fault. goccy/go-yaml panics on an empty document after a scalar (`0\n---`), found by fuzzing; deep nesting was ruled out as a cause of stack exhaustion by bounds on line length and flow indicators.

Change: package sheet holds rows, windows and the canonical CSV form; package sheetparser reads CSV and YAML, checks idempotence and shares, and warns of gaps, overlaps and large shares.

--- /dev/null
+++ b/cassiatally/sheetparser/coverage.go
@@ -0,0 +1,201 @@
+package sheetparser
+
+import (
+	"fmt"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/cassiatally/cassiatally/cassiatally"
+	"github.com/cassiatally/cassiatally/cassiatally/sheet"
+)
+
+// maxSpans bounds the times that one warning lists.
+const maxSpans = 4
+
+// Rows of one kind may use several zones. Their windows are then compared in a
+// winter and a summer week, because the difference of two zones can change.
+var referenceWeeks = []time.Time{
+	time.Date(2026, time.January, 12, 0, 0, 0, 0, time.UTC),
+	time.Date(2026, time.July, 13, 0, 0, 0, 0, time.UTC),
+}
+
+const (
+	wordBits  = 64
+	weekWords = (int(sheet.MinutesPerWeek) + wordBits - 1) / wordBits
+)
+
+// week is a set of minutes of a week that starts on Monday.
+type week [weekWords]uint64
+
+func (w *week) has(m sheet.Minute) bool { return w[m/wordBits]&(1<<(m%wordBits)) != 0 }
+
+// add puts [from, to) into the set, wrapping at the end of the week, and reports
+// the first minute that was in the set before.
+func (w *week) add(from, to sheet.Minute) (sheet.Minute, bool) {
+	var first sheet.Minute
+	overlap := false
+	for m := from; m < to; m++ {
+		at := (m + sheet.MinutesPerWeek) % sheet.MinutesPerWeek
+		if w.has(at) && !overlap {
+			first, overlap = at, true
+		}
+		w[at/wordBits] |= 1 << (at % wordBits)
+	}
+	return first, overlap
+}
+
+func (w *week) union(o *week) {
+	for i := range w {
+		w[i] |= o[i]
+	}
+}
+
+// gaps returns the times that are not in the set, as text.
+func (w *week) gaps() string {
+	var spans []string
+	for m := sheet.Minute(0); m < sheet.MinutesPerWeek; m++ {
+		if w.has(m) {
+			continue
+		}
+		start := m
+		for m < sheet.MinutesPerWeek && !w.has(m) {
+			m++
+		}
+		spans = append(spans, weekTime(start)+" to "+weekTime(m))
+	}
+	if len(spans) > maxSpans {
+		more := len(spans) - maxSpans
+		spans = append(spans[:maxSpans], fmt.Sprintf("%d more", more))
+	}
+	return strings.Join(spans, ", ")
+}
+
+func weekTime(m sheet.Minute) string {
+	day := sheet.Days(1 << ((int(m/sheet.MinutesPerDay) + 1) % 7))
+	return day.String() + " " + (m % sheet.MinutesPerDay).String()
+}
+
+// checkTimes warns of gaps and overlaps for each kind.
+func (p *Parser) checkTimes(rows []placedRow) {
+	var order []sheet.KindRef
+	kinds := map[sheet.KindRef][]placedRow{}
+	for _, r := range rows {
+		if _, seen := kinds[r.Kind]; !seen {
+			order = append(order, r.Kind)
+		}
+		kinds[r.Kind] = append(kinds[r.Kind], r)
+	}
+	for _, k := range order {
+		p.checkKind(kinds[k])
+	}
+}
+
+func (p *Parser) checkKind(rows []placedRow) {
+	seen := map[string]bool{}
+	for _, at := range referenceWeeks {
+		c := coverage{parser: p, rows: rows, at: at, seen: seen, sets: map[cassiatally.DataCentre]*week{}}
+		c.overlaps()
+		c.gaps()
+	}
+}
+
+// coverage is the cover of the week by the rows of one kind, told in the zone of
+// the first row.
+type coverage struct {
+	parser *Parser
+	rows   []placedRow
+	at     time.Time
+	seen   map[string]bool
+	order  []cassiatally.DataCentre
+	sets   map[cassiatally.DataCentre]*week
+}
+
+func (c *coverage) warn(r placedRow, wrong, right string) {
+	key := fmt.Sprint(r.raw.at, wrong)
+	if c.seen[key] {
+		return
+	}
+	c.seen[key] = true
+	c.parser.warnAt(r.raw.at, "", wrong, right)
+}
+
+// overlaps fills the set of each data centre and warns of rows that hold at a
+// time that an earlier row of the data centre has.
+func (c *coverage) overlaps() {
+	for _, r := range c.rows {
+		set, ok := c.sets[r.DataCentre]
+		if !ok {
+			set = &week{}
+			c.sets[r.DataCentre] = set
+			c.order = append(c.order, r.DataCentre)
+		}
+		if at, overlap := c.cover(set, r); overlap {
+			c.warn(r, fmt.Sprintf("%s at data centre %s has an earlier row that holds too, from %s %s on", r.Kind, r.DataCentre, weekTime(at), c.zone()),
+				"the earlier row wins; change the windows so that one row holds at a time")
+		}
+	}
+}
+
+func (c *coverage) cover(set *week, r placedRow) (sheet.Minute, bool) {
+	shift := c.offset(c.rows[0].Window.Zone) - c.offset(r.Window.Zone)
+	var first sheet.Minute
+	overlap := false
+	for i := range 7 {
+		if !r.Window.Days.Has(time.Weekday((i + 1) % 7)) {
+			continue
+		}
+		start := sheet.Minute(i)*sheet.MinutesPerDay + shift
+		to := r.Window.To
+		if to <= r.Window.From {
+			to += sheet.MinutesPerDay
+		}
+		at, found := set.add(start+r.Window.From, start+to)
+		if found && !overlap {
+			first, overlap = at, true
+		}
+	}
+	return first, overlap
+}
+
+func (c *coverage) gaps() {
+	others := c.sets[sheet.AnyDataCentre]
+	if others == nil {
+		others = &week{}
+	}
+	general := others.gaps()
+	if general != "" {
+		c.warnGap(sheet.AnyDataCentre, general)
+	}
+	for _, dc := range c.order {
+		if dc == sheet.AnyDataCentre {
+			continue
+		}
+		c.sets[dc].union(others)
+		if own := c.sets[dc].gaps(); own != "" && own != general {
+			c.warnGap(dc, own)
+		}
+	}
+}
+
+func (c *coverage) warnGap(dc cassiatally.DataCentre, spans string) {
+	i := max(0, slices.IndexFunc(c.rows, func(r placedRow) bool { return r.DataCentre == dc }))
+	c.warn(c.rows[i], fmt.Sprintf("%s at data centre %s has no row from %s %s", c.rows[i].Kind, dc, spans, c.zone()),
+		"add rows for these times; work without a row gets the least urgent rank and no share")
+}
+
+func (c *coverage) zone() string {
+	if z := c.rows[0].Window.Zone; z != "" {
+		return string(z)
+	}
+	return "UTC"
+}
+
+func (c *coverage) offset(z sheet.Zone) sheet.Minute {
+	loc, err := c.parser.location(z)
+	if err != nil {
+		return 0
+	}
+	_, seconds := c.at.In(loc).Zone()
+	return sheet.Minute(seconds / 60)
+}
--- /dev/null
+++ b/cassiatally/sheetparser/yaml.go
@@ -0,0 +1,216 @@
+package sheetparser
+
+import (
+	"bytes"
+	"fmt"
+	"regexp"
+	"strconv"
+	"strings"
+
+	"github.com/goccy/go-yaml/ast"
+	"github.com/goccy/go-yaml/parser"
+	"github.com/goccy/go-yaml/token"
+
+	"github.com/cassiatally/cassiatally/cassiatally/sheet"
+)
+
+const (
+	// rowsKey is the only key at the top of a YAML sheet.
+	rowsKey = "rows"
+	// maxYAMLLine bounds a line, in bytes. Block collections nest within a line,
+	// and the YAML library parses nested collections by recursion.
+	maxYAMLLine = 4 << 10
+	// maxYAMLIndicators bounds the characters that can open a nested node in a
+	// flow, for the same reason. A row in flow style needs one.
+	maxYAMLIndicators = 2 * sheet.MaxRows
+	yamlIndicators    = "[{!&?"
+)
+
+// yamlErrorPlace finds the line and column that the YAML library puts in front
+// of its messages.
+var yamlErrorPlace = regexp.MustCompile(`^\[(\d+):(\d+)\] ([^\n]*)`)
+
+func (p *Parser) readYAML(data []byte) []rawRow {
+	data = bytes.ReplaceAll(data, []byte("\r\n"), []byte("\n"))
+	if !p.checkYAMLBounds(data) {
+		return nil
+	}
+	file, err := parseYAML(data)
+	if err != nil {
+		p.reportYAML(err)
+		return nil
+	}
+	if len(file.Docs) == 0 || file.Docs[0].Body == nil {
+		p.errorAt(Position{1, 1}, "", "the sheet is empty", "start with the line rows: and a list of rows")
+		return nil
+	}
+	if len(file.Docs) > 1 {
+		p.errorAt(placeOf(file.Docs[1]), "", "the file has more than one YAML document", "keep one document")
+	}
+	return p.yamlRows(file.Docs[0].Body)
+}
+
+func (p *Parser) checkYAMLBounds(data []byte) bool {
+	for i, line := range bytes.Split(data, []byte("\n")) {
+		if len(line) > maxYAMLLine {
+			p.errorAt(Position{i + 1, maxYAMLLine + 1}, "", "the line is too long", fmt.Sprintf("at most %d bytes are allowed", maxYAMLLine))
+			return false
+		}
+	}
+	n := 0
+	for _, b := range data {
+		if strings.IndexByte(yamlIndicators, b) >= 0 {
+			n++
+		}
+	}
+	if n > maxYAMLIndicators {
+		p.errorAt(Position{1, 1}, "", fmt.Sprintf("the file has more than %d of the characters %s", maxYAMLIndicators, yamlIndicators), "write one key in each line")
+		return false
+	}
+	return true
+}
+
+// parseYAML turns a panic of the YAML library into an error, so that a
+// malformed file never ends the process.
+func parseYAML(data []byte) (file *ast.File, err error) {
+	defer func() {
+		if r := recover(); r != nil {
+			err = fmt.Errorf("[1:1] the YAML library failed: %v", r)
+		}
+	}()
+	return parser.ParseBytes(data, 0)
+}
+
+func (p *Parser) reportYAML(err error) {
+	at, wrong := Position{1, 1}, strings.SplitN(err.Error(), "\n", 2)[0]
+	if m := yamlErrorPlace.FindStringSubmatch(err.Error()); m != nil {
+		at.Line, _ = strconv.Atoi(m[1])
+		at.Column, _ = strconv.Atoi(m[2])
+		wrong = m[3]
+	}
+	p.errorAt(at, "", "malformed YAML: "+wrong, "correct the syntax; put * and text with special characters in quotes")
+}
+
+func (p *Parser) yamlRows(body ast.Node) []rawRow {
+	var rows []rawRow
+	seen := false
+	for _, entry := range p.mapping(body, "start with the line rows: and a list of rows") {
+		key, ok := keyOf(entry)
+		switch {
+		case !ok || key != rowsKey:
+			p.errorAt(placeOf(entry.Key), "", fmt.Sprintf("unknown key %q", key), "use the key rows only")
+		case seen:
+			p.errorAt(placeOf(entry.Key), "", "the key rows appears twice", "keep one list of rows")
+		default:
+			seen = true
+			rows = p.yamlList(entry.Value)
+		}
+	}
+	return rows
+}
+
+func (p *Parser) yamlList(node ast.Node) []rawRow {
+	list, ok := node.(*ast.SequenceNode)
+	if !ok {
+		p.errorAt(placeOf(node), "", "the value of rows is not a list", "start each row with a dash")
+		return nil
+	}
+	var rows []rawRow
+	for i, item := range list.Values {
+		if i >= sheet.MaxRows {
+			p.tooManyRows(placeOf(item))
+			break
+		}
+		rows = append(rows, p.yamlRow(item))
+	}
+	return rows
+}
+
+func (p *Parser) yamlRow(item ast.Node) rawRow {
+	row := rawRow{at: placeOf(item), cells: map[sheet.Column]cell{}}
+	entries := p.mapping(item, "write the row as keys and values")
+	row.invalid = len(entries) == 0
+	for _, entry := range entries {
+		at := placeOf(entry.Key)
+		name, ok := keyOf(entry)
+		if !ok {
+			p.errorAt(at, "", "the key is not a plain name", "use "+columnList())
+			continue
+		}
+		c, ok := p.knownColumn(at, name)
+		if !ok {
+			continue
+		}
+		if _, twice := row.cells[c]; twice {
+			p.errorAt(at, c, "the key appears twice in the row", "keep one of them")
+			continue
+		}
+		text, ok := scalar(entry.Value)
+		if !ok {
+			p.errorAt(placeOf(entry.Value), c, "the value is not a single plain value", "write one value; put * in quotes")
+		}
+		row.cells[c] = cell{strings.TrimSpace(text), placeOf(entry.Value)}
+	}
+	return row
+}
+
+// mapping returns the entries of a mapping node and reports other nodes.
+func (p *Parser) mapping(node ast.Node, right string) []*ast.MappingValueNode {
+	switch n := node.(type) {
+	case *ast.MappingNode:
+		if len(n.Values) > 0 {
+			return n.Values
+		}
+	case *ast.MappingValueNode:
+		return []*ast.MappingValueNode{n}
+	}
+	p.errorAt(placeOf(node), "", "expected keys and values", right)
+	return nil
+}
+
+func keyOf(entry *ast.MappingValueNode) (string, bool) {
+	node, ok := entry.Key.(ast.Node)
+	if !ok {
+		return "", false
+	}
+	return scalar(node)
+}
+
+// scalar returns the text of a plain or quoted value. Anchors, aliases, tags and
+// collections are no scalars, so that a small file cannot expand to a large one.
+func scalar(node ast.Node) (string, bool) {
+	switch n := node.(type) {
+	case nil, *ast.NullNode:
+		return "", true
+	case *ast.StringNode:
+		return n.Value, true
+	case *ast.IntegerNode, *ast.FloatNode, *ast.BoolNode, *ast.InfinityNode, *ast.NanNode:
+		if t := n.GetToken(); t != nil {
+			return t.Value, true
+		}
+	}
+	return "", false
+}
+
+// placeOf returns the start of the file for nodes without a token.
+func placeOf(node any) Position {
+	t := tokenOf(node)
+	if t == nil || t.Position == nil {
+		return Position{1, 1}
+	}
+	return Position{t.Position.Line, t.Position.Column}
+}
+
+func tokenOf(node any) *token.Token {
+	if doc, ok := node.(*ast.DocumentNode); ok {
+		if doc.Body == nil {
+			// GetToken of a document without a body dereferences nil.
+			return doc.Start
+		}
+		node = doc.Body
+	}
+	if n, ok := node.(ast.Node); ok && n != nil {
+		return n.GetToken()
+	}
+	return nil
+}
