sheetfolder: fold the records of the stream sheet in log order

Cause: publisher and follower must agree on which record won. A reader whose log lost records cannot tell winners from losers, and a version adopted from a peer says nothing about its place in the log.

Change: Folder accepts records by based_on and version. After a loss the next re-appended record is the base. What a peer passed on is kept apart from what was folded, so a record that stands in the log before its base is not accepted.

--- /dev/null
+++ b/cassiatally/sheetfolder/folder.go
@@ -0,0 +1,105 @@
+// Package sheetfolder decides which records of the stream sheet are accepted. It
+// reads the records in log order, so that every reader of the log comes to the
+// same version.
+//
+// # Usage
+//
+//	var f sheetfolder.Folder
+//	f.Start(batch.First)
+//	for _, r := range batch.Records {
+//		if f.Apply(r.Offset, decoded(r)) {
+//			use(r)
+//		}
+//	}
+//	current, ok := f.Current()
+//
+// A record is accepted when it is based on the version in force and its version
+// is the next one. A re-appended record of the version in force changes nothing.
+//
+// When the log no longer has a record that was not read, it cannot be told which
+// of the records that are left were accepted. The next re-appended record is
+// then the base. Only accepted records are re-appended, so from then on a
+// re-appended record overrules what was folded without the lost records.
+package sheetfolder
+
+import "github.com/cassiatally/cassiatally/cassiatally"
+
+// Folder folds the records of the stream sheet. The zero value expects the
+// record at offset 0. It is not safe for concurrent use.
+type Folder struct {
+	next cassiatally.Offset
+	// lost is set when records were dropped by the log before they were read.
+	lost bool
+	// based is set when a base was found after the loss.
+	based  bool
+	folded cassiatally.SheetRecord
+	// adopted comes from a peer. It is kept apart from folded: a record that is
+	// based on it may stand in the log before it, and was then not accepted.
+	adopted cassiatally.SheetRecord
+}
+
+// Start tells the oldest offset that the log still has. It is called for each
+// batch before its records.
+func (f *Folder) Start(first cassiatally.Offset) {
+	if first > f.next {
+		f.next = first
+		f.lost = true
+		f.based = false
+	}
+}
+
+// Skip takes the next record in log order when it holds no sheet.
+func (f *Folder) Skip(o cassiatally.Offset) {
+	f.Start(o)
+	f.next = max(f.next, o+1)
+}
+
+// Apply takes the next record in log order and reports whether it is accepted. A
+// record that was read before is ignored, as is one whose digest does not match.
+func (f *Folder) Apply(o cassiatally.Offset, r cassiatally.SheetRecord) (accepted bool) {
+	if o < f.next {
+		return false
+	}
+	f.Skip(o)
+	if cassiatally.DigestOf(r.Sheet) != r.Digest || !f.accepts(r) {
+		return false
+	}
+	f.folded = r
+	f.based = true
+	return true
+}
+
+func (f *Folder) accepts(r cassiatally.SheetRecord) bool {
+	if !r.Reappend {
+		return f.Based() && r.BasedOn == f.folded.Version && r.Version == r.BasedOn+1
+	}
+	if !f.lost || r.Version < f.folded.Version {
+		return false
+	}
+	return !f.based || r.Version > f.folded.Version || r.Digest != f.folded.Digest
+}
+
+// Adopt takes the version in force of a peer that has folded the log, and
+// reports whether it is newer. The version in force only grows.
+func (f *Folder) Adopt(r cassiatally.SheetRecord) bool {
+	current, _ := f.Current()
+	if cassiatally.DigestOf(r.Sheet) != r.Digest || r.Version <= current.Version {
+		return false
+	}
+	f.adopted = r
+	return true
+}
+
+// Current returns the record in force. It is false when no version is known.
+func (f *Folder) Current() (cassiatally.SheetRecord, bool) {
+	if f.adopted.Version > f.folded.Version {
+		return f.adopted, true
+	}
+	return f.folded, f.folded.Version > 0
+}
+
+// Based reports whether the next accepted record can be recognised.
+func (f *Folder) Based() bool { return !f.lost || f.based }
+
+// Next returns the offset to read from next.
+func (f *Folder) Next() cassiatally.Offset { return f.next }
