sheetdiffer: compare two sheets row by row

Cause: the loser of a publishing race must be shown the difference.

Change: Differ matches rows by kind, data centre and window and returns added, removed and changed rows, with a text form.

--- /dev/null
+++ b/cassiatally/sheetdiffer/differ.go
@@ -0,0 +1,155 @@
+// Package sheetdiffer compares two sheets row by row.
+//
+// # Usage
+//
+//	var d sheetdiffer.Differ
+//	changes := d.Diff(before, after)
+//	text := d.Text(changes)
+//
+// Rows are matched by kind of work, data centre and time window. A row with
+// another window is a removed row and an added row. The order of rows is not
+// compared; it matters only where windows overlap, of which the parser warns.
+package sheetdiffer
+
+import (
+	"fmt"
+	"strings"
+
+	"github.com/cassiatally/cassiatally/cassiatally"
+	"github.com/cassiatally/cassiatally/cassiatally/sheet"
+)
+
+// Operation tells how a row changed.
+type Operation string
+
+// The operations.
+const (
+	Added   Operation = "added"
+	Removed Operation = "removed"
+	Changed Operation = "changed"
+)
+
+// FieldChange is the change of one column of a row.
+type FieldChange struct {
+	Column sheet.Column `json:"column"`
+	Before string       `json:"before"`
+	After  string       `json:"after"`
+}
+
+// Change is the change of one row. Row is the row after the change, or the
+// removed row.
+type Change struct {
+	Operation Operation
+	Row       sheet.Row
+	Fields    []FieldChange
+}
+
+// Differ compares sheets. It has no state.
+type Differ struct{}
+
+// rowKey identifies a row in both sheets. Equal rows of a sheet are told apart
+// by their number.
+type rowKey struct {
+	kind       sheet.KindRef
+	dataCentre cassiatally.DataCentre
+	window     sheet.Window
+	number     int
+}
+
+// Diff returns the changes from before to after: added and changed rows in the
+// order of after, then removed rows in the order of before.
+func (Differ) Diff(before, after sheet.Sheet) []Change {
+	old := map[rowKey]sheet.Row{}
+	beforeKeys, afterKeys := keysOf(before), keysOf(after)
+	for i, k := range beforeKeys {
+		old[k] = before.Rows[i]
+	}
+	var changes []Change
+	for i, k := range afterKeys {
+		row := after.Rows[i]
+		previous, ok := old[k]
+		delete(old, k)
+		if !ok {
+			changes = append(changes, Change{Operation: Added, Row: row})
+		} else if fields := fieldChanges(previous, row); len(fields) > 0 {
+			changes = append(changes, Change{Operation: Changed, Row: row, Fields: fields})
+		}
+	}
+	for _, k := range beforeKeys {
+		if row, left := old[k]; left {
+			changes = append(changes, Change{Operation: Removed, Row: row})
+		}
+	}
+	return changes
+}
+
+func keysOf(s sheet.Sheet) []rowKey {
+	counts := map[rowKey]int{}
+	keys := make([]rowKey, 0, len(s.Rows))
+	for _, r := range s.Rows {
+		k := rowKey{kind: r.Kind, dataCentre: r.DataCentre, window: r.Window}
+		counts[k]++
+		k.number = counts[k]
+		keys = append(keys, k)
+	}
+	return keys
+}
+
+func fieldChanges(before, after sheet.Row) []FieldChange {
+	var changes []FieldChange
+	for _, c := range sheet.Columns() {
+		if b, a := before.Field(c), after.Field(c); b != a {
+			changes = append(changes, FieldChange{Column: c, Before: b, After: a})
+		}
+	}
+	return changes
+}
+
+// Text returns one line for each change.
+func (Differ) Text(changes []Change) string {
+	var b strings.Builder
+	for _, c := range changes {
+		b.WriteString(c.String())
+		b.WriteByte('\n')
+	}
+	return b.String()
+}
+
+// String returns the change in one line, led by +, - or ~.
+func (c Change) String() string {
+	switch c.Operation {
+	case Added:
+		return "+ " + place(c.Row) + ": " + values(c.Row)
+	case Removed:
+		return "- " + place(c.Row) + ": " + values(c.Row)
+	default:
+		parts := make([]string, 0, len(c.Fields))
+		for _, f := range c.Fields {
+			parts = append(parts, fmt.Sprintf("%s %s -> %s", f.Column, f.Before, f.After))
+		}
+		return "~ " + place(c.Row) + ": " + strings.Join(parts, ", ")
+	}
+}
+
+func place(r sheet.Row) string {
+	window := "always"
+	if !r.Window.AllDay() || r.Window.Days != sheet.EveryDay {
+		window = r.Window.Days.String()
+		if !r.Window.AllDay() {
+			window += fmt.Sprintf(" %s-%s", r.Window.From, r.Window.To)
+		}
+	}
+	if r.Window.Zone != "" {
+		window += " " + string(r.Window.Zone)
+	}
+	return fmt.Sprintf("%s at %s, %s", r.Kind, r.DataCentre, window)
+}
+
+func values(r sheet.Row) string {
+	columns := []sheet.Column{sheet.ColumnRank, sheet.ColumnShare, sheet.ColumnTarget, sheet.ColumnIdempotent}
+	parts := make([]string, 0, len(columns))
+	for _, c := range columns {
+		parts = append(parts, string(c)+" "+r.Field(c))
+	}
+	return strings.Join(parts, ", ")
+}
