limiter: tell queueing from a slower backend server

Cause: in a trial model the first version took noise in self time for a change, judged a probe by the first, short runs after a cut, and restarted its window with each repeated announcement. Change: standard errors decide when a window is long enough; a window starts once the earlier runs have drained; a cut aims at the floor and is judged by comparing self times; the floor follows a backend server that gets faster and is then measured by a probe.

--- a/cassiatally/limiter/limiter.go
+++ b/cassiatally/limiter/limiter.go
@@ -4,10 +4,10 @@
 // not know or may report wrongly. A Limiter therefore finds the point at which
 // self time starts to rise. It doubles the limit while self time stays near its
 // floor and grows it in small steps after that. When self time is well above the
-// floor, the Limiter halves the limit and compares: if self time falls along
-// with the limit, the excess was queueing and the lower limit stays; if it does
-// not fall, the backend server itself has become slower, the floor is raised and
-// the limit restored.
+// floor, the Limiter lowers the limit, down to a half, and compares: if self time
+// falls along with the limit, the excess was queueing and the lower limit stays;
+// if it does not fall, the backend server itself has become slower, the floor is
+// raised and the limit restored.
 //
 // # Usage
 //
@@ -33,17 +33,20 @@
 	// nearFloor is the ratio of self time to floor up to which the limit grows. It
 	// leaves a small queue inside the backend server, which keeps its slots busy.
 	nearFloor = 1.15
-	// aboveFloor is the ratio above which the limit is tested with a probe.
+	// aboveFloor is the ratio above which the limit is cut.
 	aboveFloor = 1.4
 	// fasterFloor is the ratio below which the backend server has become faster.
 	fasterFloor = 0.7
-	// probeCut is the factor of the limit during a probe.
-	probeCut = 0.5
-	// genuineRatio: self time that stays above this part of its earlier value
-	// while the limit is halved does not come from queueing.
-	genuineRatio = 0.75
-	// queueingRatio: self time that falls below this part means that the lower
-	// limit is still above the real concurrency.
+	// cutTarget is the ratio that a cut aims for.
+	cutTarget = 1.1
+	// deepestCut and mildestCut bound the factor of one cut. The deepest one is
+	// also that of a probe.
+	deepestCut = 0.5
+	mildestCut = 0.9
+	// testCut is the part of the earlier limit at which self times are compared.
+	testCut = 0.75
+	// queueingRatio: self time that falls below this part in a test means that the
+	// lower limit may still be above the real concurrency.
 	queueingRatio = 0.6
 	// growth is the factor of a small step.
 	growth = 1.1
@@ -52,26 +55,49 @@
 	// failureRate is the part of failed runs that leads to a cut. A lower rate of
 	// failures that do not depend on load must not push the limit to its minimum.
 	failureRate = 0.1
-	// failureWeight is the weight of one run in the failure rate.
+	// failureWeight is the most weight of one run in the failure rate; with more
+	// runs in flight the rate is taken over as many runs as the limit.
 	failureWeight = 0.05
-	// leastSamples is the least number of runs in a window.
-	leastSamples = 12
-	// mostSamples bounds the runs in a window.
-	mostSamples = 100
-	// confidence is the number of standard errors by which a mean must differ
-	// before a probe starts.
-	confidence = 2.0
+	// leastSamples is the number of runs at which a window is looked at first; it
+	// is looked at again each time the number has doubled.
+	leastSamples = 8
+	// fullSamples is the least number of runs in a full window, and mostSamples
+	// the number that is always enough.
+	fullSamples = 24
+	mostSamples = 512
+	// precision is the relative standard error at which a window is full. Run
+	// times that vary little need few runs.
+	precision = 0.06
+	// confidence is the number of standard errors by which a mean must differ for
+	// a decision before the window is full.
+	confidence = 3.0
+	// testConfidence is lower, because a test costs throughput while it lasts.
+	testConfidence = 2.5
+	// testRuns is the number of runs at which a test is decided in any case.
+	testRuns = 64
+	// mostSpread bounds the spread, so that a window in which the speed changed
+	// does not delay later decisions.
+	mostSpread = 1.5
+	// spreadRuns is the number of runs after which a new window has half the
+	// weight in the spread.
+	spreadRuns = 64
+	// fallingTimes is the number of typical self times after which runs of the
+	// earlier, slower state no longer count.
+	fallingTimes = 4
+	// settleTime is the time for which the limit holds before its floor is
+	// measured for the first time.
+	settleTime = 2 * time.Second
 	// floorWeight is the weight of a window below the floor.
 	floorWeight   = 0.25
-	typicalWeight = 0.1
+	typicalWeight = 0.05
 	// defaultRefresh is the time between probes that measure the floor anew while
 	// the limit is in use without a break.
-	defaultRefresh = 10 * time.Second
+	defaultRefresh = 30 * time.Second
 )
 
 // Limiter finds a concurrency limit from self times and failures.
 type Limiter struct {
-	// Refresh is the time after which a floor is measured anew; 0 means 10 s.
+	// Refresh is the time after which a floor is measured anew; 0 means 30 s.
 	Refresh time.Duration
 
 	started bool
@@ -82,22 +108,36 @@
 
 	floor   float64
 	typical float64
+	// ratio is the ratio of self time to floor in the last full window.
+	ratio float64
+	// floorRuns is the number of runs that the floor is the mean of.
+	floorRuns float64
+	// spread is the standard deviation of self time relative to its mean. The
+	// spread of a single window is too low whenever its mean is too low.
+	spread float64
 
-	window  window
-	probing bool
-	// beforeLimit and beforeSelf are the limit and self time before the probe.
-	beforeLimit, beforeSelf float64
-	refreshed               cassiatally.Instant
+	window window
+	// earlier is the limit and self time before a cut, until the effect of the
+	// cut has been judged.
+	earlier state
+	// verified is set once a probe has measured the floor. falling is set while
+	// the backend server gets faster, until a probe shows where that ends.
+	verified, falling bool
+	refreshed         cassiatally.Instant
 
 	failures float64
 	failing  bool
 	cutAt    cassiatally.Instant
 }
 
-// window gathers the runs that started after the limit last changed.
+// state is a limit with its threshold and the self time that belongs to it.
+type state struct{ limit, threshold, self float64 }
+
+// window gathers the runs that ended from a time on.
 type window struct {
 	since  cassiatally.Instant
 	n      int
+	look   int
 	sum    float64
 	square float64
 	inUse  int
@@ -114,16 +154,22 @@
 func (l *Limiter) Typical() time.Duration { return time.Duration(l.typical) }
 
 // Resize sets the slots that the backend server announces; 0 means unknown.
+// Announcements repeat, so slots that did not change must not disturb a window.
 func (l *Limiter) Resize(now cassiatally.Instant, slots cassiatally.Concurrency) {
-	l.bound = max(float64(slots), leastLimit)
+	bound := max(float64(slots), leastLimit)
 	if slots <= 0 {
-		l.bound = unknownSlots
+		bound = unknownSlots
+	}
+	if l.started && bound == l.bound {
+		return
 	}
+	l.bound = bound
 	if !l.started {
 		l.started = true
 		l.limit = max(float64(slots/startFraction), leastLimit)
 		l.threshold = l.bound
 		l.refreshed = now
+		l.ratio = 1
 		l.restart(now)
 	}
 	l.set(now, l.limit)
@@ -138,7 +184,7 @@
 		l.failed(now)
 		return
 	}
-	l.failures -= failureWeight * l.failures
+	l.failures -= l.failureWeight() * l.failures
 	if l.failures < failureRate/2 {
 		l.failing = false
 	}
@@ -151,21 +197,17 @@
 		return
 	}
 	l.window.add(self, float64(s.InFlight) >= math.Floor(l.limit)-1)
-	if l.window.n >= l.samples() {
+	if l.window.n >= l.window.look {
+		l.window.look *= 2
 		l.evaluate(now)
 	}
 }
 
-// counts reports whether the run tells about the present limit. A run that
-// started before the last change, or while earlier runs above the present limit
-// were still in flight, tells about the earlier one.
+// counts reports whether the run tells about the present limit. The first ends
+// after a change are of runs that started before it, and mostly of short runs.
+// Runs that started above the limit belong to the time before a cut.
 func (l *Limiter) counts(now cassiatally.Instant, s cassiatally.RunSample) bool {
-	startedAfter := now.Sub(l.window.since) >= s.Self
-	return startedAfter && s.InFlight <= l.Limit()
-}
-
-func (l *Limiter) samples() int {
-	return int(min(max(l.limit/2, leastSamples), mostSamples))
+	return now.Reached(l.window.since) && s.InFlight <= l.Limit()
 }
 
 func (w *window) add(self float64, inUse bool) {
@@ -177,55 +219,142 @@
 	}
 }
 
-// estimate returns the mean self time and its standard error.
-func (w *window) estimate() (mean, deviation float64) {
-	n := float64(w.n)
-	mean = w.sum / n
-	variance := max(w.square/n-mean*mean, 0)
-	return mean, math.Sqrt(variance / n)
+// mean returns the mean self time.
+func (w *window) mean() float64 { return w.sum / float64(w.n) }
+
+// spread returns the standard deviation relative to the mean.
+func (w *window) spread() float64 {
+	mean := w.mean()
+	if mean <= 0 {
+		return 0
+	}
+	return math.Sqrt(max(w.square/float64(w.n)-mean*mean, 0)) / mean
 }
 
+// restart begins a window once the runs of the earlier limit have ended.
 func (l *Limiter) restart(now cassiatally.Instant) {
-	l.window = window{since: now}
+	l.learnSpread()
+	l.window = window{since: now.Add(l.Typical()), look: leastSamples}
 }
 
-// evaluate ends a window and decides on the limit.
+// evaluate looks at the window and decides on the limit if it can.
 func (l *Limiter) evaluate(now cassiatally.Instant) {
-	mean, deviation := l.window.estimate()
+	mean := l.window.mean()
+	deviation := l.deviation()
+	precise := deviation <= precision || l.window.n >= mostSamples
 	inUse := 2*l.window.inUse >= l.window.n
-	l.restart(now)
-	if l.probing {
-		l.endProbe(now, mean)
-		return
-	}
 	if l.floor == 0 {
 		l.floor = mean
 	}
-	refresh := l.Refresh
-	if refresh <= 0 {
-		refresh = defaultRefresh
+	switch {
+	case l.testing():
+		l.judge(now, mean, deviation, precise)
+	case mean > aboveFloor*l.floor*(1+confidence*l.combined(deviation)):
+		l.cut(now, mean)
+	case mean < fasterFloor*l.floor*(1-confidence*l.combined(deviation)):
+		// Queueing at an unchanged limit multiplies self time as it did before.
+		l.setFloor(mean / l.ratio)
+		l.verified, l.falling, l.refreshed = false, true, now
+		l.restart(now)
+	case l.doubles(inUse, mean*(1-deviation)):
+		l.refine(mean)
+		l.grow(now)
+	case precise, l.window.n >= l.enough() && mean <= nearFloor*l.floor:
+		l.adjust(now, mean, inUse)
+	}
+}
+
+// enough returns the number of runs in a full window.
+func (l *Limiter) enough() int {
+	return int(min(max(2*l.limit, fullSamples), mostSamples))
+}
+
+// deviation returns the relative standard error of the window's mean.
+func (l *Limiter) deviation() float64 {
+	spread := max(l.spread, l.window.spread())
+	return min(spread, mostSpread) / math.Sqrt(float64(l.window.n))
+}
+
+// combined adds the relative standard error of the floor.
+func (l *Limiter) combined(deviation float64) float64 {
+	floor := l.spread / math.Sqrt(max(l.floorRuns, 1))
+	return math.Hypot(deviation, floor)
+}
+
+// learnSpread ends the window's part in the spread.
+func (l *Limiter) learnSpread() {
+	if l.window.n < leastSamples {
+		return
+	}
+	n := float64(l.window.n)
+	l.spread += n / (n + spreadRuns) * (min(l.window.spread(), mostSpread) - l.spread)
+}
+
+func (l *Limiter) setFloor(mean float64) {
+	l.floor = mean
+	l.floorRuns = float64(l.window.n)
+}
+
+// refine adds the window to the floor while the floor is the mean of too few
+// runs to be precise. After that, only lower windows move it: a floor that rose
+// with queueing would let the limit run away.
+func (l *Limiter) refine(mean float64) {
+	n := float64(l.window.n)
+	if l.spread > precision*math.Sqrt(l.floorRuns) && l.floorRuns < mostSamples {
+		l.floorRuns += n
+		l.floor += n / l.floorRuns * (mean - l.floor)
+		return
 	}
+	weight := floorWeight * min(precision/max(l.deviation(), precision), 1)
+	l.floor += weight * weight / floorWeight * min(mean-l.floor, 0)
+}
+
+// doubles reports whether the limit is to be doubled. While it is below the
+// threshold, a mean that may be near the floor is enough, since a limit that is
+// too high is found soon.
+func (l *Limiter) doubles(inUse bool, least float64) bool {
+	return inUse && !l.falling && l.limit < l.threshold && 2*l.window.n >= int(l.limit) && least <= nearFloor*l.floor
+}
+
+// adjust ends a full window.
+func (l *Limiter) adjust(now cassiatally.Instant, mean float64, inUse bool) {
 	if !inUse {
 		// Self time without queueing is a fresh floor; no probe is needed.
 		l.refreshed = now
 	}
+	l.ratio = min(max(mean/l.floor, 1), aboveFloor)
+	near := mean <= nearFloor*l.floor
 	switch {
-	case mean-confidence*deviation > aboveFloor*l.floor:
-		l.probe(now, mean)
-	case mean+confidence*deviation < fasterFloor*l.floor:
-		l.floor = mean
-		l.probe(now, mean)
-	case inUse && now.Sub(l.refreshed) >= refresh:
+	case mean > aboveFloor*l.floor:
+		l.cut(now, mean)
+	case l.probeDue(now, near):
 		l.probe(now, mean)
+	case inUse && near && !l.falling && l.limit < l.bound:
+		l.refine(mean)
+		l.grow(now)
 	default:
-		l.floor += floorWeight * min(mean-l.floor, 0)
-		if inUse && mean <= nearFloor*l.floor {
-			l.grow(now)
-		}
+		l.earlier = state{}
+		l.refine(mean)
+		l.restart(now)
+	}
+}
+
+// probeDue reports whether the floor has to be measured anew. A limit that holds
+// on a wrong floor would neither grow nor fall.
+func (l *Limiter) probeDue(now cassiatally.Instant, near bool) bool {
+	refresh := l.Refresh
+	if refresh <= 0 {
+		refresh = defaultRefresh
+	}
+	age := now.Sub(l.refreshed)
+	if l.falling {
+		return age >= fallingTimes*l.Typical()
 	}
+	return age >= refresh || (!near && !l.verified && age >= settleTime)
 }
 
 func (l *Limiter) grow(now cassiatally.Instant) {
+	l.earlier = state{}
 	if l.limit < l.threshold {
 		l.set(now, min(2*l.limit, l.threshold))
 		return
@@ -233,45 +362,73 @@
 	l.set(now, max(l.limit*growth, l.limit+1))
 }
 
-// probe halves the limit to find out whether self time falls with it.
+// cut lowers the limit to where self time is expected to be near its floor.
+func (l *Limiter) cut(now cassiatally.Instant, mean float64) {
+	l.lower(now, mean, cutTarget*l.floor/mean)
+}
+
+// probe halves the limit to measure the floor.
 func (l *Limiter) probe(now cassiatally.Instant, mean float64) {
-	l.beforeLimit, l.beforeSelf = l.limit, mean
-	l.refreshed = now
+	l.lower(now, mean, deepestCut)
+}
+
+func (l *Limiter) lower(now cassiatally.Instant, mean, factor float64) {
 	if l.limit <= leastLimit {
 		// There is nothing left to cut, so the change must be genuine.
-		l.settle(now, mean)
+		l.settle(now, mean, l.limit)
 		return
 	}
-	l.probing = true
-	l.set(now, l.limit*probeCut)
+	if l.earlier.limit == 0 {
+		l.earlier = state{limit: l.limit, threshold: l.threshold, self: mean}
+	}
+	l.set(now, l.limit*min(max(factor, deepestCut), mildestCut))
+	l.threshold = l.limit
+	// The earlier runs drain first; after that, the short ones of the new runs
+	// would be seen before the long ones.
+	l.window.since = now.Add(2 * time.Duration(max(l.typical, mean)))
 }
 
-func (l *Limiter) endProbe(now cassiatally.Instant, mean float64) {
-	l.probing = false
-	ratio := mean / l.beforeSelf
+// testing reports whether the limit is far enough below the earlier one to tell
+// queueing from a slower backend server.
+func (l *Limiter) testing() bool { return l.limit <= testCut*l.earlier.limit }
+
+// judge compares self time with that at the earlier limit. In a backend server
+// that queues, self time falls along with the limit; in one that has become
+// slower it stays.
+func (l *Limiter) judge(now cassiatally.Instant, mean, deviation float64, precise bool) {
+	observed := mean / l.earlier.self
+	middle := (1 + l.limit/l.earlier.limit) / 2
+	if !precise && l.window.n < testRuns && math.Abs(observed-middle) <= testConfidence*deviation*middle {
+		return
+	}
 	switch {
-	case ratio >= genuineRatio:
-		l.limit = l.beforeLimit
-		l.settle(now, mean)
-	case ratio < queueingRatio:
-		l.threshold = l.limit
+	case observed > middle:
+		l.threshold = l.earlier.threshold
+		l.settle(now, mean, l.earlier.limit)
+	case observed < queueingRatio:
+		l.earlier = state{}
 		l.probe(now, mean)
 	default:
-		l.threshold = l.limit
-		l.settle(now, mean)
+		// Limit and self time before the cut give the concurrency by Little's law.
+		l.settle(now, mean, l.earlier.limit*observed)
 	}
 }
 
-// settle takes self time at the present limit as the floor.
-func (l *Limiter) settle(now cassiatally.Instant, mean float64) {
-	l.floor = mean
-	l.set(now, l.limit)
+// settle takes self time at the present limit as the floor, and goes on with
+// another limit.
+func (l *Limiter) settle(now cassiatally.Instant, mean, limit float64) {
+	l.earlier = state{}
+	l.setFloor(mean)
+	l.verified, l.falling = true, false
+	l.refreshed = now
+	l.threshold = max(l.threshold, limit)
+	l.set(now, limit)
 }
 
 // failed counts a failed run, and cuts the limit when failures are frequent, at
 // most once per typical self time, because runs of one burst fail together.
 func (l *Limiter) failed(now cassiatally.Instant) {
-	l.failures += failureWeight * (1 - l.failures)
+	l.failures += l.failureWeight() * (1 - l.failures)
 	if l.failures < failureRate {
 		return
 	}
@@ -279,7 +436,7 @@
 		return
 	}
 	l.cutAt = now
-	l.probing = false
+	l.earlier = state{}
 	l.set(now, l.limit*failureCut)
 	if !l.failing {
 		// Growth after the failures is by doubling up to the first cut.
@@ -288,6 +445,8 @@
 	}
 }
 
+func (l *Limiter) failureWeight() float64 { return min(failureWeight, 1/l.limit) }
+
 // set changes the limit within its bounds and starts a new window.
 func (l *Limiter) set(now cassiatally.Instant, limit float64) {
 	l.limit = min(max(limit, leastLimit), l.bound)
