--- /dev/null
+++ b/scenarios/fleet_test.go
@@ -0,0 +1,347 @@
+package scenarios_test
+
+import (
+	"bufio"
+	"bytes"
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/rogpeppe/go-internal/testscript"
+)
+
+const (
+	// startLimit and conditionLimit are generous, so that a busy machine does not
+	// change the verdict.
+	startLimit     = 30 * time.Second
+	conditionLimit = 60 * time.Second
+	pollPause      = 50 * time.Millisecond
+)
+
+type fleetKey struct{}
+
+// fleet holds the processes of one script.
+type fleet struct {
+	env       *testscript.Env
+	processes map[string]*process
+	seed      string
+}
+
+type process struct {
+	cmd    *exec.Cmd
+	exited chan struct{}
+}
+
+func newFleet(env *testscript.Env) *fleet {
+	return &fleet{env: env, processes: make(map[string]*process)}
+}
+
+func fleetOf(ts *testscript.TestScript) *fleet { return ts.Value(fleetKey{}).(*fleet) }
+
+func (f *fleet) killAll() {
+	for _, p := range f.processes {
+		_ = p.cmd.Process.Signal(syscall.SIGCONT)
+		_ = p.cmd.Process.Kill()
+		<-p.exited
+	}
+}
+
+// cmdStart starts a program and waits for its listening line:
+//
+//	start NAME PROGRAM ARGS...
+//
+// Each key=value of the line becomes the variable NAME_key. The output goes to
+// NAME.log.
+func cmdStart(ts *testscript.TestScript, neg bool, args []string) {
+	if neg || len(args) < 2 {
+		ts.Fatalf("usage: start NAME PROGRAM ARGS...")
+	}
+	fleetOf(ts).start(ts, args[0], args[1], args[2:])
+}
+
+func (f *fleet) start(ts *testscript.TestScript, name, program string, args []string) map[string]string {
+	if old, ok := f.processes[name]; ok {
+		select {
+		case <-old.exited:
+		default:
+			ts.Fatalf("%s is running", name)
+		}
+	}
+	logFile, err := os.OpenFile(ts.MkAbs(name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	ts.Check(err)
+	cmd := exec.Command(filepath.Join(binaries, program), args...)
+	cmd.Dir = ts.MkAbs(".")
+	cmd.Stderr = logFile
+	stdout, err := cmd.StdoutPipe()
+	ts.Check(err)
+	ts.Check(cmd.Start())
+	p := &process{cmd: cmd, exited: make(chan struct{})}
+	f.processes[name] = p
+	line := make(chan string, 1)
+	go watch(p, stdout, logFile, line)
+	select {
+	case l := <-line:
+		return publish(ts, name, l)
+	case <-time.After(startLimit):
+		ts.Fatalf("%s did not listen within %v; see %s.log", name, startLimit, name)
+	}
+	return nil
+}
+
+// watch copies the output, reports the listening line, and waits for the end.
+func watch(p *process, stdout io.Reader, logFile *os.File, line chan<- string) {
+	var once sync.Once
+	lines := bufio.NewScanner(stdout)
+	for lines.Scan() {
+		fmt.Fprintln(logFile, lines.Text())
+		if strings.HasPrefix(lines.Text(), "listening ") {
+			once.Do(func() { line <- lines.Text() })
+		}
+	}
+	_ = p.cmd.Wait()
+	_ = logFile.Close()
+	close(p.exited)
+}
+
+func publish(ts *testscript.TestScript, name, line string) map[string]string {
+	values := make(map[string]string)
+	for _, field := range strings.Fields(line)[1:] {
+		key, value, ok := strings.Cut(field, "=")
+		if ok {
+			values[key] = value
+			ts.Setenv(name+"_"+key, value)
+		}
+	}
+	return values
+}
+
+// cmdNode starts a node with settings for tests:
+//
+//	node NAME DATA_CENTRE [YAML-LINE...]
+//
+// Further lines are added to the settings. The variable LOG has the address of
+// the log service. The first node is the seed of the others; with a variable
+// NAME_advertise the node tells others that address.
+func cmdNode(ts *testscript.TestScript, neg bool, args []string) {
+	if neg || len(args) < 2 {
+		ts.Fatalf("usage: node NAME DATA_CENTRE [YAML-LINE...]")
+	}
+	f := fleetOf(ts)
+	name := args[0]
+	var b strings.Builder
+	fmt.Fprintf(&b, "node: {id: %s, data_centre: %s}\n", name, args[1])
+	links := "127.0.0.1:0"
+	if fixed := ts.Getenv(name + "_listen"); fixed != "" {
+		links = fixed
+	}
+	fmt.Fprintf(&b, "listen: {callers: \"127.0.0.1:0\", backend: \"127.0.0.1:0\", links: %q, admin: \"127.0.0.1:0\"}\n", links)
+	if addr := ts.Getenv(name + "_advertise"); addr != "" {
+		fmt.Fprintf(&b, "advertise: {links: %q}\n", addr)
+	}
+	fmt.Fprintf(&b, "log: {address: %q, timeout: 5s}\n", "http://"+ts.Getenv("LOG"))
+	if f.seed != "" {
+		fmt.Fprintf(&b, "seeds: [%q]\n", f.seed)
+	}
+	for _, line := range args[2:] {
+		fmt.Fprintln(&b, line)
+	}
+	file := ts.MkAbs(name + ".yaml")
+	ts.Check(os.WriteFile(file, []byte(b.String()), 0o600))
+	at := f.start(ts, name, "cassiatally-node", []string{"--settings", file})
+	if f.seed == "" {
+		f.seed = at["links"]
+		if addr := ts.Getenv(name + "_advertise"); addr != "" {
+			f.seed = addr
+		}
+	}
+}
+
+var signals = map[string]syscall.Signal{
+	"KILL": syscall.SIGKILL, "STOP": syscall.SIGSTOP, "CONT": syscall.SIGCONT, "TERM": syscall.SIGTERM,
+}
+
+// cmdSignal sends a signal to a process: signal NAME KILL|STOP|CONT|TERM.
+func cmdSignal(ts *testscript.TestScript, neg bool, args []string) {
+	if neg || len(args) != 2 {
+		ts.Fatalf("usage: signal NAME KILL|STOP|CONT|TERM")
+	}
+	p := fleetOf(ts).running(ts, args[0])
+	ts.Check(p.cmd.Process.Signal(signals[args[1]]))
+	if args[1] == "KILL" {
+		<-p.exited
+	}
+}
+
+func (f *fleet) running(ts *testscript.TestScript, name string) *process {
+	p, ok := f.processes[name]
+	if !ok {
+		ts.Fatalf("%s was not started", name)
+	}
+	return p
+}
+
+// cmdHalt ends processes in order with SIGTERM and waits for each: halt NAME...
+func cmdHalt(ts *testscript.TestScript, neg bool, args []string) {
+	if neg || len(args) == 0 {
+		ts.Fatalf("usage: halt NAME...")
+	}
+	for _, name := range args {
+		p := fleetOf(ts).running(ts, name)
+		_ = p.cmd.Process.Signal(syscall.SIGTERM)
+		waitExit(ts, name, p)
+	}
+}
+
+// cmdEnded waits until a process has ended by itself: ended NAME.
+func cmdEnded(ts *testscript.TestScript, neg bool, args []string) {
+	if neg || len(args) != 1 {
+		ts.Fatalf("usage: ended NAME")
+	}
+	waitExit(ts, args[0], fleetOf(ts).running(ts, args[0]))
+}
+
+func waitExit(ts *testscript.TestScript, name string, p *process) {
+	select {
+	case <-p.exited:
+	case <-time.After(conditionLimit):
+		ts.Fatalf("%s did not end within %v", name, conditionLimit)
+	}
+}
+
+// cmdUntil repeats a command until its standard output matches:
+//
+//	[!] until PATTERN PROGRAM ARGS...
+//
+// With ! it waits until the pattern no longer matches.
+func cmdUntil(ts *testscript.TestScript, neg bool, args []string) {
+	if len(args) < 2 {
+		ts.Fatalf("usage: [!] until PATTERN PROGRAM ARGS...")
+	}
+	pattern := compile(ts, args[0])
+	var last []byte
+	for deadline := time.Now().Add(conditionLimit); time.Now().Before(deadline); time.Sleep(pollPause) {
+		cmd := exec.Command(resolve(args[1]), args[2:]...)
+		cmd.Dir = ts.MkAbs(".")
+		out, err := cmd.Output()
+		last = out
+		if err == nil && pattern.Match(out) != neg {
+			return
+		}
+	}
+	ts.Fatalf("%s did not come true within %v; last output:\n%s", strings.Join(args, " "), conditionLimit, last)
+}
+
+// cmdStatus waits until the status of a node matches:
+//
+//	[!] status ADMIN-ADDRESS PATTERN
+func cmdStatus(ts *testscript.TestScript, neg bool, args []string) {
+	if len(args) != 2 {
+		ts.Fatalf("usage: [!] status ADMIN-ADDRESS PATTERN")
+	}
+	pattern := compile(ts, args[1])
+	last := ""
+	for deadline := time.Now().Add(conditionLimit); time.Now().Before(deadline); time.Sleep(pollPause) {
+		body, err := fetch("http://" + args[0] + "/v1/status")
+		last = string(body)
+		if err == nil && pattern.Match(body) != neg {
+			return
+		}
+	}
+	ts.Fatalf("status %s did not come true within %v; last status:\n%s", args[1], conditionLimit, last)
+}
+
+// cmdMint mints a key and puts it into a variable: mint VARIABLE CALLERS-ADDRESS.
+// It repeats the request while the shards have no holder yet.
+func cmdMint(ts *testscript.TestScript, neg bool, args []string) {
+	if neg || len(args) != 2 {
+		ts.Fatalf("usage: mint VARIABLE CALLERS-ADDRESS")
+	}
+	pattern := compile(ts, `"key":"([^"]+)"`)
+	last := ""
+	for deadline := time.Now().Add(conditionLimit); time.Now().Before(deadline); time.Sleep(pollPause) {
+		resp, err := http.Post("http://"+args[1]+"/v1/keys", "", nil)
+		if err != nil {
+			continue
+		}
+		body, err := io.ReadAll(resp.Body)
+		_ = resp.Body.Close()
+		last = string(body)
+		if m := pattern.FindSubmatch(body); err == nil && m != nil {
+			ts.Setenv(args[0], string(m[1]))
+			return
+		}
+	}
+	ts.Fatalf("no key was minted within %v; last answer:\n%s", conditionLimit, last)
+}
+
+func fetch(url string) ([]byte, error) {
+	client := http.Client{Timeout: startLimit}
+	resp, err := client.Get(url)
+	if err != nil {
+		return nil, err
+	}
+	defer resp.Body.Close()
+	return io.ReadAll(resp.Body)
+}
+
+func resolve(program string) string {
+	own := filepath.Join(binaries, program)
+	if _, err := os.Stat(own); err == nil {
+		return own
+	}
+	return program
+}
+
+// cmdSend sends an HTTP request and prints status, headers and body:
+//
+//	[!] send METHOD URL [NAME:VALUE...] [@FILE|=BODY]
+//
+// It fails when no answer comes; with ! when one does.
+func cmdSend(ts *testscript.TestScript, neg bool, args []string) {
+	if len(args) < 2 {
+		ts.Fatalf("usage: send METHOD URL [NAME:VALUE...] [@FILE|=BODY]")
+	}
+	var body []byte
+	header := http.Header{}
+	for _, a := range args[2:] {
+		switch {
+		case strings.HasPrefix(a, "="):
+			body = []byte(a[1:])
+		case strings.HasPrefix(a, "@"):
+			body = []byte(ts.ReadFile(a[1:]))
+		default:
+			name, value, _ := strings.Cut(a, ":")
+			header.Set(name, value)
+		}
+	}
+	req, err := http.NewRequest(args[0], args[1], bytes.NewReader(body))
+	ts.Check(err)
+	req.Header = header
+	if len(body) > 0 && header.Get("Content-Type") == "" {
+		req.Header.Set("Content-Type", "application/json")
+	}
+	client := http.Client{Timeout: conditionLimit}
+	resp, err := client.Do(req)
+	if err != nil {
+		if !neg {
+			ts.Fatalf("%s %s: %v", args[0], args[1], err)
+		}
+		return
+	}
+	defer resp.Body.Close()
+	data, err := io.ReadAll(resp.Body)
+	ts.Check(err)
+	if neg {
+		ts.Fatalf("%s %s was answered with %s", args[0], args[1], resp.Status)
+	}
+	fmt.Fprintln(ts.Stdout(), resp.Status)
+	_ = resp.Header.Write(ts.Stdout())
+	fmt.Fprintf(ts.Stdout(), "\n%s\n", data)
+}
--- /dev/null
+++ b/scenarios/pattern_test.go
@@ -0,0 +1,13 @@
+package scenarios_test
+
+import (
+	"regexp"
+
+	"github.com/rogpeppe/go-internal/testscript"
+)
+
+func compile(ts *testscript.TestScript, pattern string) *regexp.Regexp {
+	re, err := regexp.Compile("(?m)" + pattern)
+	ts.Check(err)
+	return re
+}
