operator: add the sheet commands and version

Cause: operators check, publish, show and compare sheets. flaggy 1.8.0 prints most faults of a command line and calls os.Exit; turning its help off makes it ignore unknown flags instead of reporting them.

Change: commands sheet check, publish, show, history, diff and version, one folder each. flagparser has flaggy panic instead of exiting (PanicInsteadOfExit), takes the message through a help template that prints nothing, and returns an Error of KindUsage. Errors are printed once, in one line. sheetdiffer gives its changes in a form for programs.

Measured: go test -race ./... in operator passes: 30 command lines with their exit codes, and a publication, lost race, history and diff on a log in memory.

Not run: the program against a log service over HTTP.

--- a/cassiatally/sheetdiffer/differ.go
+++ b/cassiatally/sheetdiffer/differ.go
@@ -153,3 +153,24 @@
 	}
 	return strings.Join(parts, ", ")
 }
+
+// ChangeRow is a change in the form in which programs read it.
+type ChangeRow struct {
+	Operation Operation               `json:"operation"`
+	Row       map[sheet.Column]string `json:"row"`
+	Fields    []FieldChange           `json:"fields,omitempty"`
+}
+
+// Rows returns the changes in the form in which programs read them. The result
+// is never nil, so that no changes are an empty array in JSON.
+func Rows(changes []Change) []ChangeRow {
+	rows := make([]ChangeRow, 0, len(changes))
+	for _, c := range changes {
+		row := ChangeRow{Operation: c.Operation, Row: map[sheet.Column]string{}, Fields: c.Fields}
+		for _, column := range sheet.Columns() {
+			row.Row[column] = c.Row.Field(column)
+		}
+		rows = append(rows, row)
+	}
+	return rows
+}
--- a/operator/command/command.go
+++ b/operator/command/command.go
@@ -1,4 +1,5 @@
-// Package command runs the cassiatally program.
+// Package command runs the cassiatally program. Each command is in a package
+// below it.
 //
 // # Usage
 //
@@ -6,14 +7,98 @@
 package command
 
 import (
+	"context"
 	"fmt"
 	"io"
+	"os"
+	"os/signal"
+	"strings"
+	"syscall"
+	"time"
+
+	"github.com/mattn/go-isatty"
 
 	"github.com/cassiatally/cassiatally/cassiatally"
+	"github.com/cassiatally/cassiatally/cassiatally/logclient"
+	"github.com/cassiatally/cassiatally/operator/cli"
+	"github.com/cassiatally/cassiatally/operator/command/sheet/check"
+	"github.com/cassiatally/cassiatally/operator/command/sheet/diff"
+	"github.com/cassiatally/cassiatally/operator/command/sheet/history"
+	"github.com/cassiatally/cassiatally/operator/command/sheet/publish"
+	"github.com/cassiatally/cassiatally/operator/command/sheet/show"
+	"github.com/cassiatally/cassiatally/operator/command/version"
+	"github.com/cassiatally/cassiatally/operator/environment"
 )
 
 // Main runs the program and returns its exit code.
-func Main(args []string, _ io.Reader, _, stderr io.Writer) cassiatally.ExitCode {
-	fmt.Fprintf(stderr, "%s: no commands yet\n", args[0])
-	return cassiatally.ExitUsage
+func Main(args []string, _ io.Reader, stdout, stderr io.Writer) cassiatally.ExitCode {
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	env := environment.Environment{
+		Stdout:   stdout,
+		Stderr:   stderr,
+		Terminal: isTerminal(stdout),
+		User:     os.Getenv("USER"),
+		OpenLog: func(a cassiatally.Address, timeout time.Duration) cassiatally.Log {
+			return &logclient.Client{Address: a, Timeout: timeout}
+		},
+	}
+	return Execute(ctx, env, args[1:])
+}
+
+// Execute runs the command that the arguments name. It prints an error once, in
+// one line, and returns the exit code.
+func Execute(ctx context.Context, env environment.Environment, args []string) cassiatally.ExitCode {
+	err := dispatch(ctx, env, args)
+	if err == nil {
+		return cassiatally.ExitSuccess
+	}
+	fmt.Fprintf(env.Stderr, "cassiatally: %s\n", strings.Join(strings.Fields(err.Error()), " "))
+	return cassiatally.KindOf(err).Spec().Exit
+}
+
+func commands(env environment.Environment) []cli.Command {
+	return []cli.Command{
+		check.New(env),
+		publish.New(env),
+		show.New(env),
+		history.New(env),
+		diff.New(env),
+		version.New(env),
+	}
+}
+
+func dispatch(ctx context.Context, env environment.Environment, args []string) error {
+	all := commands(env)
+	for _, c := range all {
+		words := strings.Fields(c.Name)
+		if len(args) >= len(words) && strings.Join(args[:len(words)], " ") == c.Name {
+			return c.Execute(ctx, env, args[len(words):])
+		}
+	}
+	if len(args) > 0 && asksForHelp(args[len(args)-1]) {
+		_, err := fmt.Fprint(env.Stdout, overview(all))
+		return err
+	}
+	if len(args) == 0 {
+		return cassiatally.NewError(cassiatally.KindUsage, "no command is given; see cassiatally --help")
+	}
+	return cassiatally.NewError(cassiatally.KindUsage, "%q is not a command; see cassiatally --help", strings.Join(args[:min(2, len(args))], " "))
+}
+
+func asksForHelp(arg string) bool { return arg == "help" || arg == "--help" || arg == "-h" }
+
+func overview(all []cli.Command) string {
+	var b strings.Builder
+	b.WriteString("Control the overload control layer.\n\nUsage:\n  cassiatally COMMAND [ARGUMENTS] [FLAGS]\n\nCommands:\n")
+	for _, c := range all {
+		fmt.Fprintf(&b, "  %-15s %s\n", c.Name, c.Summary)
+	}
+	b.WriteString("\nRun cassiatally COMMAND --help for the flags and examples of a command.\n")
+	return b.String()
+}
+
+func isTerminal(w io.Writer) bool {
+	f, ok := w.(*os.File)
+	return ok && isatty.IsTerminal(f.Fd())
 }
--- /dev/null
+++ b/operator/environment/environment.go
@@ -0,0 +1,27 @@
+// Package environment holds what a command gets from its surroundings: streams,
+// the user's name and the log service. Tests give their own.
+//
+// # Usage
+//
+//	env := environment.Environment{Stdout: os.Stdout, OpenLog: open}
+//	log := env.OpenLog("127.0.0.1:7400", time.Second)
+package environment
+
+import (
+	"io"
+	"time"
+
+	"github.com/cassiatally/cassiatally/cassiatally"
+)
+
+// Environment is passed to the constructor of each command.
+type Environment struct {
+	Stdout io.Writer
+	Stderr io.Writer
+	// Terminal is set when Stdout is a terminal.
+	Terminal bool
+	// User is the name of the user who runs the command; empty when unknown.
+	User string
+	// OpenLog returns the log service at the address.
+	OpenLog func(a cassiatally.Address, timeout time.Duration) cassiatally.Log
+}
--- /dev/null
+++ b/operator/flagparser/parser.go
@@ -0,0 +1,111 @@
+// Package flagparser parses the arguments of one command with flaggy and returns
+// faults as errors.
+//
+// flaggy reports most faults of a command line by printing help to the standard
+// error and ending the process. The package has flaggy panic instead of exiting,
+// gives it a help template that prints nothing and keeps the message, and turns
+// the panic into an Error of KindUsage.
+//
+// # Usage
+//
+//	p := flagparser.New("sheet check")
+//	p.Positional(&file, "FILE", "the sheet", true)
+//	p.Flags.Bool(&json, "", "json", "print JSON")
+//	help, err := p.Parse(args)
+package flagparser
+
+import (
+	"fmt"
+	"strings"
+	"text/template"
+
+	"github.com/integrii/flaggy"
+
+	"github.com/cassiatally/cassiatally/cassiatally"
+)
+
+func init() {
+	// The setting is global to flaggy, so it is made once and never changed.
+	flaggy.PanicInsteadOfExit = true
+}
+
+// Parser parses the arguments of one command once.
+type Parser struct {
+	// Flags takes the flags of the command.
+	Flags *flaggy.Parser
+
+	message   string
+	help      bool
+	positions int
+}
+
+// New returns a parser for the command, which has the flag --help.
+func New(command string) *Parser {
+	p := &Parser{Flags: flaggy.NewParser(command)}
+	p.Flags.ShowHelpWithHFlag = false
+	p.Flags.ShowVersionWithVersionFlag = false
+	p.Flags.ShowCompletion = false
+	p.Flags.HelpTemplate = template.Must(template.New("help").
+		Funcs(template.FuncMap{"keep": p.keep}).
+		Parse("{{keep .Message}}"))
+	p.Flags.Bool(&p.help, "h", "help", "show this help")
+	return p
+}
+
+func (p *Parser) keep(message string) string {
+	p.message = message
+	return ""
+}
+
+// Positional adds the next argument that is no flag.
+func (p *Parser) Positional(value *string, name, description string, required bool) {
+	p.positions++
+	p.Flags.AddPositionalValue(value, name, p.positions, false, description)
+	// flaggy would refuse --help without the argument, so Parse checks it.
+	p.Flags.PositionalFlags[len(p.Flags.PositionalFlags)-1].Hidden = !required
+}
+
+// Parse sets the flags and reports whether help was asked for.
+func (p *Parser) Parse(args []string) (help bool, err error) {
+	defer func() {
+		if r := recover(); r != nil {
+			help, err = false, p.usage(fmt.Sprint(r))
+		}
+	}()
+	if err := p.Flags.ParseArgs(args); err != nil {
+		return false, p.usage(err.Error())
+	}
+	if p.help {
+		return true, nil
+	}
+	if len(p.Flags.TrailingArguments) > 0 {
+		return false, p.usage("unexpected arguments after --: " + strings.Join(p.Flags.TrailingArguments, " "))
+	}
+	for _, v := range p.Flags.PositionalFlags {
+		if !v.Found && !v.Hidden {
+			return false, p.usage("the argument " + v.Name + " is missing")
+		}
+	}
+	return false, nil
+}
+
+// usage prefers the message that flaggy meant to print over that of its panic.
+func (p *Parser) usage(message string) error {
+	if p.message != "" {
+		message = p.message
+	}
+	return cassiatally.NewError(cassiatally.KindUsage, "%s; see cassiatally %s --help", strings.TrimSpace(message), p.Flags.Name)
+}
+
+// Describe returns one line for each flag.
+func (p *Parser) Describe() string {
+	var b strings.Builder
+	for _, f := range p.Flags.Flags {
+		name := "--" + f.LongName
+		if f.ShortName != "" {
+			name = "-" + f.ShortName + ", " + name
+		}
+		fmt.Fprintf(&b, "  %-16s %s\n", name, f.Description)
+	}
+	return b.String()
+}
