standin: add recorder, fault proxies, callers and reconciliation

Change: the commands recorder, faults, load and reconcile. Control bodies are decoded strictly and whatever their content type. The log uses x/time/rate. The proxy modes and the log's faults have no unit tests yet, and no part has met a real node.

--- a/standin/backendserver/control.go
+++ b/standin/backendserver/control.go
@@ -9,6 +9,7 @@
 
 	"github.com/cassiatally/cassiatally/cassiatally"
 	"github.com/cassiatally/cassiatally/standin/core"
+	"github.com/cassiatally/cassiatally/standin/httpserver"
 )
 
 // Lie is a misleading announcement: the values that are not zero replace the
@@ -57,7 +58,7 @@
 
 func (s *Server) handleControl(c echo.Context) error {
 	var body controlBody
-	if err := c.Bind(&body); err != nil {
+	if err := httpserver.DecodeJSON(c, &body); err != nil {
 		return err
 	}
 	if err := body.check(); err != nil {
--- a/standin/command/command.go
+++ b/standin/command/command.go
@@ -11,6 +11,7 @@
 	"io"
 	"os/signal"
 	"strings"
+	"sync"
 	"syscall"
 
 	"github.com/cockroachdb/errors"
@@ -19,7 +20,11 @@
 	"github.com/cassiatally/cassiatally/cassiatally"
 	"github.com/cassiatally/cassiatally/standin/command/backendcommand"
 	"github.com/cassiatally/cassiatally/standin/command/environment"
+	"github.com/cassiatally/cassiatally/standin/command/faultscommand"
+	"github.com/cassiatally/cassiatally/standin/command/loadcommand"
 	"github.com/cassiatally/cassiatally/standin/command/logcommand"
+	"github.com/cassiatally/cassiatally/standin/command/reconcilecommand"
+	"github.com/cassiatally/cassiatally/standin/command/recordercommand"
 	"github.com/cassiatally/cassiatally/standin/systemclock"
 )
 
@@ -27,6 +32,9 @@
 // by the exit code.
 const flaggyPanic = "Panic instead of exit with code: "
 
+// parsing guards the state that flaggy keeps in its package.
+var parsing sync.Mutex
+
 // subcommand is one command of the program.
 type subcommand struct {
 	flags *flaggy.Subcommand
@@ -36,9 +44,17 @@
 func subcommands() []subcommand {
 	logs := logcommand.New()
 	backend := backendcommand.New()
+	records := recordercommand.New()
+	faults := faultscommand.New()
+	reconcile := reconcilecommand.New()
+	load := loadcommand.New()
 	return []subcommand{
 		{logs.Subcommand, logs.Run},
 		{backend.Subcommand, backend.Run},
+		{records.Subcommand, records.Run},
+		{faults.Subcommand, faults.Run},
+		{load.Subcommand, load.Run},
+		{reconcile.Subcommand, reconcile.Run},
 	}
 }
 
@@ -48,16 +64,21 @@
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
 	env := &environment.Environment{Stdin: stdin, Stdout: stdout, Stderr: stderr, Clock: systemclock.New(), Exit: exit}
+	return Run(ctx, args, env)
+}
+
+// Run runs one command in the environment until it ends or ctx ends.
+func Run(ctx context.Context, args []string, env *environment.Environment) cassiatally.ExitCode {
 	commands := subcommands()
-	if code, done := parse(args, commands, stderr); done {
+	if code, done := parse(args, commands, env.Stderr); done {
 		return code
 	}
 	for _, c := range commands {
 		if c.flags.Used {
-			return report(c.run(ctx, env), stderr)
+			return report(c.run(ctx, env), env.Stderr)
 		}
 	}
-	return report(environment.Usage("a command is needed; see %s --help", args[0]), stderr)
+	return report(environment.Usage("a command is needed; see %s --help", args[0]), env.Stderr)
 }
 
 // parse reads the command line. flaggy ends the process by itself unless it is
@@ -69,6 +90,8 @@
 	for _, c := range commands {
 		parser.AttachSubcommand(c.flags, 1)
 	}
+	parsing.Lock()
+	defer parsing.Unlock()
 	flaggy.PanicInsteadOfExit = true
 	defer func() {
 		if p := recover(); p != nil {
--- /dev/null
+++ b/standin/command/reconcilecommand/reconcilecommand.go
@@ -0,0 +1,138 @@
+// Package reconcilecommand is the command that compares what callers were told
+// with what backend servers ran.
+//
+// # Usage
+//
+//	cmd := reconcilecommand.New()
+//	parser.AttachSubcommand(cmd.Subcommand, 1)
+//	err := cmd.Run(ctx, env)
+package reconcilecommand
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"text/tabwriter"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/integrii/flaggy"
+
+	"github.com/cassiatally/cassiatally/cassiatally"
+	"github.com/cassiatally/cassiatally/standin/command/environment"
+	"github.com/cassiatally/cassiatally/standin/core"
+	"github.com/cassiatally/cassiatally/standin/reconciler"
+	"github.com/cassiatally/cassiatally/standin/recorder"
+)
+
+const (
+	readTimeout = time.Minute
+	// maxListed bounds the violations that are printed one by one.
+	maxListed = 20
+)
+
+// Options are the flags of the command.
+type Options struct {
+	Recorder string
+	JSON     bool
+}
+
+// Command is the reconcile command.
+type Command struct {
+	Subcommand *flaggy.Subcommand
+	Options    Options
+}
+
+type reportBody struct {
+	Told       int                     `json:"told"`
+	Runs       int                     `json:"runs"`
+	Unfinished int                     `json:"unfinished"`
+	Repeated   int                     `json:"repeated"`
+	Outcomes   map[string]int          `json:"outcomes"`
+	Counts     map[reconciler.Rule]int `json:"counts"`
+	Violations []violationBody         `json:"violations"`
+}
+
+type violationBody struct {
+	Rule  reconciler.Rule `json:"rule"`
+	ID    core.RequestID  `json:"id"`
+	Key   cassiatally.Key `json:"key"`
+	Class string          `json:"class"`
+	Runs  []core.RecordID `json:"runs"`
+}
+
+// New returns the command with its flags attached.
+func New() *Command {
+	c := &Command{Subcommand: flaggy.NewSubcommand("reconcile")}
+	c.Subcommand.Description = "Compare what callers were told with what backend servers ran"
+	c.Subcommand.String(&c.Options.Recorder, "", "recorder", "URL of the recorder")
+	c.Subcommand.Bool(&c.Options.JSON, "", "json", "print JSON")
+	return c
+}
+
+// Run prints the report and returns an error when there is a violation.
+func (c *Command) Run(ctx context.Context, env *environment.Environment) error {
+	if c.Options.Recorder == "" {
+		return environment.Usage("--recorder is needed")
+	}
+	ctx, cancel := context.WithTimeout(ctx, readTimeout)
+	defer cancel()
+	client := &recorder.Client{URL: strings.TrimSuffix(c.Options.Recorder, "/"), HTTP: http.DefaultClient}
+	told, err := client.Told(ctx)
+	if err != nil {
+		return err
+	}
+	runs, err := client.Runs(ctx)
+	if err != nil {
+		return err
+	}
+	report := reconciler.New(runs).Check(told)
+	if err := c.print(env.Stdout, report); err != nil {
+		return err
+	}
+	if n := len(report.Violations); n > 0 {
+		return errors.Newf("%d violations", n)
+	}
+	return nil
+}
+
+func (c *Command) print(w io.Writer, r reconciler.Report) error {
+	if c.Options.JSON {
+		return errors.Wrap(json.NewEncoder(w).Encode(encode(r)), "printing the report")
+	}
+	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
+	fmt.Fprintf(t, "told\t%d\nruns\t%d\nunfinished_runs\t%d\nrepeated_without_key\t%d\n", r.Told, r.Runs, r.Unfinished, r.Repeated)
+	for _, o := range []string{core.ToldRan, core.ToldNotRun, core.ToldUnknown} {
+		fmt.Fprintf(t, "told_%s\t%d\n", o, r.Outcomes[o])
+	}
+	for _, rule := range reconciler.Rules() {
+		fmt.Fprintf(t, "%s\t%d\n", rule, r.Count(rule))
+	}
+	if err := t.Flush(); err != nil {
+		return errors.Wrap(err, "printing the report")
+	}
+	for i, v := range r.Violations {
+		if i == maxListed {
+			break
+		}
+		fmt.Fprintf(w, "violation rule=%s id=%s key=%s class=%s runs=%d\n", v.Rule, v.ID, v.Key, v.Class, len(v.Runs))
+	}
+	return nil
+}
+
+func encode(r reconciler.Report) reportBody {
+	body := reportBody{
+		Told: r.Told, Runs: r.Runs, Unfinished: r.Unfinished, Repeated: r.Repeated, Outcomes: r.Outcomes,
+		Counts: make(map[reconciler.Rule]int), Violations: make([]violationBody, 0, len(r.Violations)),
+	}
+	for _, rule := range reconciler.Rules() {
+		body.Counts[rule] = r.Count(rule)
+	}
+	for _, v := range r.Violations {
+		body.Violations = append(body.Violations, violationBody(v))
+	}
+	return body
+}
--- a/standin/core/record.go
+++ b/standin/core/record.go
@@ -56,3 +56,51 @@
 	// Sample returns a service time of the distribution with the given mean.
 	Sample(mean time.Duration) time.Duration
 }
+
+// Fault is what a caller found wrong with an answer.
+type Fault string
+
+// The faults of an answer.
+const (
+	FaultNone Fault = ""
+	// FaultForeign marks an answer to another request.
+	FaultForeign Fault = "foreign"
+	// FaultIncomplete marks an answer that ends early.
+	FaultIncomplete Fault = "incomplete"
+	// FaultCorrupted marks an answer that does not match its digest.
+	FaultCorrupted Fault = "corrupted"
+)
+
+// The outcomes that a caller is told, as text.
+const (
+	ToldRan     = "ran"
+	ToldNotRun  = "not_run"
+	ToldUnknown = "unknown"
+)
+
+// Told is what a caller was told about one request. Its JSON form is shared by
+// the callers, the recorder and the reconciler.
+type Told struct {
+	ID      RequestID            `json:"id"`
+	Key     cassiatally.Key      `json:"key,omitempty"`
+	Root    Root                 `json:"root,omitempty"`
+	Class   string               `json:"class"`
+	Phase   string               `json:"phase"`
+	Service cassiatally.Service  `json:"service"`
+	Kind    cassiatally.WorkKind `json:"kind"`
+	Tenant  cassiatally.Tenant   `json:"tenant,omitempty"`
+	Outcome string               `json:"outcome"`
+	// LookedUp is the outcome of the key when it was looked up afterwards.
+	LookedUp  string  `json:"looked_up,omitempty"`
+	ErrorKind string  `json:"error_kind,omitempty"`
+	Status    int     `json:"status"`
+	LatencyMS float64 `json:"latency_ms"`
+	Attempts  int     `json:"attempts"`
+	InTime    bool    `json:"in_time"`
+	Fault     Fault   `json:"fault,omitempty"`
+}
+
+// ToldSink keeps what callers were told.
+type ToldSink interface {
+	Tell(ctx context.Context, told []Told) error
+}
--- /dev/null
+++ b/standin/faultproxy/faultproxy.go
@@ -0,0 +1,225 @@
+// Package faultproxy passes TCP connections on to a target and brings about
+// faults of the network between the two ends.
+//
+// Up is the direction from the end that connects to the target, down the other
+// one. Data that a fault holds back stays in order and goes on once the fault
+// ends, as TCP does after a partition; that includes the end of a connection.
+//
+// # Usage
+//
+//	p := &faultproxy.Proxy{Listen: "127.0.0.1:0", Target: "127.0.0.1:7001"}
+//	if err := p.Start(ctx); err != nil {
+//		return err
+//	}
+//	defer p.Close()
+//	err := p.Apply(ctx, faultproxy.Change{Mode: faultproxy.ModeSilent, ExistingOnly: true})
+package faultproxy
+
+import (
+	"context"
+	"net"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/cassiatally/cassiatally/cassiatally"
+	"github.com/cassiatally/cassiatally/standin/owner"
+)
+
+const (
+	inboxCapacity = 256
+	dialTimeout   = 5 * time.Second
+)
+
+// Mode is a fault of the network.
+type Mode string
+
+const (
+	// ModePass passes data in both directions.
+	ModePass Mode = "pass"
+	// ModeCut closes all connections and refuses new ones.
+	ModeCut Mode = "cut"
+	// ModeSilent holds data back in both directions.
+	ModeSilent Mode = "silent"
+	// ModeOneWayUp passes data to the target only.
+	ModeOneWayUp Mode = "one_way_up"
+	// ModeOneWayDown passes data from the target only.
+	ModeOneWayDown Mode = "one_way_down"
+	// ModeRefuse refuses new connections and leaves the open ones alone.
+	ModeRefuse Mode = "refuse"
+)
+
+// Valid reports whether the mode is known.
+func (m Mode) Valid() bool {
+	switch m {
+	case ModePass, ModeCut, ModeSilent, ModeOneWayUp, ModeOneWayDown, ModeRefuse:
+		return true
+	}
+	return false
+}
+
+func (m Mode) passesUp() bool   { return m == ModePass || m == ModeRefuse || m == ModeOneWayUp }
+func (m Mode) passesDown() bool { return m == ModePass || m == ModeRefuse || m == ModeOneWayDown }
+func (m Mode) refuses() bool    { return m == ModeCut || m == ModeRefuse }
+
+// Change is a change of the faults.
+type Change struct {
+	// Mode is the new mode; empty keeps the one in force.
+	Mode Mode
+	// Delay is the new delay of each direction; nil keeps the one in force.
+	Delay *time.Duration
+	// ExistingOnly applies the mode to the connections that are open now, for
+	// good, and leaves the mode of new connections as it is.
+	ExistingOnly bool
+}
+
+// Status is the state of a proxy.
+type Status struct {
+	Mode        Mode
+	Delay       time.Duration
+	Connections int
+	Accepted    uint64
+	Refused     uint64
+	BytesUp     uint64
+	BytesDown   uint64
+}
+
+// Proxy passes the connections of one address on to one target.
+type Proxy struct {
+	Listen string
+	Target cassiatally.Address
+
+	listener  net.Listener
+	owner     *owner.Owner[state]
+	delay     atomic.Int64
+	bytesUp   atomic.Uint64
+	bytesDown atomic.Uint64
+	ctx       context.Context
+	cancel    context.CancelFunc
+	wg        sync.WaitGroup
+}
+
+// state is owned by the duty of the proxy.
+type state struct {
+	mode     Mode
+	links    map[*link]struct{}
+	accepted uint64
+	refused  uint64
+}
+
+// Start listens and accepts until Close.
+func (p *Proxy) Start(ctx context.Context) error {
+	var lc net.ListenConfig
+	l, err := lc.Listen(ctx, "tcp", p.Listen)
+	if err != nil {
+		return errors.Wrapf(err, "listening on %s", p.Listen)
+	}
+	p.listener = l
+	p.ctx, p.cancel = context.WithCancel(context.WithoutCancel(ctx))
+	p.owner = owner.New(&state{mode: ModePass, links: make(map[*link]struct{})}, inboxCapacity)
+	p.wg.Go(p.accept)
+	return nil
+}
+
+// Address returns the address on which the proxy accepts.
+func (p *Proxy) Address() cassiatally.Address {
+	return cassiatally.Address(p.listener.Addr().String())
+}
+
+// Close closes all connections and waits for the end of all duties.
+func (p *Proxy) Close() {
+	p.cancel()
+	p.listener.Close()
+	p.wg.Wait()
+	p.owner.Close()
+}
+
+// Apply changes the faults.
+func (p *Proxy) Apply(ctx context.Context, c Change) error {
+	if c.Delay != nil {
+		p.delay.Store(int64(*c.Delay))
+	}
+	if c.Mode == "" {
+		return nil
+	}
+	return p.owner.Do(ctx, func(s *state) {
+		if !c.ExistingOnly {
+			s.mode = c.Mode
+		}
+		for l := range s.links {
+			l.apply(c.Mode, c.ExistingOnly)
+		}
+	})
+}
+
+// Status returns the state of the proxy.
+func (p *Proxy) Status(ctx context.Context) (Status, error) {
+	status := Status{Delay: time.Duration(p.delay.Load()), BytesUp: p.bytesUp.Load(), BytesDown: p.bytesDown.Load()}
+	err := p.owner.Do(ctx, func(s *state) {
+		status.Mode, status.Connections = s.mode, len(s.links)
+		status.Accepted, status.Refused = s.accepted, s.refused
+	})
+	return status, err
+}
+
+func (p *Proxy) accept() {
+	for {
+		conn, err := p.listener.Accept()
+		if err != nil {
+			return
+		}
+		p.wg.Go(func() { p.serve(conn) })
+	}
+}
+
+func (p *Proxy) serve(conn net.Conn) {
+	l := newLink(p.ctx, conn)
+	defer l.close()
+	if !p.admit(l) {
+		return
+	}
+	defer p.forget(l)
+	d := net.Dialer{Timeout: dialTimeout}
+	target, err := d.DialContext(l.ctx, "tcp", string(p.Target))
+	if err != nil {
+		reset(conn)
+		return
+	}
+	l.run(target, p)
+}
+
+// admit has the duty take the connection in, so that a later change of the mode
+// reaches it.
+func (p *Proxy) admit(l *link) bool {
+	var refused bool
+	err := p.owner.Do(p.ctx, func(s *state) {
+		refused = s.mode.refuses()
+		if refused {
+			s.refused++
+			return
+		}
+		s.accepted++
+		s.links[l] = struct{}{}
+		l.apply(s.mode, false)
+	})
+	if err != nil || refused {
+		reset(l.near)
+		return false
+	}
+	return true
+}
+
+func (p *Proxy) forget(l *link) {
+	// The owner outlives all links, so this always takes effect.
+	_ = p.owner.Do(context.WithoutCancel(p.ctx), func(s *state) { delete(s.links, l) })
+}
+
+// reset closes a connection so that the other end sees a refusal, not an end.
+func reset(conn net.Conn) {
+	if tcp, ok := conn.(*net.TCPConn); ok {
+		_ = tcp.SetLinger(0)
+	}
+	_ = conn.Close()
+}
--- /dev/null
+++ b/standin/faultproxy/link.go
@@ -0,0 +1,163 @@
+package faultproxy
+
+import (
+	"context"
+	"io"
+	"net"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/cassiatally/cassiatally/cassiatally/ring"
+	"github.com/cassiatally/cassiatally/standin/gate"
+)
+
+const (
+	chunkSize = 32 << 10
+	// ringCapacity bounds the data in transit to 2 MiB a direction. A reader that
+	// finds the ring full stops reading, as the kernel does.
+	ringCapacity = 64
+)
+
+// link is one connection through the proxy.
+type link struct {
+	ctx    context.Context
+	cancel context.CancelFunc
+	near   net.Conn
+	up     *gate.Gate
+	down   *gate.Gate
+	// frozen is set once a fault holds for good; only the proxy's duty uses it.
+	frozen bool
+}
+
+// chunk is data in transit. A chunk with an error ends its direction.
+type chunk struct {
+	due  time.Time
+	data []byte
+	err  error
+}
+
+// pipe is one direction of a link.
+type pipe struct {
+	from, to net.Conn
+	gate     *gate.Gate
+	bytes    *atomic.Uint64
+	ring     *ring.Ring[chunk]
+}
+
+func newLink(ctx context.Context, near net.Conn) *link {
+	ctx, cancel := context.WithCancel(ctx)
+	return &link{ctx: ctx, cancel: cancel, near: near, up: gate.New(false), down: gate.New(false)}
+}
+
+func (l *link) apply(m Mode, forGood bool) {
+	switch {
+	case m == ModeCut:
+		l.cancel()
+	case l.frozen:
+	default:
+		l.frozen = forGood
+		l.up.Open(m.passesUp())
+		l.down.Open(m.passesDown())
+	}
+}
+
+func (l *link) close() {
+	l.cancel()
+	_ = l.near.Close()
+}
+
+// run passes data until both directions have ended or the link is cancelled.
+func (l *link) run(far net.Conn, p *Proxy) {
+	stop := context.AfterFunc(l.ctx, func() {
+		reset(l.near)
+		reset(far)
+	})
+	defer stop()
+	defer far.Close()
+	up := &pipe{from: l.near, to: far, gate: l.up, bytes: &p.bytesUp, ring: ring.New[chunk](ringCapacity, ring.Wait)}
+	down := &pipe{from: far, to: l.near, gate: l.down, bytes: &p.bytesDown, ring: ring.New[chunk](ringCapacity, ring.Wait)}
+	var wg sync.WaitGroup
+	for _, d := range []*pipe{up, down} {
+		wg.Go(func() { d.read(l.ctx, &p.delay) })
+		wg.Go(func() {
+			if err := d.write(l.ctx); err != nil {
+				l.cancel()
+			}
+		})
+	}
+	wg.Wait()
+}
+
+// read passes data and the end of the connection into the ring.
+func (d *pipe) read(ctx context.Context, delay *atomic.Int64) {
+	buf := make([]byte, chunkSize)
+	for {
+		n, err := d.from.Read(buf)
+		c := chunk{due: time.Now().Add(time.Duration(delay.Load())), data: append([]byte(nil), buf[:n]...), err: err}
+		if !d.ring.Push(ctx, c) || err != nil {
+			return
+		}
+	}
+}
+
+// write passes data on when it is due and the gate is open. It returns an error
+// when the link has to be closed as a whole.
+func (d *pipe) write(ctx context.Context) error {
+	timer := time.NewTimer(0)
+	defer timer.Stop()
+	for {
+		c, ok := d.ring.Pop(ctx)
+		if !ok {
+			return ctx.Err()
+		}
+		if err := waitUntil(ctx, timer, c.due); err != nil {
+			return err
+		}
+		if err := d.gate.Wait(ctx); err != nil {
+			return err
+		}
+		if err := d.deliver(c); err != nil {
+			return err
+		}
+		if c.err != nil {
+			return nil
+		}
+	}
+}
+
+func (d *pipe) deliver(c chunk) error {
+	if len(c.data) > 0 {
+		if _, err := d.to.Write(c.data); err != nil {
+			return errors.Wrap(err, "passing data on")
+		}
+		d.bytes.Add(uint64(len(c.data)))
+	}
+	if c.err == nil {
+		return nil
+	}
+	if !errors.Is(c.err, io.EOF) {
+		return c.err
+	}
+	tcp, ok := d.to.(*net.TCPConn)
+	if !ok {
+		return c.err
+	}
+	return errors.Wrap(tcp.CloseWrite(), "ending a direction")
+}
+
+func waitUntil(ctx context.Context, timer *time.Timer, due time.Time) error {
+	wait := time.Until(due)
+	if wait <= 0 {
+		return nil
+	}
+	timer.Reset(wait)
+	select {
+	case <-timer.C:
+		return nil
+	case <-ctx.Done():
+		return errors.Wrap(ctx.Err(), "waiting for the delay")
+	}
+}
--- a/standin/httpserver/httpserver.go
+++ b/standin/httpserver/httpserver.go
@@ -15,6 +15,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"fmt"
 	"io"
 	"net"
@@ -59,6 +60,17 @@
 	return e
 }
 
+// DecodeJSON reads the body of a request, whatever its content type, and refuses
+// fields that v does not have, so that a misspelt field has no silent effect.
+func DecodeJSON(c echo.Context, v any) error {
+	d := json.NewDecoder(c.Request().Body)
+	d.DisallowUnknownFields()
+	if err := d.Decode(v); err != nil {
+		return echo.NewHTTPError(http.StatusBadRequest, "the body is not the JSON that is expected: "+err.Error())
+	}
+	return nil
+}
+
 // Bind listens, so that the address is known before the server starts.
 func (s *Server) Bind(ctx context.Context) error {
 	var lc net.ListenConfig
--- a/standin/logserver/logserver.go
+++ b/standin/logserver/logserver.go
@@ -272,7 +272,7 @@
 
 func (s *Server) handleControl(c echo.Context) error {
 	var body controlBody
-	if err := c.Bind(&body); err != nil {
+	if err := httpserver.DecodeJSON(c, &body); err != nil {
 		return err
 	}
 	if !body.Mode.Valid() {
--- a/standin/logstore/logstore.go
+++ b/standin/logstore/logstore.go
@@ -17,6 +17,7 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+	"golang.org/x/time/rate"
 
 	"github.com/cassiatally/cassiatally/cassiatally"
 )
@@ -46,8 +47,7 @@
 	limits  Limits
 	streams map[cassiatally.Stream]*stream
 	bytes   int
-	tokens  float64
-	filled  cassiatally.Instant
+	rate    *rate.Limiter
 }
 
 type stream struct {
@@ -63,19 +63,18 @@
 
 // New returns an empty store.
 func New(l Limits) *Store {
-	s := &Store{limits: l, streams: make(map[cassiatally.Stream]*stream)}
-	s.tokens = s.burst()
-	return s
-}
-
-func (s *Store) burst() float64 {
-	return max(1, s.limits.AppendsPerSecond*burstTime.Seconds())
+	burst := max(1, int(l.AppendsPerSecond*burstTime.Seconds()))
+	return &Store{
+		limits:  l,
+		streams: make(map[cassiatally.Stream]*stream),
+		rate:    rate.NewLimiter(rate.Limit(l.AppendsPerSecond), burst),
+	}
 }
 
 // Append adds a record and returns its offset.
 func (s *Store) Append(now cassiatally.Instant, name cassiatally.Stream, data []byte) (cassiatally.Offset, error) {
 	s.expire(now)
-	if !s.takeToken(now) {
+	if !s.rate.AllowN(time.Unix(0, int64(now)), 1) {
 		return 0, ErrTooFast
 	}
 	if s.bytes+len(data) > s.limits.MaxBytes {
@@ -124,17 +123,6 @@
 	return st
 }
 
-func (s *Store) takeToken(now cassiatally.Instant) bool {
-	s.tokens += now.Sub(s.filled).Seconds() * s.limits.AppendsPerSecond
-	s.tokens = min(s.tokens, s.burst())
-	s.filled = now
-	if s.tokens < 1 {
-		return false
-	}
-	s.tokens--
-	return true
-}
-
 func (s *Store) expire(now cassiatally.Instant) {
 	for _, st := range s.streams {
 		for len(st.records) > 0 && now.Reached(st.records[0].at.Add(s.limits.Retention)) {
--- /dev/null
+++ b/standin/recordbook/recordbook.go
@@ -0,0 +1,115 @@
+// Package recordbook keeps what backend servers ran and what callers were told,
+// in memory, and counts the runs of each call of a call tree.
+//
+// # Usage
+//
+//	b := recordbook.New(recordbook.DefaultCapacity)
+//	err := b.AddRun(run)
+//	summary := b.Summarise(2)
+//
+// A Book is not safe for concurrent use; the duty that owns it serialises
+// access.
+package recordbook
+
+import (
+	"cmp"
+	"slices"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/cassiatally/cassiatally/cassiatally"
+	"github.com/cassiatally/cassiatally/standin/core"
+)
+
+// DefaultCapacity bounds the runs and, separately, what callers were told. A
+// million records take about 500 MB.
+const DefaultCapacity = 1 << 20
+
+// ErrFull tells that the book has no room. A record is never dropped in
+// silence, since the reconciler would take it for a violation.
+var ErrFull = errors.New("the recorder holds as many records as it may")
+
+// Book is the records of one trial.
+type Book struct {
+	capacity int
+	runs     []core.Run
+	index    map[core.RecordID]int
+	told     []core.Told
+}
+
+// Group counts the runs of one call of a call tree.
+type Group struct {
+	Root    core.Root
+	Service cassiatally.Service
+	Kind    cassiatally.WorkKind
+	Runs    int
+}
+
+// Summary counts runs.
+type Summary struct {
+	Runs    int
+	Told    int
+	States  map[core.RunState]int
+	Doubles int
+	Groups  []Group
+}
+
+// New returns an empty book.
+func New(capacity int) *Book {
+	return &Book{capacity: capacity, index: make(map[core.RecordID]int)}
+}
+
+// AddRun adds a run or replaces its state. An end is never replaced by a start.
+func (b *Book) AddRun(r core.Run) error {
+	at, known := b.index[r.Record]
+	if known {
+		if r.State != core.RunStarted {
+			b.runs[at] = r
+		}
+		return nil
+	}
+	if len(b.runs) >= b.capacity {
+		return ErrFull
+	}
+	b.index[r.Record] = len(b.runs)
+	b.runs = append(b.runs, r)
+	return nil
+}
+
+// AddTold adds what callers were told.
+func (b *Book) AddTold(told []core.Told) error {
+	if len(b.told)+len(told) > b.capacity {
+		return ErrFull
+	}
+	b.told = append(b.told, told...)
+	return nil
+}
+
+// Runs returns a copy of the runs.
+func (b *Book) Runs() []core.Run { return append([]core.Run{}, b.runs...) }
+
+// Told returns a copy of what callers were told.
+func (b *Book) Told() []core.Told { return append([]core.Told{}, b.told...) }
+
+// Summarise counts the runs and lists the groups with at least minRuns.
+func (b *Book) Summarise(minRuns int) Summary {
+	s := Summary{Runs: len(b.runs), Told: len(b.told), States: make(map[core.RunState]int)}
+	counts := make(map[Group]int)
+	for _, r := range b.runs {
+		s.States[r.State]++
+		counts[Group{Root: r.Root, Service: r.Service, Kind: r.Kind}]++
+	}
+	for g, n := range counts {
+		if n > 1 {
+			s.Doubles++
+		}
+		if n >= minRuns {
+			g.Runs = n
+			s.Groups = append(s.Groups, g)
+		}
+	}
+	slices.SortFunc(s.Groups, func(x, y Group) int {
+		return cmp.Or(cmp.Compare(x.Root, y.Root), cmp.Compare(x.Service, y.Service), cmp.Compare(x.Kind, y.Kind))
+	})
+	return s
+}
--- a/standin/recorder/client.go
+++ b/standin/recorder/client.go
@@ -21,7 +21,42 @@
 
 // Record keeps the state of an execution at the recorder.
 func (c *Client) Record(ctx context.Context, r core.Run) error {
-	return c.post(ctx, "/v1/runs", r)
+	return c.post(ctx, runsPath, r)
+}
+
+// Tell keeps what callers were told at the recorder.
+func (c *Client) Tell(ctx context.Context, told []core.Told) error {
+	return c.post(ctx, toldPath, toldBody{Told: told})
+}
+
+// Runs returns the runs that the recorder keeps.
+func (c *Client) Runs(ctx context.Context) ([]core.Run, error) {
+	var body runsBody
+	err := c.get(ctx, runsPath, &body)
+	return body.Runs, err
+}
+
+// Told returns what callers were told, as the recorder keeps it.
+func (c *Client) Told(ctx context.Context) ([]core.Told, error) {
+	var body toldBody
+	err := c.get(ctx, toldPath, &body)
+	return body.Told, err
+}
+
+func (c *Client) get(ctx context.Context, path string, v any) error {
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, c.URL+path, http.NoBody)
+	if err != nil {
+		return errors.Wrap(err, "building a request to the recorder")
+	}
+	resp, err := c.HTTP.Do(req)
+	if err != nil {
+		return errors.Wrap(err, "reading from the recorder")
+	}
+	defer resp.Body.Close()
+	if resp.StatusCode != http.StatusOK {
+		return errors.Newf("the recorder answered %s", resp.Status)
+	}
+	return errors.Wrap(json.NewDecoder(resp.Body).Decode(v), "decoding the answer of the recorder")
 }
 
 func (c *Client) post(ctx context.Context, path string, v any) error {
--- /dev/null
+++ b/standin/resultwriter/resultwriter.go
@@ -0,0 +1,112 @@
+// Package resultwriter passes the results of a load on, in batches, to a file
+// and to a recorder.
+//
+// # Usage
+//
+//	w := &resultwriter.Writer{Sinks: []core.ToldSink{client}}
+//	w.Start(ctx)
+//	w.Push(ctx, told)
+//	err := w.Close()
+package resultwriter
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/cassiatally/cassiatally/cassiatally/ring"
+	"github.com/cassiatally/cassiatally/standin/core"
+)
+
+const (
+	inboxCapacity = 8192
+	// batchSize keeps a batch well below the limit of 1 MiB for a body.
+	batchSize = 500
+	// sendTimeout bounds one batch, tries bounds the times it is sent.
+	sendTimeout = 5 * time.Second
+	tries       = 3
+	pause       = 200 * time.Millisecond
+)
+
+// Writer is the duty that passes results on. Senders wait while its ring is
+// full.
+type Writer struct {
+	Sinks []core.ToldSink
+
+	inbox *ring.Ring[core.Told]
+	wg    sync.WaitGroup
+	err   error
+}
+
+// Start starts the duty, which ends with Close only.
+func (w *Writer) Start(ctx context.Context) {
+	w.inbox = ring.New[core.Told](inboxCapacity, ring.Wait)
+	w.wg.Go(func() { w.run(context.WithoutCancel(ctx)) })
+}
+
+// Push hands a result over.
+func (w *Writer) Push(ctx context.Context, t core.Told) bool { return w.inbox.Push(ctx, t) }
+
+// Close passes on what was handed over, ends the duty and returns the first
+// error of a sink.
+func (w *Writer) Close() error {
+	w.inbox.Close()
+	w.wg.Wait()
+	return w.err
+}
+
+func (w *Writer) run(ctx context.Context) {
+	for {
+		first, ok := w.inbox.Pop(ctx)
+		if !ok {
+			return
+		}
+		batch := w.inbox.Take([]core.Told{first})
+		for len(batch) > 0 {
+			n := min(len(batch), batchSize)
+			w.pass(ctx, batch[:n])
+			batch = batch[n:]
+		}
+	}
+}
+
+func (w *Writer) pass(ctx context.Context, batch []core.Told) {
+	for _, s := range w.Sinks {
+		if err := send(ctx, s, batch); err != nil && w.err == nil {
+			w.err = err
+		}
+	}
+}
+
+func send(ctx context.Context, s core.ToldSink, batch []core.Told) error {
+	var err error
+	for range tries {
+		attempt, cancel := context.WithTimeout(ctx, sendTimeout)
+		err = s.Tell(attempt, batch)
+		cancel()
+		if err == nil {
+			return nil
+		}
+		timer := time.NewTimer(pause)
+		<-timer.C
+	}
+	return errors.Wrap(err, "passing results on")
+}
+
+// Lines writes one JSON line per result.
+type Lines struct{ W io.Writer }
+
+// Tell writes the results.
+func (l Lines) Tell(_ context.Context, told []core.Told) error {
+	encoder := json.NewEncoder(l.W)
+	for _, t := range told {
+		if err := encoder.Encode(t); err != nil {
+			return errors.Wrap(err, "writing a result")
+		}
+	}
+	return nil
+}
