sheetfolder: refuse an old re-appended record as the base

Cause: a reader that starts on a log whose start is lost took the first re-appended record as its base. A writer that was paused may append an old one; the reader could then accept a loser of a race that the rest had settled.

Change: after a loss, a record of version n shows that version n or a later one is in force, because a publisher bases its record only on a version that it read as accepted. A re-appended record below that is no base, and a record above the next version takes the base away. A re-appended record of the version in force with another sheet overrules.

A foreign record of a version that nobody accepted can keep a late reader without a base until the log drops the record.

--- a/cassiatally/sheetfolder/folder.go
+++ b/cassiatally/sheetfolder/folder.go
@@ -18,8 +18,13 @@
 //
 // When the log no longer has a record that was not read, it cannot be told which
 // of the records that are left were accepted. The next re-appended record is
-// then the base. Only accepted records are re-appended, so from then on a
-// re-appended record overrules what was folded without the lost records.
+// then the base. It may be old, because its writer may have been paused. Two
+// rules keep an old base from hiding the version in force. A publisher appends
+// only what is based on a version that it read as accepted, so after a record of
+// version n the version in force is at least n; a re-appended record below that
+// is no base, and a record above the next version takes the base away. And only
+// accepted records are re-appended, so one with the version in force and another
+// sheet overrules what was folded without the lost records.
 package sheetfolder
 
 import "github.com/cassiatally/cassiatally/cassiatally"
@@ -31,8 +36,11 @@
 	// lost is set when records were dropped by the log before they were read.
 	lost bool
 	// based is set when a base was found after the loss.
-	based  bool
-	folded cassiatally.SheetRecord
+	based bool
+	// atLeast is the highest version read since the loss, at the offset seenAt.
+	atLeast cassiatally.Version
+	seenAt  cassiatally.Offset
+	folded  cassiatally.SheetRecord
 	// adopted comes from a peer. It is kept apart from folded: a record that is
 	// based on it may stand in the log before it, and was then not accepted.
 	adopted cassiatally.SheetRecord
@@ -41,8 +49,18 @@
 // Start tells the oldest offset that the log still has. It is called for each
 // batch before its records.
 func (f *Folder) Start(first cassiatally.Offset) {
-	if first > f.next {
-		f.next = first
+	f.reach(first)
+	if first > f.seenAt {
+		// A record that nobody could have based on an accepted version must not
+		// keep the folder without a base for longer than the log has it.
+		f.atLeast = 0
+	}
+}
+
+// reach moves on to an offset and notes whether records were left out.
+func (f *Folder) reach(o cassiatally.Offset) {
+	if o > f.next {
+		f.next = o
 		f.lost = true
 		f.based = false
 	}
@@ -50,30 +68,47 @@
 
 // Skip takes the next record in log order when it holds no sheet.
 func (f *Folder) Skip(o cassiatally.Offset) {
-	f.Start(o)
+	f.reach(o)
 	f.next = max(f.next, o+1)
 }
 
 // Apply takes the next record in log order and reports whether it is accepted. A
-// record that was read before is ignored, as is one whose digest does not match.
+// record that was read before is ignored, as is one whose digest or versions do not match.
 func (f *Folder) Apply(o cassiatally.Offset, r cassiatally.SheetRecord) (accepted bool) {
 	if o < f.next {
 		return false
 	}
 	f.Skip(o)
-	if cassiatally.DigestOf(r.Sheet) != r.Digest || !f.accepts(r) {
+	if cassiatally.DigestOf(r.Sheet) != r.Digest || r.Version != r.BasedOn+1 {
 		return false
 	}
-	f.folded = r
-	f.based = true
-	return true
+	accepted = f.accepts(r)
+	if accepted {
+		f.folded = r
+		f.based = true
+	}
+	if f.lost {
+		f.observe(o, r)
+	}
+	return accepted
+}
+
+// observe notes that the version in force is at least that of the record.
+func (f *Folder) observe(o cassiatally.Offset, r cassiatally.SheetRecord) {
+	if r.Version >= f.atLeast {
+		f.atLeast = r.Version
+		f.seenAt = o
+	}
+	if r.Version > f.folded.Version {
+		f.based = false
+	}
 }
 
 func (f *Folder) accepts(r cassiatally.SheetRecord) bool {
 	if !r.Reappend {
-		return f.Based() && r.BasedOn == f.folded.Version && r.Version == r.BasedOn+1
+		return f.Based() && r.BasedOn == f.folded.Version
 	}
-	if !f.lost || r.Version < f.folded.Version {
+	if !f.lost || r.Version < max(f.folded.Version, f.atLeast) {
 		return false
 	}
 	return !f.based || r.Version > f.folded.Version || r.Digest != f.folded.Digest
@@ -91,6 +126,7 @@
 }
 
 // Current returns the record in force. It is false when no version is known.
+// While Based is false, a newer version may be in force.
 func (f *Folder) Current() (cassiatally.SheetRecord, bool) {
 	if f.adopted.Version > f.folded.Version {
 		return f.adopted, true
--- a/operator/sheetsource/source.go
+++ b/operator/sheetsource/source.go
@@ -93,7 +93,7 @@
 }
 
 // Each passes on all records of the log and returns the one in force. Its
-// version is 0 when there is none.
+// version is 0 when there is none, or when the log no longer tells it.
 func (s Source) Each(ctx context.Context, each func(sheetreader.Entry)) (cassiatally.SheetRecord, error) {
 	if s.Log == nil {
 		return cassiatally.SheetRecord{}, cassiatally.NewError(cassiatally.KindUsage, "a version needs the log service; add --log ADDRESS")
@@ -107,6 +107,9 @@
 		return cassiatally.SheetRecord{}, errors.Wrap(err, "try again when the log service answers")
 	}
 	current, _ := r.Folder.Current()
+	if !r.Folder.Based() {
+		return cassiatally.SheetRecord{}, nil
+	}
 	return current, nil
 }
 
