operator: leave time to read back after a silent append

Cause: in a trial against a log service that wrote the record and then never answered, sheet publish waited for its whole timeout and ended with an unknown outcome, although the record had been accepted.

Change: a request of sheet publish may take a quarter of the timeout.

--- a/operator/command/command_test.go
+++ b/operator/command/command_test.go
@@ -49,6 +49,8 @@
 	log      fakeLog
 	terminal bool
 	dir      string
+	// timeout is that of the requests of the last command.
+	timeout time.Duration
 }
 
 func newProgram(t *testing.T) *program {
@@ -70,7 +72,10 @@
 	var out, errs bytes.Buffer
 	env := environment.Environment{
 		Stdout: &out, Stderr: &errs, Terminal: p.terminal, User: "planner",
-		OpenLog: func(cassiatally.Address, time.Duration) cassiatally.Log { return &p.log },
+		OpenLog: func(_ cassiatally.Address, timeout time.Duration) cassiatally.Log {
+			p.timeout = timeout
+			return &p.log
+		},
 	}
 	code = command.Execute(context.Background(), env, args)
 	return code, out.String(), errs.String()
@@ -138,6 +143,7 @@
 	code, stdout, _ := p.run("sheet publish first.csv --log x --based-on 0")
 	is.Equal(code, cassiatally.ExitSuccess)
 	is.Equal(stdout, "version 1 accepted at offset 0\n")
+	is.True(p.timeout <= 5*time.Second) // a silent append must leave time to read back
 	code, stdout, stderr := p.run("sheet publish second.csv --log x --based-on 0 --publisher rival")
 	is.Equal(code, cassiatally.ExitFailure)
 	is.True(strings.Contains(stderr, "version_conflict: the sheet is based on version 0, but version 1 by planner is in force"))
--- a/operator/command/sheet/publish/publish.go
+++ b/operator/command/sheet/publish/publish.go
@@ -26,6 +26,9 @@
 
 const (
 	defaultTimeout = 10 * time.Second
+	// requestsPerTimeout leaves time to read the log back after a request that got
+	// no answer.
+	requestsPerTimeout = 4
 	// noVersion stands for a flag that was not given; 0 is a valid version.
 	noVersion = -1
 )
@@ -115,7 +118,7 @@
 		return err
 	}
 	p := publisher.Publisher{
-		Log:   o.Env.OpenLog(cassiatally.Address(o.Log), o.Timeout),
+		Log:   o.Env.OpenLog(cassiatally.Address(o.Log), o.Timeout/requestsPerTimeout),
 		Codec: codec,
 		Name:  o.Publisher,
 	}
