--- /dev/null
+++ b/cassiatally/balancer/balancer_test.go
@@ -0,0 +1,272 @@
+package balancer_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/cassiatally/cassiatally/cassiatally"
+	"github.com/cassiatally/cassiatally/cassiatally/balancer"
+)
+
+const (
+	service = cassiatally.Service("avail-svc")
+	near    = cassiatally.DataCentre("near")
+	far     = cassiatally.DataCentre("far")
+	// settled is a time at which slow start has ended.
+	settled = cassiatally.Instant(time.Minute)
+)
+
+func candidate(n int, dc cassiatally.DataCentre) cassiatally.Candidate {
+	id := cassiatally.NodeID(fmt.Sprintf("n%d", n))
+	return cassiatally.Candidate{
+		Ref: cassiatally.NodeRef{Node: id, Incarnation: 1}, DataCentre: dc, Service: service,
+		Connections: 1000, State: cassiatally.EndpointReady,
+		Load: cassiatally.EndpointLoad{Node: id, Limit: 10, Typical: 10 * time.Millisecond},
+	}
+}
+
+func candidates(inNear, inFar int) (all []cassiatally.Candidate) {
+	for i := range inNear {
+		all = append(all, candidate(i, near))
+	}
+	for i := range inFar {
+		all = append(all, candidate(inNear+i, far))
+	}
+	return all
+}
+
+func newBalancer(seed uint64, all []cassiatally.Candidate) *balancer.Balancer {
+	b := &balancer.Balancer{Rand: rand.New(rand.NewPCG(seed, seed)), DataCentre: near}
+	b.Update(0, all)
+	return b
+}
+
+// spread chooses n times without any call in flight.
+func spread(b *balancer.Balancer, now cassiatally.Instant, n int) map[cassiatally.NodeID]int {
+	counts := make(map[cassiatally.NodeID]int)
+	for range n {
+		id, ok := b.Choose(now, service, nil)
+		if !ok {
+			id = "none"
+		}
+		counts[id]++
+	}
+	return counts
+}
+
+// Guards against choices of endpoints that must not be chosen.
+func TestEligible(t *testing.T) {
+	cases := []struct {
+		name   string
+		change func(*cassiatally.Candidate)
+		avoid  []cassiatally.NodeID
+		want   cassiatally.NodeID
+	}{
+		{"ready", func(*cassiatally.Candidate) {}, nil, "n0"},
+		{"draining", func(c *cassiatally.Candidate) { c.State = cassiatally.EndpointDraining }, nil, "none"},
+		{"no backend server", func(c *cassiatally.Candidate) { c.State = cassiatally.EndpointNone }, nil, "none"},
+		{"to be avoided", func(*cassiatally.Candidate) {}, []cassiatally.NodeID{"n0"}, "none"},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			all := candidates(1, 0)
+			c.change(&all[0])
+			b := newBalancer(1, all)
+			id, ok := b.Choose(settled, service, c.avoid)
+			if !ok {
+				id = "none"
+			}
+			is.Equal(id, c.want)
+			is.True(b.Known(service))
+			is.True(!b.Known("other"))
+		})
+	}
+}
+
+// Guards against calls to another data centre without need, and against a near
+// data centre that is kept although it is overloaded.
+func TestNearDataCentreFirst(t *testing.T) {
+	cases := []struct {
+		name   string
+		queued int
+		far    bool
+	}{
+		{"idle", 0, false},
+		{"a little slower", 1, false},
+		{"far slower than the round trip", 100, true},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			b := newBalancer(1, candidates(4, 4))
+			all := candidates(4, 4)
+			for i := range all {
+				all[i].Load.InFlight = 1
+			}
+			for i := range 4 {
+				all[i].Load.Queued = c.queued
+			}
+			b.Update(settled, all)
+			id, ok := b.Choose(settled, service, nil)
+			is.True(ok)
+			is.Equal(id >= "n4", c.far)
+		})
+	}
+}
+
+// Guards against old reports that keep calls away from an endpoint for good.
+func TestReportsAge(t *testing.T) {
+	is := is.New(t)
+	b := newBalancer(1, candidates(2, 0))
+	all := candidates(2, 0)
+	all[0].Load.Queued = 1000
+	b.Update(settled, all)
+	is.Equal(spread(b, settled, 100)["n0"], 0)
+	later := settled.Add(time.Minute)
+	b.Update(later, all) // gossip repeats the old report
+	is.True(spread(b, later, 100)["n0"] > 0)
+}
+
+// Guards against a new endpoint that gets its full part of the calls while it is
+// still cold, and against a restart that is not noticed.
+func TestSlowStart(t *testing.T) {
+	is := is.New(t)
+	b := newBalancer(1, candidates(2, 0))
+	all := candidates(2, 0)
+	all[1].Ref.Incarnation = 2
+	b.Update(settled, all)
+	run := func(now cassiatally.Instant) (n int) {
+		const calls = 20
+		counts := make(map[cassiatally.NodeID]int)
+		for range calls {
+			id, _ := b.Choose(now, service, nil)
+			b.Started(now, id)
+			counts[id]++
+		}
+		for id, n := range counts {
+			for range n {
+				b.Finished(now, id, cassiatally.CallResult{Took: 10 * time.Millisecond})
+			}
+		}
+		return counts["n1"]
+	}
+	is.True(run(settled) <= 2)
+	is.Equal(run(settled.Add(time.Minute)), 10)
+}
+
+// Guards against failing endpoints that keep getting calls, against the exclusion
+// of too many, and against exclusions that never end.
+func TestOutliers(t *testing.T) {
+	const endpoints = 6
+	fail := func(b *balancer.Balancer, now cassiatally.Instant, failing int) {
+		for range 40 {
+			for i := range endpoints {
+				id := cassiatally.NodeID(fmt.Sprintf("n%d", i))
+				b.Started(now, id)
+				b.Finished(now, id, cassiatally.CallResult{Took: time.Millisecond, Failed: i < failing})
+			}
+		}
+	}
+	cases := []struct {
+		name              string
+		failing, excluded int
+	}{
+		{"none fails", 0, 0},
+		{"one fails", 1, 1},
+		{"two fail", 2, 2},
+		{"three fail, a third is excluded", 3, 2},
+		{"all fail, none is an outlier", 6, 0},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			b := newBalancer(1, candidates(endpoints, 0))
+			fail(b, settled, c.failing)
+			is.Equal(endpoints-len(spread(b, settled, 1000)), c.excluded)
+			is.Equal(len(spread(b, settled.Add(time.Minute), 1000)), endpoints)
+		})
+	}
+}
+
+// Guards against more calls in flight to an endpoint than its connections allow.
+func TestConnectionBound(t *testing.T) {
+	is := is.New(t)
+	all := candidates(1, 0)
+	all[0].Connections = 20
+	b := newBalancer(1, all)
+	sent := 0
+	for {
+		id, ok := b.Choose(settled, service, nil)
+		if !ok {
+			break
+		}
+		b.Started(settled, id)
+		sent++
+	}
+	is.Equal(sent, 5)
+	b.Update(settled, nil) // unlisted and listed again while calls are in flight
+	b.Update(settled, all)
+	_, ok := b.Choose(settled, service, nil)
+	is.True(!ok)
+	b.Finished(settled, "n0", cassiatally.CallResult{})
+	_, ok = b.Choose(settled, service, nil)
+	is.True(ok)
+}
+
+// Guards against calls that pile up on one endpoint while others are idle. A
+// choice at random leaves a difference several times as large.
+func TestBalance(t *testing.T) {
+	const endpoints, calls, mostAbove = 16, 1600, 5
+	is := is.New(t)
+	b := newBalancer(1, candidates(endpoints, 0))
+	counts := make(map[cassiatally.NodeID]int)
+	random := make(map[int]int)
+	rng := rand.New(rand.NewPCG(1, 1))
+	for range calls {
+		id, ok := b.Choose(settled, service, nil)
+		is.True(ok)
+		b.Started(settled, id)
+		counts[id]++
+		random[rng.IntN(endpoints)]++
+	}
+	is.True(most(counts) <= calls/endpoints+mostAbove)
+	is.True(most(random) > calls/endpoints+mostAbove)
+}
+
+func most[K comparable](counts map[K]int) (n int) {
+	for _, c := range counts {
+		n = max(n, c)
+	}
+	return n
+}
+
+// Guards against endpoints of different speed that get equal parts of the calls.
+func TestFasterEndpointGetsMore(t *testing.T) {
+	is := is.New(t)
+	all := candidates(2, 0)
+	all[1].Load.Limit = 40
+	b := newBalancer(1, all)
+	counts := make(map[cassiatally.NodeID]int)
+	for range 100 {
+		id, _ := b.Choose(settled, service, nil)
+		b.Started(settled, id)
+		counts[id]++
+	}
+	is.Equal(counts["n1"], 80)
+}
+
+func BenchmarkChoose(b *testing.B) {
+	const endpoints = 16
+	l := newBalancer(1, candidates(endpoints/2, endpoints/2))
+	b.ReportAllocs()
+	for b.Loop() {
+		id, _ := l.Choose(settled, service, nil)
+		l.Started(settled, id)
+		l.Finished(settled, id, cassiatally.CallResult{Took: time.Millisecond})
+	}
+}
--- /dev/null
+++ b/cassiatally/budgeter/budgeter_test.go
@@ -0,0 +1,123 @@
+package budgeter_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/cassiatally/cassiatally/cassiatally"
+	"github.com/cassiatally/cassiatally/cassiatally/budgeter"
+)
+
+var pair = cassiatally.ServicePair{From: "booking-svc", To: "avail-svc"}
+
+// load sends successes per second for d and takes as many retries as it can.
+func load(b *budgeter.Budgeter, from cassiatally.Instant, d time.Duration, rate int, level cassiatally.Level) (taken int) {
+	gap := time.Second / time.Duration(rate)
+	for now := from; now.Before(from.Add(d)); now = now.Add(gap) {
+		b.Succeeded(now, pair)
+		for b.Take(now, pair, level) {
+			taken++
+		}
+	}
+	return taken
+}
+
+// Guards against retries that multiply the load, and against a budget that gives
+// none where there is room.
+func TestRate(t *testing.T) {
+	const d = 100 * time.Second
+	cases := []struct {
+		name        string
+		rate        int
+		level       cassiatally.Level
+		least, most int
+	}{
+		{"a tenth of the successes", 1000, 1, 9_900, 10_010},
+		{"at least one per second", 2, 1, 98, 102},
+		{"none while the target is short of capacity", 1000, 0.99, 0, 0},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			taken := load(&budgeter.Budgeter{}, 0, d, c.rate, c.level)
+			is.True(taken >= c.least)
+			is.True(taken <= c.most)
+		})
+	}
+}
+
+// Guards against tokens that are saved up without bound, and against tokens that
+// survive a shortage of the target: both end in a burst of retries.
+func TestSavings(t *testing.T) {
+	is := is.New(t)
+	b := &budgeter.Budgeter{}
+	for now := cassiatally.Instant(0); now.Before(cassiatally.Instant(time.Hour)); now = now.Add(time.Second) {
+		b.Succeeded(now, pair)
+	}
+	later := cassiatally.Instant(time.Hour)
+	taken := 0
+	for b.Take(later, pair, 1) {
+		taken++
+	}
+	is.Equal(taken, 10)
+	later = later.Add(time.Minute)
+	is.True(b.Take(later, pair, 1))
+	is.True(!b.Take(later, pair, 0.5))
+	is.True(!b.Take(later, pair, 1))
+	is.True(b.Take(later.Add(time.Second), pair, 1))
+}
+
+// Guards against memory that grows with the pairs, and against pairs that take
+// each other's tokens.
+func TestPairs(t *testing.T) {
+	is := is.New(t)
+	b := &budgeter.Budgeter{MaxPairs: 2, Idle: time.Minute}
+	to := func(s cassiatally.Service) cassiatally.ServicePair { return cassiatally.ServicePair{To: s} }
+	is.True(b.Take(0, to("a"), 1))
+	is.True(!b.Take(0, to("a"), 1))
+	is.True(b.Take(0, to("b"), 1))
+	is.True(!b.Take(0, to("c"), 1)) // beyond the bound
+	later := cassiatally.Instant(2 * time.Minute)
+	is.True(b.Take(later, to("c"), 1)) // idle pairs are forgotten
+}
+
+// Guards against a call tree that spends more retries than its root has.
+func TestAllotment(t *testing.T) {
+	is := is.New(t)
+	a := budgeter.NewAllotment(2)
+	first, second, third := a.Grant(), a.Grant(), a.Grant()
+	is.Equal([]cassiatally.RetryCount{first, second, third}, []cassiatally.RetryCount{1, 1, 0})
+	is.True(!a.Spend())
+	a.Settle(first, 0)
+	is.True(a.Spend()) // what a child did not spend comes back
+	a.Settle(second, 9)
+	a.Settle(third, 9)
+	is.Equal(a.Left(), cassiatally.RetryCount(0))
+	is.Equal(a.Spent(), cassiatally.RetryCount(2))
+}
+
+// Guards against children in sequence that find the budget gone although nothing
+// was spent.
+func TestAllotmentInSequence(t *testing.T) {
+	is := is.New(t)
+	a := budgeter.NewAllotment(2)
+	for range 100 {
+		granted := a.Grant()
+		is.Equal(granted, cassiatally.RetryCount(1))
+		a.Settle(granted, 0)
+	}
+	is.Equal(a.Left(), cassiatally.RetryCount(2))
+}
+
+func BenchmarkTake(b *testing.B) {
+	k := &budgeter.Budgeter{}
+	now := cassiatally.Instant(0)
+	b.ReportAllocs()
+	for b.Loop() {
+		now = now.Add(time.Millisecond)
+		k.Succeeded(now, pair)
+		k.Take(now, pair, 1)
+	}
+}
--- /dev/null
+++ b/cassiatally/loadtracker/loadtracker_test.go
@@ -0,0 +1,154 @@
+package loadtracker_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/cassiatally/cassiatally/cassiatally"
+	"github.com/cassiatally/cassiatally/cassiatally/loadtracker"
+)
+
+func load(s cassiatally.Service, weight float64, levels ...cassiatally.Level) cassiatally.ServiceLoad {
+	return cassiatally.ServiceLoad{Service: s, Weight: weight, Levels: levels}
+}
+
+// Guards against requests that enter a chain which a deep service cannot finish,
+// and against refusals for services that the request does not touch.
+func TestAdmit(t *testing.T) {
+	t0 := &loadtracker.Tracker{}
+	t0.Learn(0, "booking", "confirm", []cassiatally.ServiceLoad{load("booking", 10, 1, 0.8), load("depot", 10, 1, 0.5), load("avail", 10, 0.9, 0.3)})
+	t0.Learn(0, "booking", "view", []cassiatally.ServiceLoad{load("booking", 10, 1, 0.8)})
+	cases := []struct {
+		name  string
+		work  cassiatally.WorkKind
+		rank  cassiatally.Rank
+		order cassiatally.Order
+		ok    bool
+		short cassiatally.Service
+	}{
+		{"below the lowest level", "confirm", 1, 0.29, true, ""},
+		{"at the lowest level", "confirm", 1, 0.3, true, ""},
+		{"above the lowest level", "confirm", 1, 0.31, false, "avail"},
+		{"urgent rank", "confirm", 0, 0.89, true, ""},
+		{"urgent rank above its level", "confirm", 0, 0.91, false, "avail"},
+		{"rank without reports", "confirm", 5, 0.99, true, ""},
+		{"rank beyond the last", "confirm", 200, 0.99, true, ""},
+		{"work that does not touch the short service", "view", 1, 0.7, true, ""},
+		{"work that is not known", "cancel", 1, 0.79, true, ""},
+		{"work that is not known at a short service", "cancel", 1, 0.81, false, "booking"},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			ok, short := t0.Admit(0, "booking", c.work, c.rank, c.order)
+			is.Equal(ok, c.ok)
+			is.Equal(short, c.short)
+		})
+	}
+}
+
+// Guards against one small or silent endpoint that stands for a whole service,
+// and against levels that outlive their reports.
+func TestLevel(t *testing.T) {
+	const service = cassiatally.Service("avail")
+	cases := []struct {
+		name string
+		age  time.Duration
+		want cassiatally.Level
+	}{
+		{"weighted over endpoints", 0, 0.4},
+		{"fresh for two seconds", 2 * time.Second, 0.4},
+		{"halfway back to 1", 2500 * time.Millisecond, 0.7},
+		{"forgotten", 3 * time.Second, 1},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			l := &loadtracker.Tracker{}
+			l.Observe(0, "large", load(service, 30, 0.25))
+			l.Observe(0, "small", load(service, 10, 0.85))
+			got := l.Level(cassiatally.Instant(c.age), service, 0)
+			is.True(got > c.want-0.001 && got < c.want+0.001)
+		})
+	}
+}
+
+// Guards against an endpoint that stopped reporting and holds the level up while
+// the others are short.
+func TestSilentEndpointLosesItsWeight(t *testing.T) {
+	is := is.New(t)
+	l := &loadtracker.Tracker{}
+	l.Observe(0, "silent", load("avail", 10, 1))
+	later := cassiatally.Instant(10 * time.Second)
+	l.Observe(later, "alive", load("avail", 10, 0.2))
+	is.Equal(l.Level(later, "avail", 0), cassiatally.Level(0.2))
+}
+
+// Guards against a single answer of one endpoint that sets the level of a
+// service.
+func TestAnswersAreSmoothed(t *testing.T) {
+	is := is.New(t)
+	l := &loadtracker.Tracker{}
+	for range 20 {
+		l.Learn(0, "avail", "check", []cassiatally.ServiceLoad{load("avail", 10, 0.9)})
+	}
+	l.Learn(0, "avail", "check", []cassiatally.ServiceLoad{load("avail", 10, 0.1)})
+	is.True(l.Level(0, "avail", 0) > 0.6)
+	for range 20 {
+		l.Learn(0, "avail", "check", []cassiatally.ServiceLoad{load("avail", 10, 0.1)})
+	}
+	is.True(l.Level(0, "avail", 0) < 0.11)
+}
+
+// Guards against services that a kind of work no longer touches and that go on
+// refusing it.
+func TestForgetsServicesNoLongerTouched(t *testing.T) {
+	is := is.New(t)
+	l := &loadtracker.Tracker{}
+	l.Learn(0, "booking", "confirm", []cassiatally.ServiceLoad{load("booking", 1, 1), load("avail", 1, 0.1)})
+	later := cassiatally.Instant(6 * time.Minute)
+	l.Learn(later, "booking", "confirm", []cassiatally.ServiceLoad{load("booking", 1, 1)})
+	l.Observe(later, "n1", load("avail", 1, 0.1))
+	ok, _ := l.Admit(later, "booking", "confirm", 0, 0.9)
+	is.True(ok)
+}
+
+// Guards against memory that grows with what callers ask for, and against full
+// tables that never take anything new.
+func TestBounds(t *testing.T) {
+	is := is.New(t)
+	l := &loadtracker.Tracker{MaxKinds: 10, MaxServices: 10}
+	learn := func(now cassiatally.Instant, i int) {
+		s := cassiatally.Service(fmt.Sprint("s", i))
+		l.Learn(now, s, "w", []cassiatally.ServiceLoad{load(s, 1, 0.5), load("shared", 1, 0.2)})
+	}
+	for i := range 100 {
+		learn(0, i)
+	}
+	is.Equal(l.Level(0, "s3", 0), cassiatally.Level(0.5))
+	is.Equal(l.Level(0, "s99", 0), cassiatally.Level(1)) // beyond the bound
+	later := cassiatally.Instant(6 * time.Minute)
+	learn(later, 99)
+	is.Equal(l.Level(later, "s99", 0), cassiatally.Level(0.5))
+}
+
+func BenchmarkAdmit(b *testing.B) {
+	const depth, endpoints = 17, 16
+	l := &loadtracker.Tracker{}
+	var loads []cassiatally.ServiceLoad
+	for i := range depth {
+		v := load(cassiatally.Service(fmt.Sprint("s", i)), 10, 1, 0.9)
+		loads = append(loads, v)
+		for n := range endpoints {
+			l.Observe(0, cassiatally.NodeID(fmt.Sprint("n", n)), v)
+		}
+	}
+	l.Learn(0, "s0", "w", loads)
+	b.ReportAllocs()
+	for b.Loop() {
+		l.Admit(0, "s0", "w", 1, 0.5)
+	}
+}
