admitter: derive demand from order values

Change: demand comes from the arrivals with an order value below the level. Tests with late levels, and together with the limiter.

--- a/cassiatally/admitter/admitter.go
+++ b/cassiatally/admitter/admitter.go
@@ -78,7 +78,7 @@
 	r := min(e.Rank, cassiatally.MaxRanks-1)
 	s := &a.ranks[r]
 	s.share = e.Share
-	a.meter.arrived(r)
+	a.meter.arrived(r, e.Order)
 	key := float64(e.Order) * s.tenants.arrived(e.Tenant)
 	if kind := a.hopeless(now, e, r, key); kind != cassiatally.KindNone {
 		return []cassiatally.Dropped{{ID: e.ID, Kind: kind}}
--- a/cassiatally/admitter/admitter_test.go
+++ b/cassiatally/admitter/admitter_test.go
@@ -12,6 +12,7 @@
 	"github.com/cassiatally/cassiatally/cassiatally"
 	"github.com/cassiatally/cassiatally/cassiatally/admitter"
 	"github.com/cassiatally/cassiatally/cassiatally/fifo"
+	"github.com/cassiatally/cassiatally/cassiatally/limiter"
 )
 
 // The targets of section 2.3 of the design.
@@ -93,6 +94,66 @@
 	}
 }
 
+// Guards against levels that swing between their bounds when entry nodes learn
+// them late: gossip brings a level once per second.
+func TestFloodWithLateLevels(t *testing.T) {
+	for _, b := range backends {
+		t.Run(b.name, func(t *testing.T) {
+			is := is.New(t)
+			m := b.flood(&admitter.Admitter{}, 6)
+			m.lag = time.Second
+			v := b.judge(m, m.run(seed))
+			is.True(v.goodput >= goodputTarget)
+			is.True(v.urgent >= urgentTarget)
+			is.True(slices.Min(v.shares) >= shareTarget)
+		})
+	}
+}
+
+// Guards against an admitter and a limiter that meet the targets one by one but
+// not together, at a backend server that announces too many slots.
+func TestFloodWithLimiter(t *testing.T) {
+	const announced = 3
+	for _, b := range backends {
+		t.Run(b.name, func(t *testing.T) {
+			is := is.New(t)
+			l := &limiter.Limiter{}
+			l.Resize(0, cassiatally.Concurrency(announced*b.slots))
+			m := b.flood(&admitter.Admitter{}, 6)
+			m.limiter = l
+			v := b.judge(m, m.run(seed))
+			is.True(v.goodput >= goodputTarget)
+			is.True(v.urgent >= urgentTarget)
+			is.True(slices.Min(v.shares) >= shareTarget)
+		})
+	}
+}
+
+// Guards against goodput that does not return after a backend server was slow.
+func TestSlowDownWithLimiter(t *testing.T) {
+	const from, to, slowFactor, base = 5 * time.Second, 10 * time.Second, 5, 0.8
+	for _, b := range backends {
+		t.Run(b.name, func(t *testing.T) {
+			is := is.New(t)
+			l := &limiter.Limiter{}
+			l.Resize(0, cassiatally.Concurrency(b.slots))
+			m := &model{
+				queue: &admitter.Admitter{}, limiter: l, slots: b.slots, timeout: timeout, duration: 22 * time.Second,
+				service: func(rng *rand.Rand, at cassiatally.Instant) time.Duration {
+					factor := between(1, slowFactor, from, to)(at)
+					return time.Duration(factor * float64(jittered(b.service)(rng, at)))
+				},
+				flows: []flow{
+					{rank: 0, share: 0.1, rate: constant(0.4 * b.capacity())},
+					{rank: 1, share: 0.2, rate: constant(0.4 * b.capacity())},
+				},
+			}
+			m.run(seed)
+			is.True(m.goodput(to+recoveryTarget) >= goodputTarget*base*b.capacity())
+		})
+	}
+}
+
 // Shows that TestFlood can fail: the first-come queue misses the targets on the
 // same floods, and without a tight bound it completes nothing in time.
 func TestFirstComeQueueMissesTheTargets(t *testing.T) {
@@ -133,13 +194,7 @@
 				sum += float64(slices.Min(l))
 			}
 			is.True(sum >= goodputTarget*float64(len(later)))
-			good := 0
-			after := m.perWindow[(to+recoveryTarget)/window:]
-			for _, n := range after {
-				good += n
-			}
-			demand := base * c * (time.Duration(len(after)) * window).Seconds()
-			is.True(float64(good) >= goodputTarget*demand)
+			is.True(m.goodput(to+recoveryTarget) >= goodputTarget*base*c)
 		})
 	}
 }
@@ -209,11 +264,7 @@
 	m.run(seed)
 	// The last slow runs end two timeouts after the spell.
 	restored := to + 2*timeout + recoveryTarget
-	good := 0
-	for _, n := range m.perWindow[restored/window:] {
-		good += n
-	}
-	is.True(float64(good) >= goodputTarget*0.8*b.capacity()*(m.duration-restored).Seconds())
+	is.True(m.goodput(restored) >= goodputTarget*0.8*b.capacity())
 }
 
 // Guards against a tenant whose flood takes the capacity of another tenant that
--- a/cassiatally/admitter/meter.go
+++ b/cassiatally/admitter/meter.go
@@ -19,6 +19,9 @@
 	// leastEnded is the number of ended runs below which the throughput of the
 	// windows is too coarse to be used.
 	leastEnded = 8
+	// leastArrivals is the number of arrivals below which the highest order value
+	// says little about the level that the entry applies.
+	leastArrivals = 8
 	// headroom shifts the levels so that the queue stays about half full: a dry
 	// queue wastes capacity and a full one refuses calls that passed the entry.
 	headroom = 0.04
@@ -35,10 +38,7 @@
 
 // meter measures arrivals and capacity and computes the levels.
 type meter struct {
-	levels [cassiatally.MaxRanks]cassiatally.Level
-	// lagged is the levels of the previous window. Entry nodes learn a level about
-	// a window after it was set.
-	lagged  [cassiatally.MaxRanks]cassiatally.Level
+	levels  [cassiatally.MaxRanks]cassiatally.Level
 	limit   cassiatally.Concurrency
 	windows [windowCount]sample
 	next    int
@@ -59,18 +59,28 @@
 	busy float64
 	// waiting is the sum of waiting time in the window, in seconds.
 	waiting float64
-	// passed is level times seconds: how much of the window's demand was let in.
+	// below counts the arrivals with an order value up to the level.
+	below perRank
+	// passed is level times seconds: how much of the demand the count stands for.
 	passed perRank
+	// highest has the highest order value that arrived.
+	highest perRank
 }
 
 func (m *meter) begin(now cassiatally.Instant) {
 	m.begun, m.touched, m.lastEnded = now, now, now
 	for r := range m.levels {
-		m.levels[r], m.lagged[r] = 1, 1
+		m.levels[r] = 1
 	}
 }
 
-func (m *meter) arrived(r cassiatally.Rank) { m.now.arrivals[r]++ }
+func (m *meter) arrived(r cassiatally.Rank, o cassiatally.Order) {
+	m.now.arrivals[r]++
+	if float64(o) <= float64(m.levels[r]) {
+		m.now.below[r]++
+	}
+	m.now.highest[r] = max(m.now.highest[r], float64(o))
+}
 
 // queue records the length of the queue from now on.
 func (m *meter) queue(now cassiatally.Instant, n int) {
@@ -122,7 +132,7 @@
 	}
 	m.advance(now)
 	m.now.seconds = d.Seconds()
-	for r, l := range m.lagged {
+	for r, l := range m.levels {
 		m.now.passed[r] = float64(l) * m.now.seconds
 	}
 	m.windows[m.next] = m.now
@@ -158,7 +168,9 @@
 		sum.waiting += w.waiting
 		for r := range w.arrivals {
 			sum.arrivals[r] += w.arrivals[r]
+			sum.below[r] += w.below[r]
 			sum.passed[r] += w.passed[r]
+			sum.highest[r] = max(sum.highest[r], w.highest[r])
 		}
 	}
 	return sum
@@ -175,14 +187,12 @@
 		rates[r] /= sum.seconds
 	}
 	available := m.available(rates, shares)
-	m.lagged = m.levels
 	for r, l := range m.levels {
 		level := float64(l)
 		next := level
 		switch {
 		case rates[r] > 0:
-			demand := sum.arrivals[r] / max(sum.passed[r], leastLevel*sum.seconds)
-			next = available[r] * (1 + headroom*(0.5-backlog)) / demand
+			next = available[r] * (1 + headroom*(0.5-backlog)) / sum.demand(r)
 		case available[r] > spareCapacity*m.capacity:
 			next = level * mostGrowth
 		}
@@ -196,6 +206,22 @@
 	return available
 }
 
+// demand returns the demand of a rank before any refusal at the entry, in calls
+// per second. Entry nodes apply a level some time after it was set, and order
+// values are spread evenly. So the calls below the level tell the demand as soon
+// as they arrive, while the number of all arrivals tells about an earlier level.
+func (s *sample) demand(r int) float64 {
+	passed := s.passed[r]
+	if n := s.arrivals[r]; n >= leastArrivals {
+		// While the entry still applies a lower level, nothing arrives above that.
+		passed = min(passed, s.highest[r]*(n+1)/n*s.seconds)
+	}
+	if s.below[r] == 0 {
+		return s.arrivals[r] / s.seconds
+	}
+	return s.below[r] / max(passed, leastLevel*s.seconds/2)
+}
+
 // available allocates the capacity: kept shares first, then strict precedence.
 func (m *meter) available(rates, shares perRank) (available perRank) {
 	if m.capacity <= 0 {
--- a/cassiatally/admitter/model_test.go
+++ b/cassiatally/admitter/model_test.go
@@ -24,13 +24,18 @@
 // model is a backend server with slots and an entry that applies the levels of
 // the previous window. It steps through virtual time.
 type model struct {
-	queue    cassiatally.Admitter
+	queue cassiatally.Admitter
+	// limiter is optional; the limit is the number of slots without it.
+	limiter cassiatally.Limiter
+	// slots is what the backend server runs at a time; it queues the rest inside.
 	slots    int
 	service  func(rng *rand.Rand, at cassiatally.Instant) time.Duration
 	timeout  time.Duration
 	flows    []flow
 	warmUp   time.Duration
 	duration time.Duration
+	// lag is the time until the entry applies a level, in addition to a window.
+	lag time.Duration
 	// deaf makes the entry ignore the levels.
 	deaf bool
 	// perWindow has the goodput of each 100 ms; levels those after each window.
@@ -52,6 +57,16 @@
 	end   cassiatally.Instant
 	id    cassiatally.CallID
 	began cassiatally.Instant
+	// inFlight is the concurrency at the start.
+	inFlight int
+}
+
+// limit returns how many runs may be in flight.
+func (m *model) limit() int {
+	if m.limiter == nil {
+		return m.slots
+	}
+	return int(m.limiter.Limit())
 }
 
 func constant(rate float64) func(cassiatally.Instant) float64 {
@@ -81,6 +96,7 @@
 	calls := make(map[cassiatally.CallID]call)
 	next := make([]float64, len(m.flows))
 	var running []run
+	free := make([]cassiatally.Instant, m.slots)
 	var seq uint64
 	inForce, good := m.queue.Levels(), 0
 	for i, f := range m.flows {
@@ -101,7 +117,11 @@
 			running = running[1:]
 			c := calls[r.id]
 			delete(calls, r.id)
-			m.queue.Done(now, m.flows[c.flow].rank, now.Sub(r.began))
+			busy := now.Sub(r.began)
+			m.queue.Done(now, m.flows[c.flow].rank, busy)
+			if m.limiter != nil {
+				m.limiter.Observe(now, cassiatally.RunSample{Self: busy, InFlight: cassiatally.Concurrency(r.inFlight)})
+			}
 			inTime := !c.deadline.Before(now)
 			if inTime {
 				good++
@@ -131,16 +151,20 @@
 				}), now)
 			}
 		}
-		start, dropped := m.queue.Next(now, m.slots-len(running))
+		start, dropped := m.queue.Next(now, max(m.limit()-len(running), 0))
 		lost(dropped, now)
 		for _, id := range start {
-			r := run{end: now.Add(m.service(rng, now)), id: id, began: now}
+			first := slices.Index(free, slices.Min(free))
+			free[first] = max(free[first], now).Add(m.service(rng, now))
+			r := run{end: free[first], id: id, began: now, inFlight: len(running) + 1}
 			at, _ := slices.BinarySearchFunc(running, r, func(a, b run) int { return cmp.Compare(a.end, b.end) })
 			running = slices.Insert(running, at, r)
 		}
 		if now.Sub(0)%window == 0 {
-			inForce = m.queue.Levels()
-			m.queue.Tick(now, cassiatally.Concurrency(m.slots))
+			if at := len(m.levels) - 1 - int(m.lag/window); at >= 0 {
+				inForce = m.levels[at]
+			}
+			m.queue.Tick(now, cassiatally.Concurrency(m.limit()))
 			m.perWindow = append(m.perWindow, good)
 			m.levels = append(m.levels, m.queue.Levels())
 			good = 0
@@ -148,3 +172,12 @@
 	}
 	return results
 }
+
+// goodput returns the calls per second that ended in time from a time on.
+func (m *model) goodput(from time.Duration) float64 {
+	good := 0
+	for _, n := range m.perWindow[from/window:] {
+		good += n
+	}
+	return float64(good) / (m.duration - from).Seconds()
+}
