--- a/cassiatally/admitter/meter.go
+++ b/cassiatally/admitter/meter.go
@@ -19,9 +19,16 @@
 	// leastEnded is the number of ended runs below which the throughput of the
 	// windows is too coarse to be used.
 	leastEnded = 8
+	// leastArrivals is the number of arrivals below which the highest order value
+	// says little about the level that the entry applies.
+	leastArrivals = 8
 	// headroom shifts the levels so that the queue stays about half full: a dry
 	// queue wastes capacity and a full one refuses calls that passed the entry.
 	headroom = 0.04
+	// leastBacklog is the part of the queue, on average over the windows, below
+	// which no level falls. Arrivals that vary by chance look like overload now and
+	// then, but only overload fills the queue.
+	leastBacklog = 0.2
 	// spareCapacity is the part of the capacity that must be left for a rank
 	// without arrivals before its level grows.
 	spareCapacity = 0.05
@@ -31,17 +38,14 @@
 
 // meter measures arrivals and capacity and computes the levels.
 type meter struct {
-	levels [cassiatally.MaxRanks]cassiatally.Level
-	// lagged is the levels of the previous window. Entry nodes learn a level about
-	// a window after it was set.
-	lagged  [cassiatally.MaxRanks]cassiatally.Level
+	levels  [cassiatally.MaxRanks]cassiatally.Level
 	limit   cassiatally.Concurrency
 	windows [windowCount]sample
 	next    int
 	now     sample
 
 	begun, touched, lastEnded cassiatally.Instant
-	inFlight                  int
+	inFlight, queued          int
 	// capacity is in runs per second; 0 means unknown.
 	capacity float64
 }
@@ -53,18 +57,36 @@
 	ended    float64
 	// busy is the sum of run time in the window, in seconds.
 	busy float64
-	// passed is level times seconds: how much of the window's demand was let in.
+	// waiting is the sum of waiting time in the window, in seconds.
+	waiting float64
+	// below counts the arrivals with an order value up to the level.
+	below perRank
+	// passed is level times seconds: how much of the demand the count stands for.
 	passed perRank
+	// highest has the highest order value that arrived.
+	highest perRank
 }
 
 func (m *meter) begin(now cassiatally.Instant) {
 	m.begun, m.touched, m.lastEnded = now, now, now
 	for r := range m.levels {
-		m.levels[r], m.lagged[r] = 1, 1
+		m.levels[r] = 1
 	}
 }
 
-func (m *meter) arrived(r cassiatally.Rank) { m.now.arrivals[r]++ }
+func (m *meter) arrived(r cassiatally.Rank, o cassiatally.Order) {
+	m.now.arrivals[r]++
+	if float64(o) <= float64(m.levels[r]) {
+		m.now.below[r]++
+	}
+	m.now.highest[r] = max(m.now.highest[r], float64(o))
+}
+
+// queue records the length of the queue from now on.
+func (m *meter) queue(now cassiatally.Instant, n int) {
+	m.advance(now)
+	m.queued = n
+}
 
 func (m *meter) started(now cassiatally.Instant, n int) {
 	m.advance(now)
@@ -82,7 +104,9 @@
 }
 
 func (m *meter) advance(now cassiatally.Instant) {
-	m.now.busy += float64(m.inFlight) * now.Sub(m.touched).Seconds()
+	d := now.Sub(m.touched).Seconds()
+	m.now.busy += float64(m.inFlight) * d
+	m.now.waiting += float64(m.queued) * d
 	m.touched = now
 }
 
@@ -108,7 +132,7 @@
 	}
 	m.advance(now)
 	m.now.seconds = d.Seconds()
-	for r, l := range m.lagged {
+	for r, l := range m.levels {
 		m.now.passed[r] = float64(l) * m.now.seconds
 	}
 	m.windows[m.next] = m.now
@@ -141,40 +165,63 @@
 		sum.seconds += w.seconds
 		sum.ended += w.ended
 		sum.busy += w.busy
+		sum.waiting += w.waiting
 		for r := range w.arrivals {
 			sum.arrivals[r] += w.arrivals[r]
+			sum.below[r] += w.below[r]
 			sum.passed[r] += w.passed[r]
+			sum.highest[r] = max(sum.highest[r], w.highest[r])
 		}
 	}
 	return sum
 }
 
 // update sets the levels and returns the capacity available to each rank, in
-// runs per second. Backlog is the part of the queue in use.
-func (m *meter) update(shares perRank, backlog float64) perRank {
+// runs per second. Bound is the number of entries that may queue.
+func (m *meter) update(shares perRank, bound int) perRank {
 	sum := m.sum()
+	backlog := float64(m.queued) / float64(bound)
+	filling := sum.waiting/sum.seconds >= leastBacklog*float64(bound)
 	rates := sum.arrivals
 	for r := range rates {
 		rates[r] /= sum.seconds
 	}
 	available := m.available(rates, shares)
-	m.lagged = m.levels
 	for r, l := range m.levels {
 		level := float64(l)
 		next := level
 		switch {
 		case rates[r] > 0:
-			demand := sum.arrivals[r] / max(sum.passed[r], leastLevel*sum.seconds)
-			next = available[r] * (1 + headroom*(0.5-backlog)) / demand
+			next = available[r] * (1 + headroom*(0.5-backlog)) / sum.demand(r)
 		case available[r] > spareCapacity*m.capacity:
 			next = level * mostGrowth
 		}
-		next = min(max(next, level*mostShrink), level*mostGrowth)
+		least := level
+		if filling {
+			least *= mostShrink
+		}
+		next = min(max(next, least), level*mostGrowth)
 		m.levels[r] = cassiatally.Level(min(max(next, leastLevel), 1))
 	}
 	return available
 }
 
+// demand returns the demand of a rank before any refusal at the entry, in calls
+// per second. Entry nodes apply a level some time after it was set, and order
+// values are spread evenly. So the calls below the level tell the demand as soon
+// as they arrive, while the number of all arrivals tells about an earlier level.
+func (s *sample) demand(r int) float64 {
+	passed := s.passed[r]
+	if n := s.arrivals[r]; n >= leastArrivals {
+		// While the entry still applies a lower level, nothing arrives above that.
+		passed = min(passed, s.highest[r]*(n+1)/n*s.seconds)
+	}
+	if s.below[r] == 0 {
+		return s.arrivals[r] / s.seconds
+	}
+	return s.below[r] / max(passed, leastLevel*s.seconds/2)
+}
+
 // available allocates the capacity: kept shares first, then strict precedence.
 func (m *meter) available(rates, shares perRank) (available perRank) {
 	if m.capacity <= 0 {
