router: tell unknown when a passed-on request expires

The expiry forgot the target before it looked at it, so a claim that had been sent counted as never sent. Ruled out: the claimer (its answers carry unknown) and undelivered messages (none were reported). Change: the answer is chosen before the attempt is closed. Measured: TestExpiry: the case of a first send that was passed on fails before and passes after; the other four pass in both.

--- a/cassiatally/router/router.go
+++ b/cassiatally/router/router.go
@@ -275,12 +275,13 @@
 }
 
 func (r *Router) expire(now cassiatally.Instant, p *pending) []cassiatally.Action {
+	answer := p.expiry()
 	var actions []cassiatally.Action
 	if p.target != "" {
 		actions = append(actions, cassiatally.Send{To: p.target, Message: cassiatally.Cancel{ID: p.attempt}})
 	}
 	r.finishAttempt(now, p, cassiatally.CallResult{Took: now.Sub(p.sentAt), Failed: true})
-	return append(actions, r.deliver(p, p.expiry())...)
+	return append(actions, r.deliver(p, answer)...)
 }
 
 // expiry is the answer when the deadline passes without one.
--- a/cassiatally/router/router_test.go
+++ b/cassiatally/router/router_test.go
@@ -240,6 +240,36 @@
 	is.Equal(delivered(t, expired).Outcome, cassiatally.OutcomeUnknown)
 }
 
+// Guards against "not run" for a request that was passed on and may have been
+// run: that was told for first sends of a key whose holder did not answer in time.
+func TestExpiry(t *testing.T) {
+	holder := cassiatally.NodeRef{Node: "h1", Incarnation: 1}
+	cases := []struct {
+		name    string
+		key     cassiatally.Key
+		attempt uint16
+		holder  cassiatally.NodeRef
+		outcome cassiatally.Outcome
+	}{
+		{"first send that was passed on", "north.0.1.00000000000000aa", 1, holder, cassiatally.OutcomeUnknown},
+		{"further send that was passed on", "north.0.1.00000000000000aa", 2, holder, cassiatally.OutcomeUnknown},
+		{"first send that found no holder", "north.0.1.00000000000000aa", 1, cassiatally.NodeRef{}, cassiatally.OutcomeNotRun},
+		{"further send that found no holder", "north.0.1.00000000000000aa", 2, cassiatally.NodeRef{}, cassiatally.OutcomeUnknown},
+		{"run of a claimed request", "", 0, holder, cassiatally.OutcomeUnknown},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			h := newHarness([]cassiatally.NodeID{"a"}, openBudget{}, fixedLoads{})
+			h.holder = c.holder
+			req := request(false)
+			req.Key, req.Attempt = c.key, c.attempt
+			h.Submit(start, req)
+			is.Equal(delivered(t, h.Tick(start.Add(2*time.Second))).Outcome, c.outcome)
+		})
+	}
+}
+
 // Guards against a refusal at the entry that claims more than it knows: a re-sent
 // key may have run already, so only the holder can refuse it.
 func TestRefusalAtTheEntry(t *testing.T) {
