--- a/cassiatally/action.go
+++ b/cassiatally/action.go
@@ -47,3 +47,26 @@
 type AppendAssignment struct{ Assignment Assignment }
 
 func (AppendAssignment) action() {}
+
+// SendAddress passes a message to the node that accepts links at an address.
+type SendAddress struct {
+	To      Address
+	Message Message
+}
+
+// ReadLog reads a stream of the log service from an offset on.
+type ReadLog struct {
+	Stream Stream
+	From   Offset
+}
+
+// AppendSheet writes a sheet record to the log service.
+type AppendSheet struct{ Record SheetRecord }
+
+// AdoptSheet puts a sheet in force on this node.
+type AdoptSheet struct{ Record SheetRecord }
+
+func (SendAddress) action() {}
+func (ReadLog) action()     {}
+func (AppendSheet) action() {}
+func (AdoptSheet) action()  {}
--- /dev/null
+++ b/cassiatally/registrar/registrar.go
@@ -0,0 +1,422 @@
+// Package registrar keeps the members and endpoints that a node knows, as a pure
+// state machine. Nodes gossip their heartbeats and changes; a member whose
+// heartbeat stops growing is suspected and later removed.
+//
+// An entry travels in one of three forms. A full entry, which has an address,
+// tells a change, and nodes forward it at once. A beat, which has none, tells a
+// heartbeat, a load and the revision of the full entry. A query, which has no
+// heartbeat, asks for the full entry; the reply is never forwarded.
+//
+// # Usage
+//
+//	r := registrar.New(cfg, rand)
+//	actions := r.SetEndpoint(now, endpoint)
+//	actions = append(actions, r.Tick(now)...)                   // every 100 ms or so
+//	actions = append(actions, r.HandleGossip(now, from, g)...) // from a link
+//	view.Store(r.View(now))
+//
+// Incarnations of a node must grow, since the greatest one replaces the others;
+// a node that starts takes its own from the time of day. A Registrar is not safe
+// for concurrent use; a View is immutable.
+package registrar
+
+import (
+	"cmp"
+	"maps"
+	"math"
+	"slices"
+	"time"
+
+	"github.com/cassiatally/cassiatally/cassiatally"
+)
+
+const (
+	localPeers   = 2
+	foreignPeers = 1
+	// eagerPeers local peers get a change at once; gossip rounds and queries
+	// cover the few that a single push misses.
+	eagerPeers = 3
+	// A change goes to another data centre with one forward in eagerForeign.
+	eagerForeign = 4
+
+	// In a second a node sends at most 2 round messages within its data centre, 1
+	// to another, and its allowance of replies and forwards: 15,500 bytes, below
+	// the target of 16 KB/s. With 3,300 bytes within the data centre, half of 132
+	// members were suspected at any time.
+	maxLocalBytes   = 4500
+	maxForeignBytes = 2000
+	allowanceBytes  = 4500
+	maxReplyBytes   = 2500
+	maxEntries      = 100
+	maxAsked        = 24
+	maxCrashes      = 8
+	// maxForeignBeats bounds the beats of other data centres in a message within
+	// a data centre, so that its own heartbeats have room.
+	maxForeignBeats = 10
+
+	maxRumours = 64
+	// rumourSends is the number of round messages that repeat a change.
+	rumourSends   = 6
+	maxSeen       = 1024
+	maxTombstones = 1024
+	// Stale gossip about a removed member ends once all others removed it too.
+	tombstoneFactor = 10
+	maxLost         = 32
+	// probeChance is the chance, in a round, to try an address that is not known
+	// to belong to a member. It finds the others again after a partition.
+	probeChance = 0.2
+
+	maxGateways  = 4
+	maxEndpoints = 4
+	// Beats of many foreign members arrive seldom, so their removal time grows
+	// with their number, up to maxForeignFactor.
+	foreignPerFactor = 32
+	maxForeignFactor = 6
+)
+
+// Config has what a node knows about itself, and the timing of gossip.
+type Config struct {
+	Self         cassiatally.NodeRef
+	DataCentre   cassiatally.DataCentre
+	Address      cassiatally.Address
+	Seeds        []cassiatally.Address
+	Interval     time.Duration
+	SuspectAfter time.Duration
+	RemoveAfter  time.Duration
+}
+
+// Registrar is the member table of one node.
+type Registrar struct {
+	cfg        Config
+	rand       cassiatally.Rand
+	self       cassiatally.Member
+	epochs     cassiatally.Epoch
+	crashes    []cassiatally.CrashReport
+	nextRound  cassiatally.Instant
+	allowance  int
+	table      map[cassiatally.NodeID]*entry
+	tombstones map[cassiatally.NodeID]tombstone
+	asked      map[cassiatally.NodeID]cassiatally.Instant
+	rumours    rumours
+	lost       []cassiatally.Address
+}
+
+type entry struct {
+	member cassiatally.Member
+	grewAt cassiatally.Instant
+	// sent counts the beats sent since the heartbeat last grew.
+	sent int
+	// score orders members of other data centres, the lowest being kept.
+	score uint64
+}
+
+// tombstone keeps a removed incarnation from coming back through stale gossip.
+type tombstone struct {
+	ref       cassiatally.NodeRef
+	heartbeat uint64
+	at        cassiatally.Instant
+}
+
+// New returns a registrar that knows only its own node.
+func New(cfg Config, rand cassiatally.Rand) *Registrar {
+	return &Registrar{
+		cfg:  cfg,
+		rand: rand,
+		self: cassiatally.Member{
+			Ref: cfg.Self, DataCentre: cfg.DataCentre, Address: cfg.Address, Heartbeat: 1, Revision: 1,
+		},
+		allowance:  allowanceBytes,
+		table:      map[cassiatally.NodeID]*entry{},
+		tombstones: map[cassiatally.NodeID]tombstone{},
+		asked:      map[cassiatally.NodeID]cassiatally.Instant{},
+		rumours:    newRumours(),
+	}
+}
+
+// SetEndpoint records the state of the local backend server. A change of
+// anything but the load is spread at once.
+func (r *Registrar) SetEndpoint(_ cassiatally.Instant, e cassiatally.Endpoint) []cassiatally.Action {
+	e.Load.Node = r.cfg.Self.Node
+	changed := !sameAnnouncement(r.self.Endpoint, e)
+	r.self.Endpoint = e
+	if !changed {
+		return nil
+	}
+	return r.changed()
+}
+
+func sameAnnouncement(a, b cassiatally.Endpoint) bool {
+	return a.Service == b.Service && a.Slots == b.Slots && a.Connections == b.Connections && a.State == b.State
+}
+
+// SetLeaving tells all others that the node takes no new work.
+func (r *Registrar) SetLeaving(_ cassiatally.Instant) []cassiatally.Action {
+	if r.self.Leaving {
+		return nil
+	}
+	r.self.Leaving = true
+	return r.changed()
+}
+
+func (r *Registrar) changed() []cassiatally.Action {
+	r.self.Revision++
+	r.self.Heartbeat++
+	return r.forward([]cassiatally.Member{r.self}, true)
+}
+
+// SetSheet records the version in force here and tells it to peers at once. It
+// does not change the revision: all nodes change their version together, and
+// that many full entries would exceed the bound on traffic.
+func (r *Registrar) SetSheet(_ cassiatally.Instant, v cassiatally.Version) []cassiatally.Action {
+	if v <= r.self.Sheet {
+		return nil
+	}
+	r.self.Sheet = v
+	return r.forward(nil, true)
+}
+
+// SetShardEpochs records the sum of the shard epochs, which gossip passes on.
+func (r *Registrar) SetShardEpochs(e cassiatally.Epoch) { r.epochs = e }
+
+// SetCrashes records the crash reports to pass on; the first few are sent.
+func (r *Registrar) SetCrashes(reports []cassiatally.CrashReport) {
+	r.crashes = slices.Clone(reports[:min(len(reports), maxCrashes)])
+}
+
+// Tick removes silent members and starts a gossip round when it is due.
+func (r *Registrar) Tick(now cassiatally.Instant) []cassiatally.Action {
+	if now.Before(r.nextRound) {
+		return nil
+	}
+	r.nextRound = now.Add(r.cfg.Interval)
+	r.allowance = allowanceBytes
+	r.self.Heartbeat++
+	r.expire(now)
+	var out []cassiatally.Action
+	for _, to := range r.pick(r.peers(true), localPeers) {
+		out = append(out, cassiatally.Send{To: to, Message: r.round(now, true)})
+	}
+	for _, to := range r.pick(r.peers(false), foreignPeers) {
+		out = append(out, cassiatally.Send{To: to, Message: r.round(now, false)})
+	}
+	out = append(out, r.ask(now)...)
+	return append(out, r.probe()...)
+}
+
+// ask queries the members of the own data centre that would soon be suspected,
+// the most silent first. Beats alone leave a tenth of 132 members suspected.
+func (r *Registrar) ask(now cassiatally.Instant) []cassiatally.Action {
+	var silent []*entry
+	for _, e := range r.table {
+		if e.member.DataCentre == r.cfg.DataCentre && now.Sub(e.grewAt) >= r.cfg.SuspectAfter/2 {
+			silent = append(silent, e)
+		}
+	}
+	slices.SortFunc(silent, func(a, b *entry) int {
+		return cmp.Or(cmp.Compare(a.grewAt, b.grewAt), cmp.Compare(a.member.Ref.Node, b.member.Ref.Node))
+	})
+	var out []cassiatally.Action
+	for _, e := range silent[:min(len(silent), maxAsked)] {
+		ref := e.member.Ref
+		query := r.gossip([]cassiatally.Member{{Ref: ref, Revision: e.member.Revision}})
+		if !r.spend(sizeOf(query.Members[0])) {
+			break
+		}
+		out = append(out, cassiatally.Send{To: ref.Node, Message: query})
+	}
+	return out
+}
+
+// spend takes the estimated size of a message out of the allowance.
+func (r *Registrar) spend(size int) bool {
+	size += messageBytes
+	if size > r.allowance {
+		return false
+	}
+	r.allowance -= size
+	return true
+}
+
+// probe tries an address whose owner is not known: always when the node is
+// alone, now and then otherwise.
+func (r *Registrar) probe() []cassiatally.Action {
+	known := map[cassiatally.Address]bool{r.cfg.Address: true}
+	for _, e := range r.table {
+		known[e.member.Address] = true
+	}
+	var unknown []cassiatally.Address
+	for _, a := range slices.Concat(r.cfg.Seeds, r.lost) {
+		if !known[a] {
+			unknown = append(unknown, a)
+		}
+	}
+	if len(unknown) == 0 || (len(r.table) > 0 && r.rand.Float64() >= probeChance) {
+		return nil
+	}
+	to := unknown[r.rand.IntN(len(unknown))]
+	return []cassiatally.Action{cassiatally.SendAddress{To: to, Message: r.gossip([]cassiatally.Member{r.self})}}
+}
+
+func (r *Registrar) gossip(members []cassiatally.Member) cassiatally.Gossip {
+	return cassiatally.Gossip{From: r.cfg.Self, Members: members, Sheet: r.self.Sheet, ShardEpochs: r.epochs}
+}
+
+// round composes the message of a gossip round: this node, recent changes, and
+// the freshest beats that were sent least often.
+func (r *Registrar) round(now cassiatally.Instant, local bool) cassiatally.Gossip {
+	room := maxForeignBytes
+	if local {
+		room = maxLocalBytes
+	}
+	c := composer{room: room, entries: maxEntries}
+	c.add(r.self)
+	for _, m := range r.rumours.next(room / 2) {
+		c.add(m)
+	}
+	foreign := 0
+	for _, e := range r.freshest(now) {
+		own := e.member.DataCentre == r.cfg.DataCentre
+		if !own && foreign == maxForeignBeats {
+			continue
+		}
+		if !c.add(beatOf(e.member, local && own)) {
+			break
+		}
+		e.sent++
+		if !own {
+			foreign++
+		}
+	}
+	g := r.gossip(c.members)
+	g.Crashes = r.crashes
+	return g
+}
+
+func (r *Registrar) freshest(now cassiatally.Instant) []*entry {
+	var fresh []*entry
+	for _, e := range r.table {
+		if now.Sub(e.grewAt) < r.cfg.SuspectAfter {
+			fresh = append(fresh, e)
+		}
+	}
+	slices.SortFunc(fresh, func(a, b *entry) int {
+		return cmp.Or(cmp.Compare(a.sent, b.sent), cmp.Compare(b.grewAt, a.grewAt), cmp.Compare(a.member.Ref.Node, b.member.Ref.Node))
+	})
+	return fresh
+}
+
+// peers returns the members of the own data centre, or of all others, by name.
+func (r *Registrar) peers(local bool) []cassiatally.NodeID {
+	var ids []cassiatally.NodeID
+	for id, e := range r.table {
+		if local == (e.member.DataCentre == r.cfg.DataCentre) {
+			ids = append(ids, id)
+		}
+	}
+	slices.Sort(ids)
+	return ids
+}
+
+func (r *Registrar) pick(ids []cassiatally.NodeID, n int) []cassiatally.NodeID {
+	n = min(n, len(ids))
+	for i := range n {
+		j := i + r.rand.IntN(len(ids)-i)
+		ids[i], ids[j] = ids[j], ids[i]
+	}
+	return ids[:n]
+}
+
+// forward sends changes to a few peers at once, within the allowance.
+func (r *Registrar) forward(news []cassiatally.Member, own bool) []cassiatally.Action {
+	for _, m := range news {
+		r.rumours.add(m)
+	}
+	c := composer{room: maxReplyBytes, entries: maxEntries}
+	for _, m := range news {
+		c.add(m)
+	}
+	to := r.pick(r.peers(true), eagerPeers)
+	if own || r.rand.IntN(eagerForeign) == 0 {
+		to = append(to, r.pick(r.peers(false), foreignPeers)...)
+	}
+	var out []cassiatally.Action
+	for _, id := range to {
+		if !r.spend(c.taken) {
+			break
+		}
+		out = append(out, cassiatally.Send{To: id, Message: r.gossip(c.members)})
+	}
+	return out
+}
+
+// expire removes members whose heartbeat stopped and forgets old tombstones.
+func (r *Registrar) expire(now cassiatally.Instant) {
+	lastSeen, foreign := r.lastSeen()
+	factor := min(max(foreign/foreignPerFactor, 1), maxForeignFactor)
+	for _, id := range slices.Sorted(maps.Keys(r.table)) {
+		e := r.table[id]
+		limit := r.cfg.RemoveAfter
+		silent := now.Sub(lastSeen[e.member.DataCentre]) >= limit
+		if e.member.DataCentre != r.cfg.DataCentre && !e.member.Leaving && !silent {
+			limit *= time.Duration(factor)
+		}
+		if now.Sub(e.grewAt) >= limit {
+			r.remove(now, e)
+		}
+	}
+	maps.DeleteFunc(r.tombstones, func(_ cassiatally.NodeID, t tombstone) bool {
+		return now.Sub(t.at) >= tombstoneFactor*r.cfg.RemoveAfter
+	})
+	maps.DeleteFunc(r.asked, func(_ cassiatally.NodeID, at cassiatally.Instant) bool {
+		return now.Sub(at) >= r.cfg.Interval
+	})
+}
+
+// lastSeen returns when each data centre last showed life, and the number of
+// members of other data centres.
+func (r *Registrar) lastSeen() (map[cassiatally.DataCentre]cassiatally.Instant, int) {
+	last, foreign := map[cassiatally.DataCentre]cassiatally.Instant{}, 0
+	for _, e := range r.table {
+		dc := e.member.DataCentre
+		if seen, found := last[dc]; !found || seen.Before(e.grewAt) {
+			last[dc] = e.grewAt
+		}
+		if dc != r.cfg.DataCentre {
+			foreign++
+		}
+	}
+	return last, foreign
+}
+
+func (r *Registrar) remove(now cassiatally.Instant, e *entry) {
+	id := e.member.Ref.Node
+	delete(r.table, id)
+	r.rumours.drop(id)
+	if len(r.tombstones) < maxTombstones {
+		r.tombstones[id] = tombstone{e.member.Ref, e.member.Heartbeat, now}
+	}
+	if e.member.Leaving || slices.Contains(r.lost, e.member.Address) {
+		return
+	}
+	if len(r.lost) == maxLost {
+		// A random one makes room, so that addresses of several data centres stay.
+		i := r.rand.IntN(maxLost)
+		r.lost = slices.Delete(r.lost, i, i+1)
+	}
+	r.lost = append(r.lost, e.member.Address)
+}
+
+// buried reports whether an entry is stale gossip about a removed member. A
+// member that was only cut off or paused comes back when it speaks for itself,
+// or when its heartbeat grew by more than could be under way at its removal.
+func (r *Registrar) buried(m cassiatally.Member, from cassiatally.NodeRef) bool {
+	t, found := r.tombstones[m.Ref.Node]
+	if !found || m.Ref == from || m.Ref.Incarnation > t.ref.Incarnation {
+		return false
+	}
+	if m.Ref.Incarnation < t.ref.Incarnation {
+		return true
+	}
+	margin := uint64(math.Ceil(float64(r.cfg.RemoveAfter) / float64(r.cfg.Interval)))
+	return m.Heartbeat < t.heartbeat+margin
+}
--- /dev/null
+++ b/cassiatally/registrar/view.go
@@ -0,0 +1,158 @@
+package registrar
+
+import (
+	"cmp"
+	"slices"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/cassiatally/cassiatally/cassiatally"
+)
+
+const logReaders = 2
+
+// Load is what an endpoint last told about its levels.
+type Load struct {
+	Node cassiatally.NodeID
+	Load cassiatally.ServiceLoad
+}
+
+// Summary adds up the endpoints of a service in a data centre that are known.
+type Summary struct {
+	Service    cassiatally.Service
+	DataCentre cassiatally.DataCentre
+	Endpoints  int
+	Capacity   cassiatally.Concurrency
+	// Level is the mean of the lowest levels, weighted with the limits.
+	Level cassiatally.Level
+}
+
+// View is an immutable snapshot of the member table.
+type View struct {
+	// Members has all known members, this node included, by name.
+	Members []cassiatally.Member
+	// Suspects has the members whose heartbeat stopped.
+	Suspects []cassiatally.NodeRef
+	// Candidates leaves out suspects, unless all endpoints of a service are.
+	Candidates []cassiatally.Candidate
+	// Local has the live members of the own data centre that are not leaving.
+	Local []cassiatally.NodeRef
+	// LogReaders are the members of Local that follow the log.
+	LogReaders []cassiatally.NodeRef
+	Loads      []Load
+	Summaries  []Summary
+
+	addresses map[cassiatally.NodeID]cassiatally.Address
+}
+
+// Address returns where other nodes connect to the node.
+func (v *View) Address(id cassiatally.NodeID) (cassiatally.Address, bool) {
+	a, found := v.addresses[id]
+	return a, found
+}
+
+// View returns a snapshot.
+func (r *Registrar) View(now cassiatally.Instant) *View {
+	v := &View{addresses: map[cassiatally.NodeID]cassiatally.Address{}}
+	suspects := map[cassiatally.NodeID]bool{}
+	v.Members = append(v.Members, r.self)
+	for id, e := range r.table {
+		v.Members = append(v.Members, e.member)
+		suspects[id] = r.suspected(now, e)
+	}
+	slices.SortFunc(v.Members, func(a, b cassiatally.Member) int { return cmp.Compare(a.Ref.Node, b.Ref.Node) })
+	for _, m := range v.Members {
+		v.addresses[m.Ref.Node] = m.Address
+		suspect := suspects[m.Ref.Node]
+		if suspect {
+			v.Suspects = append(v.Suspects, m.Ref)
+		}
+		if m.DataCentre == r.cfg.DataCentre && !suspect && !m.Leaving {
+			v.Local = append(v.Local, m.Ref)
+		}
+	}
+	v.LogReaders = r.logReaders(v.Local)
+	v.addEndpoints(suspects)
+	return v
+}
+
+// Member returns what is known about a node, this node included.
+func (r *Registrar) Member(id cassiatally.NodeID) (cassiatally.Member, bool) {
+	if id == r.cfg.Self.Node {
+		return r.self, true
+	}
+	e, found := r.table[id]
+	if !found {
+		return cassiatally.Member{}, false
+	}
+	return e.member, true
+}
+
+// suspected applies to the own data centre. Beats of other data centres come
+// more seldom than SuspectAfter; their members are suspected at RemoveAfter.
+func (r *Registrar) suspected(now cassiatally.Instant, e *entry) bool {
+	if e.member.DataCentre == r.cfg.DataCentre {
+		return now.Sub(e.grewAt) >= r.cfg.SuspectAfter
+	}
+	return now.Sub(e.grewAt) >= r.cfg.RemoveAfter
+}
+
+// logReaders returns the two members with the lowest rendezvous hash, which are
+// the same on all nodes that know the same members.
+func (r *Registrar) logReaders(local []cassiatally.NodeRef) []cassiatally.NodeRef {
+	score := func(n cassiatally.NodeRef) uint64 {
+		return xxhash.Sum64String("log\x00" + string(r.cfg.DataCentre) + "\x00" + string(n.Node))
+	}
+	readers := slices.Clone(local)
+	slices.SortFunc(readers, func(a, b cassiatally.NodeRef) int {
+		return cmp.Or(cmp.Compare(score(a), score(b)), cmp.Compare(a.Node, b.Node))
+	})
+	return readers[:min(logReaders, len(readers))]
+}
+
+func (v *View) addEndpoints(suspects map[cassiatally.NodeID]bool) {
+	trusted := map[cassiatally.Service]bool{}
+	for _, m := range v.Members {
+		if m.Endpoint.State == cassiatally.EndpointReady && !m.Leaving && !suspects[m.Ref.Node] {
+			trusted[m.Endpoint.Service] = true
+		}
+	}
+	for _, m := range v.Members {
+		e := m.Endpoint
+		if e.State == cassiatally.EndpointNone || (suspects[m.Ref.Node] && trusted[e.Service]) {
+			continue
+		}
+		state := e.State
+		if m.Leaving {
+			state = cassiatally.EndpointDraining
+		}
+		v.Candidates = append(v.Candidates, cassiatally.Candidate{
+			Ref: m.Ref, DataCentre: m.DataCentre, Service: e.Service,
+			Connections: e.Connections, State: state, Load: e.Load,
+		})
+		load := cassiatally.ServiceLoad{Service: e.Service, Weight: float64(e.Load.Limit), Levels: e.Levels}
+		v.Loads = append(v.Loads, Load{m.Ref.Node, load})
+		v.summarise(m)
+	}
+}
+
+func (v *View) summarise(m cassiatally.Member) {
+	level := cassiatally.Level(1)
+	if len(m.Endpoint.Levels) > 0 {
+		level = slices.Min(m.Endpoint.Levels)
+	}
+	i := slices.IndexFunc(v.Summaries, func(s Summary) bool {
+		return s.Service == m.Endpoint.Service && s.DataCentre == m.DataCentre
+	})
+	if i < 0 {
+		v.Summaries = append(v.Summaries, Summary{Service: m.Endpoint.Service, DataCentre: m.DataCentre, Level: 1})
+		i = len(v.Summaries) - 1
+	}
+	s := &v.Summaries[i]
+	limit := m.Endpoint.Load.Limit
+	if total := s.Capacity + limit; total > 0 {
+		s.Level = (s.Level*cassiatally.Level(s.Capacity) + level*cassiatally.Level(limit)) / cassiatally.Level(total)
+	}
+	s.Endpoints++
+	s.Capacity += limit
+}
--- /dev/null
+++ b/node/claimkeeper/claimkeeper.go
@@ -0,0 +1,324 @@
+// Package claimkeeper is the duty that owns the shards of idempotency keys: the
+// claims that this node holds or stands by for, and the shard tables.
+//
+// # Usage
+//
+//	k := &claimkeeper.Keeper{Claimer: c, Assigner: a, Clock: clock, ...}
+//	k.Run()
+//	defer k.Close()
+//	key, err := k.Mint(ctx)
+//	answer := k.Lookup(ctx, key)
+package claimkeeper
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/charmbracelet/log"
+
+	"github.com/cassiatally/cassiatally/cassiatally"
+	"github.com/cassiatally/cassiatally/cassiatally/assigner"
+	"github.com/cassiatally/cassiatally/cassiatally/claimer"
+	"github.com/cassiatally/cassiatally/cassiatally/looper"
+	"github.com/cassiatally/cassiatally/cassiatally/protocol"
+	"github.com/cassiatally/cassiatally/cassiatally/registrar"
+	"github.com/cassiatally/cassiatally/cassiatally/ring"
+)
+
+const (
+	inboxSize = 4096
+	// resultReserve keeps places for the results of runs.
+	resultReserve = 1024
+	tickEvery     = 50 * time.Millisecond
+	appendRing    = 64
+	// pullPause bounds how often a table is asked for.
+	pullPause = 500 * time.Millisecond
+	// foreignFresh is how long the table of another data centre is used before it
+	// is asked for again.
+	foreignFresh  = 5 * time.Second
+	lookupTimeout = 2 * time.Second
+)
+
+// Requests takes claimed requests and key queries; the dispatcher implements it.
+type Requests interface {
+	Submit(req cassiatally.Request, reply func(cassiatally.Answer)) bool
+	Ask(to cassiatally.NodeID, q cassiatally.KeyQuery, timeout time.Duration, reply func(cassiatally.Answer)) bool
+}
+
+// Keeper is the duty. Its fields are set before Run.
+type Keeper struct {
+	Self       cassiatally.NodeRef
+	DataCentre cassiatally.DataCentre
+	Claimer    *claimer.Claimer
+	Assigner   *assigner.Assigner
+	Clock      cassiatally.Clock
+	Rand       cassiatally.Rand
+	Transport  cassiatally.Transport
+	Requests   Requests
+	Log        cassiatally.Log
+	Codec      *protocol.Codec
+	Logger     *log.Logger
+	NextID     func() cassiatally.CallID
+	// Retries is the retry budget of a claimed request.
+	Retries cassiatally.RetryCount
+	// OnEpochs is called by the duty when the shard table changes.
+	OnEpochs func(cassiatally.Epoch)
+
+	inbox   *ring.Ring[event]
+	duty    looper.Looper[event]
+	appends *ring.Ring[cassiatally.Assignment]
+	helpers sync.WaitGroup
+	ctx     context.Context
+	cancel  context.CancelFunc
+	view    atomic.Pointer[shardView]
+	drained atomic.Bool
+	reading bool
+	follows bool
+	// catchUp asks for one read of the log by a node that does not follow it.
+	catchUp  bool
+	members  *registrar.View
+	foreign  map[cassiatally.DataCentre]foreignTable
+	pulledAt map[cassiatally.DataCentre]cassiatally.Instant
+	wanted   sync.Map
+}
+
+// Run starts the duty, the log reader and the log appender.
+func (k *Keeper) Run() {
+	k.ctx, k.cancel = context.WithCancel(context.Background())
+	k.inbox = ring.New[event](inboxSize, ring.Wait)
+	k.appends = ring.New[cassiatally.Assignment](appendRing, ring.RefuseNewest)
+	k.foreign = make(map[cassiatally.DataCentre]foreignTable)
+	k.pulledAt = make(map[cassiatally.DataCentre]cassiatally.Instant)
+	k.view.Store(&shardView{home: k.DataCentre, own: k.Assigner.Snapshot()})
+	k.duty = looper.Looper[event]{
+		Clock:  k.Clock,
+		Inbox:  k.inbox,
+		Handle: func(now cassiatally.Instant, e event) { e.apply(k, now) },
+		Tick:   k.tick,
+		Every:  tickEvery,
+	}
+	k.duty.Run()
+	k.helpers.Go(k.serveAppends)
+}
+
+// Close stops the duty and its helpers and waits for them.
+func (k *Keeper) Close() {
+	k.cancel()
+	k.appends.Close()
+	k.helpers.Wait()
+	k.duty.Close()
+}
+
+// Shards returns the view of which node holds a shard.
+func (k *Keeper) Shards() cassiatally.ShardView { return k.view.Load().noting(k) }
+
+// Drained reports whether this node holds no shard any more.
+func (k *Keeper) Drained() bool { return k.drained.Load() }
+
+type event interface {
+	apply(k *Keeper, now cassiatally.Instant)
+}
+
+type (
+	messageEvent struct {
+		from cassiatally.NodeRef
+		m    cassiatally.Message
+	}
+	runEvent struct {
+		id     cassiatally.CallID
+		answer cassiatally.Answer
+	}
+	membersEvent struct{ view *registrar.View }
+	epochsEvent  struct {
+		from cassiatally.NodeRef
+		sum  cassiatally.Epoch
+	}
+	batchEvent struct {
+		batch cassiatally.Batch
+		err   error
+	}
+	appendEvent struct {
+		assignment cassiatally.Assignment
+		err        error
+	}
+	mintEvent struct {
+		reply chan mintResult
+	}
+	drainEvent struct{}
+)
+
+type mintResult struct {
+	key cassiatally.Key
+	err error
+}
+
+// Message hands over a message from a node. It returns false when the ring is
+// full.
+func (k *Keeper) Message(from cassiatally.NodeRef, m cassiatally.Message) bool {
+	return k.inbox.Offer(messageEvent{from: from, m: m}, resultReserve)
+}
+
+// Members hands over a new view of the members.
+func (k *Keeper) Members(v *registrar.View) { k.inbox.Offer(membersEvent{view: v}, 0) }
+
+// ToldEpochs hands over the sum of epochs that another node of this data centre
+// told.
+func (k *Keeper) ToldEpochs(from cassiatally.NodeRef, sum cassiatally.Epoch) {
+	k.inbox.Offer(epochsEvent{from: from, sum: sum}, 0)
+}
+
+// Drain hands the shards of this node over to their standbys.
+func (k *Keeper) Drain() { k.inbox.Push(k.ctx, drainEvent{}) }
+
+// Mint returns a new key.
+func (k *Keeper) Mint(ctx context.Context) (cassiatally.Key, error) {
+	reply := make(chan mintResult, 1)
+	if !k.inbox.Offer(mintEvent{reply: reply}, resultReserve) {
+		return "", cassiatally.NewError(cassiatally.KindOverloaded, "the node is overloaded; send again later")
+	}
+	select {
+	case r := <-reply:
+		return r.key, r.err
+	case <-ctx.Done():
+		return "", cassiatally.NewError(cassiatally.KindCancelled, "the caller left")
+	}
+}
+
+// Lookup returns what is known about a key.
+func (k *Keeper) Lookup(ctx context.Context, key cassiatally.Key) cassiatally.Answer {
+	parts, err := cassiatally.ParseKey(key)
+	if err != nil {
+		return cassiatally.Answer{Outcome: cassiatally.OutcomeNotRun, Kind: cassiatally.KindKeyInvalid, Detail: err.Error()}
+	}
+	holder, _, ok := k.Shards().HolderOf(parts.Shard)
+	if !ok {
+		return cassiatally.Answer{Kind: cassiatally.KindUnavailable, Detail: "no holder of the key's shard is in reach; look the key up later"}
+	}
+	answers := make(chan cassiatally.Answer, 1)
+	q := cassiatally.KeyQuery{ID: k.NextID(), Key: key}
+	if !k.Requests.Ask(holder.Node, q, lookupTimeout, func(a cassiatally.Answer) { answers <- a }) {
+		return cassiatally.Answer{Kind: cassiatally.KindOverloaded, Detail: "the node is overloaded; look the key up later"}
+	}
+	select {
+	case a := <-answers:
+		return a
+	case <-ctx.Done():
+		return cassiatally.Answer{Kind: cassiatally.KindCancelled, Detail: "the caller left"}
+	}
+}
+
+func (k *Keeper) tick(now cassiatally.Instant) {
+	k.carryOut(now, k.Claimer.Tick(now))
+	k.carryOut(now, k.Assigner.Tick(now))
+	k.followLog()
+	k.pullOwn(now)
+	k.drained.Store(k.Claimer.Drained())
+	k.wanted.Range(func(dc, _ any) bool {
+		k.wanted.Delete(dc)
+		k.pullForeign(now, dc.(cassiatally.DataCentre))
+		return true
+	})
+}
+
+func (e messageEvent) apply(k *Keeper, now cassiatally.Instant) {
+	switch m := e.m.(type) {
+	case cassiatally.Call:
+		k.carryOut(now, k.Claimer.HandleCall(now, e.from.Node, m))
+	case cassiatally.KeyQuery:
+		k.carryOut(now, k.Claimer.HandleKeyQuery(now, e.from.Node, m))
+	case cassiatally.Cancel:
+		k.carryOut(now, k.Claimer.HandleCancel(now, e.from.Node, m))
+	case cassiatally.ClaimUpdate:
+		k.carryOut(now, k.Claimer.HandleClaimUpdate(now, e.from.Node, m))
+	case cassiatally.ClaimAck:
+		k.carryOut(now, k.Claimer.HandleClaimAck(now, e.from.Node, m))
+	case cassiatally.ClaimCopy:
+		k.carryOut(now, k.Claimer.HandleClaimCopy(now, e.from.Node, m))
+	case cassiatally.ShardPull:
+		k.send(e.from.Node, cassiatally.ShardTable{Assignments: k.Assigner.Table()})
+	case cassiatally.ShardTable:
+		k.takeTable(now, m)
+	default:
+	}
+}
+
+func (e runEvent) apply(k *Keeper, now cassiatally.Instant) {
+	k.carryOut(now, k.Claimer.RunFinished(now, e.id, e.answer))
+}
+
+func (e membersEvent) apply(k *Keeper, now cassiatally.Instant) {
+	k.members = e.view
+	live := liveMembers(e.view, k.DataCentre)
+	k.Assigner.MembersChanged(now, live)
+	k.carryOut(now, k.Claimer.MembersChanged(now, live))
+	k.follows = false
+	for _, r := range e.view.LogReaders {
+		k.follows = k.follows || r == k.Self
+	}
+}
+
+func liveMembers(v *registrar.View, dc cassiatally.DataCentre) []cassiatally.Member {
+	suspects := make(map[cassiatally.NodeRef]struct{}, len(v.Suspects))
+	for _, s := range v.Suspects {
+		suspects[s] = struct{}{}
+	}
+	var live []cassiatally.Member
+	for _, m := range v.Members {
+		if _, suspect := suspects[m.Ref]; m.DataCentre == dc && !suspect {
+			live = append(live, m)
+		}
+	}
+	return live
+}
+
+func (e epochsEvent) apply(k *Keeper, now cassiatally.Instant) {
+	if e.sum > k.Assigner.SumEpochs() && now.Reached(k.pulledAt[k.DataCentre].Add(pullPause)) {
+		k.pulledAt[k.DataCentre] = now
+		k.send(e.from.Node, cassiatally.ShardPull{Have: k.Assigner.SumEpochs()})
+	}
+}
+
+func (e mintEvent) apply(k *Keeper, now cassiatally.Instant) {
+	key, err := k.Assigner.Mint(now, k.Rand)
+	e.reply <- mintResult{key: key, err: err}
+}
+
+func (e drainEvent) apply(k *Keeper, now cassiatally.Instant) {
+	k.carryOut(now, k.Claimer.Drain(now))
+}
+
+func (k *Keeper) carryOut(now cassiatally.Instant, actions []cassiatally.Action) {
+	for _, a := range actions {
+		switch a := a.(type) {
+		case cassiatally.Send:
+			k.send(a.To, a.Message)
+		case cassiatally.Submit:
+			k.submit(now, a.Request)
+		case cassiatally.AppendAssignment:
+			if !k.appends.Offer(a.Assignment, 0) {
+				k.carryOut(now, k.Claimer.AppendFailed(now, a.Assignment))
+			}
+		default:
+		}
+	}
+}
+
+func (k *Keeper) send(to cassiatally.NodeID, m cassiatally.Message) {
+	if err := k.Transport.Send(to, m); err != nil {
+		k.Logger.Debug("message about claims not sent", "to", to, "error", err)
+	}
+}
+
+func (k *Keeper) submit(now cassiatally.Instant, req cassiatally.Request) {
+	id := req.ID
+	ok := k.Requests.Submit(req, func(a cassiatally.Answer) {
+		k.inbox.Push(k.ctx, runEvent{id: id, answer: a})
+	})
+	if !ok {
+		k.carryOut(now, k.Claimer.RunFinished(now, id, cassiatally.Answer{
+			ID: id, Outcome: cassiatally.OutcomeNotRun, Kind: cassiatally.KindOverloaded, Detail: "the node is overloaded; send again later",
+		}))
+	}
+}
--- /dev/null
+++ b/node/claimkeeper/stream.go
@@ -0,0 +1,113 @@
+package claimkeeper
+
+import (
+	"context"
+	"time"
+
+	"github.com/cassiatally/cassiatally/cassiatally"
+)
+
+const (
+	longPoll = 2 * time.Second
+	// readRetry is the pause after a failed read of the log.
+	readRetry     = 500 * time.Millisecond
+	appendTimeout = 3 * time.Second
+)
+
+// stream returns the log stream of the data centre's shards.
+func (k *Keeper) stream() cassiatally.Stream {
+	return cassiatally.Stream("shards." + string(k.DataCentre))
+}
+
+// followLog starts a read of the log unless one is under way. Only the log
+// readers of the data centre follow the log; the others get tables by gossip.
+func (k *Keeper) followLog() {
+	if k.reading || (!k.follows && !k.catchUp) {
+		return
+	}
+	k.reading = true
+	k.catchUp = false
+	from := k.Assigner.Next()
+	k.helpers.Go(func() {
+		batch, err := k.Log.Read(k.ctx, k.stream(), from, longPoll)
+		if err != nil {
+			k.pause(readRetry)
+		}
+		k.inbox.Push(k.ctx, batchEvent{batch: batch, err: err})
+	})
+}
+
+func (k *Keeper) pause(d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-k.ctx.Done():
+	}
+}
+
+func (e batchEvent) apply(k *Keeper, now cassiatally.Instant) {
+	k.reading = false
+	if e.err != nil {
+		k.Logger.Debug("shard assignments not read", "error", e.err)
+		return
+	}
+	k.Assigner.StartAt(e.batch.First)
+	for _, r := range e.batch.Records {
+		k.fold(now, r)
+	}
+	k.Assigner.EndAt(e.batch.Next, len(e.batch.Records) == 0)
+	k.tableChanged(now)
+	k.publish()
+	k.followLog()
+}
+
+func (k *Keeper) fold(now cassiatally.Instant, r cassiatally.LogRecord) {
+	m, err := k.Codec.Decode(r.Data)
+	if err != nil {
+		k.Logger.Warn("log record skipped", "stream", k.stream(), "offset", r.Offset, "error", err)
+		return
+	}
+	t, ok := m.(cassiatally.ShardTable)
+	if !ok {
+		k.Logger.Warn("log record skipped", "stream", k.stream(), "offset", r.Offset, "error", "not an assignment")
+		return
+	}
+	for _, as := range t.Assignments {
+		k.Assigner.Fold(now, r.Offset, r.Expires, as)
+	}
+}
+
+// serveAppends is the duty that writes assignments to the log.
+func (k *Keeper) serveAppends() {
+	for {
+		as, ok := k.appends.Pop(k.ctx)
+		if !ok {
+			return
+		}
+		k.inbox.Push(k.ctx, appendEvent{assignment: as, err: k.append(as)})
+	}
+}
+
+func (k *Keeper) append(as cassiatally.Assignment) error {
+	data, err := k.Codec.Encode(cassiatally.ShardTable{Assignments: []cassiatally.Assignment{as}})
+	if err != nil {
+		return err
+	}
+	ctx, cancel := context.WithTimeout(k.ctx, appendTimeout)
+	defer cancel()
+	_, err = k.Log.Append(ctx, k.stream(), data)
+	return err
+}
+
+func (e appendEvent) apply(k *Keeper, now cassiatally.Instant) {
+	if e.err != nil {
+		k.Logger.Warn("shard assignment not appended", "shard", e.assignment.Shard, "epoch", e.assignment.Epoch, "error", e.err)
+		k.carryOut(now, k.Claimer.AppendFailed(now, e.assignment))
+		return
+	}
+	k.carryOut(now, k.Claimer.AppendDone(now, e.assignment))
+	// The record is not in force before it is read as the winner.
+	k.catchUp = true
+	k.followLog()
+}
--- a/node/command/command.go
+++ b/node/command/command.go
@@ -1,4 +1,5 @@
-// Package command runs the cassiatally-node program.
+// Package command runs the cassiatally-node program: it reads the settings, runs
+// the node until a signal, and drains it.
 //
 // # Usage
 //
@@ -6,14 +7,106 @@
 package command
 
 import (
+	"context"
 	"fmt"
 	"io"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/charmbracelet/log"
+	"github.com/cockroachdb/errors"
+	"github.com/integrii/flaggy"
 
 	"github.com/cassiatally/cassiatally/cassiatally"
+	"github.com/cassiatally/cassiatally/cassiatally/settingsloader"
+	"github.com/cassiatally/cassiatally/cassiatally/sysclock"
+	"github.com/cassiatally/cassiatally/node/supervisor"
 )
 
+const name = "cassiatally-node"
+
+// options has everything that the program needs.
+type options struct {
+	settings string
+	stdout   io.Writer
+	stderr   io.Writer
+	// stop ends when the node is told to stop.
+	stop context.Context
+}
+
 // Main runs the program and returns its exit code.
-func Main(args []string, _ io.Reader, _, stderr io.Writer) cassiatally.ExitCode {
-	fmt.Fprintf(stderr, "%s: no commands yet\n", args[0])
-	return cassiatally.ExitUsage
+func Main(args []string, _ io.Reader, stdout, stderr io.Writer) cassiatally.ExitCode {
+	stop, cancel := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer cancel()
+	o := &options{stdout: stdout, stderr: stderr, stop: stop}
+	if err := o.parse(args[1:]); err != nil {
+		return report(stderr, err)
+	}
+	return report(stderr, o.run())
+}
+
+func (o *options) parse(args []string) error {
+	p := flaggy.NewParser(name)
+	p.Description = "runs beside a backend server and controls its load"
+	p.ShowVersionWithVersionFlag = false
+	p.String(&o.settings, "s", "settings", "file with the settings of the node, in YAML")
+	if err := p.ParseArgs(args); err != nil {
+		return cassiatally.NewError(cassiatally.KindUsage, "%v; run %s --help", err, name)
+	}
+	if o.settings == "" {
+		return cassiatally.NewError(cassiatally.KindUsage, "name a settings file with --settings; examples/ has annotated ones")
+	}
+	return nil
+}
+
+func (o *options) run() error {
+	data, err := os.ReadFile(o.settings)
+	if err != nil {
+		return cassiatally.NewError(cassiatally.KindInvalidSettings, "%v", err)
+	}
+	cfg, err := settingsloader.Loader{File: o.settings}.Load(data)
+	if err != nil {
+		return err
+	}
+	logger := log.NewWithOptions(o.stderr, log.Options{
+		ReportTimestamp: true,
+		TimeFormat:      "2006-01-02T15:04:05.000Z07:00",
+		Formatter:       log.LogfmtFormatter,
+		Level:           levels[cfg.LogLevel],
+	}).With("node", cfg.Node.ID)
+	s := &supervisor.Supervisor{Settings: cfg, Clock: sysclock.New(), Logger: logger}
+	if err := s.Run(); err != nil {
+		return err
+	}
+	defer s.Close()
+	at := s.Addresses()
+	fmt.Fprintf(o.stdout, "listening callers=%s backend=%s links=%s admin=%s\n", at.Callers, at.Backend, at.Links, at.Admin)
+	<-o.stop.Done()
+	logger.Info("draining", "timeout", cfg.Drain.Timeout)
+	ctx, cancel := context.WithTimeout(context.Background(), cfg.Drain.Timeout)
+	defer cancel()
+	s.Drain(ctx)
+	logger.Info("stopped")
+	return nil
+}
+
+var levels = map[settingsloader.LogLevel]log.Level{
+	settingsloader.LevelDebug: log.DebugLevel,
+	settingsloader.LevelInfo:  log.InfoLevel,
+	settingsloader.LevelWarn:  log.WarnLevel,
+	settingsloader.LevelError: log.ErrorLevel,
+}
+
+// report prints an error once and returns the exit code of its kind.
+func report(stderr io.Writer, err error) cassiatally.ExitCode {
+	if err == nil {
+		return cassiatally.ExitSuccess
+	}
+	fmt.Fprintf(stderr, "%s: %v\n", name, err)
+	var e *cassiatally.Error
+	if errors.As(err, &e) {
+		return e.Kind.Spec().Exit
+	}
+	return cassiatally.ExitFailure
 }
--- a/node/linker/linker.go
+++ b/node/linker/linker.go
@@ -10,7 +10,8 @@
 // # Usage
 //
 //	l := &linker.Linker{Self: self, Listen: addr, Codec: codec, Inbound: f, ...}
-//	if err := l.Run(); err != nil { ... }
+//	if err := l.Listening(); err != nil { ... }
+//	l.Run()
 //	defer l.Close()
 //	err := l.Send("node-2", cassiatally.Ping{Seq: 1})
 package linker
@@ -88,8 +89,9 @@
 	failed map[cassiatally.Address]time.Time
 }
 
-// Run starts to accept links.
-func (l *Linker) Run() error {
+// Listening opens the listener, so that the address of links is known before the
+// first message can arrive.
+func (l *Linker) Listening() error {
 	l.ctx, l.cancel = context.WithCancel(context.Background())
 	l.byNode = make(map[cassiatally.NodeID]*link)
 	l.byAddr = make(map[cassiatally.Address]*link)
@@ -104,13 +106,17 @@
 	if l.Advertise == "" {
 		l.Advertise = cassiatally.Address(listener.Addr().String())
 	}
+	return nil
+}
+
+// Run starts to accept links. Listening comes first.
+func (l *Linker) Run() {
 	e := echo.New()
 	e.HideBanner = true
 	e.HidePort = true
 	e.GET(linkPath, l.accept)
 	l.server = &http.Server{Handler: e, ReadHeaderTimeout: dialTimeout}
-	l.running.Go(func() { _ = l.server.Serve(listener) })
-	return nil
+	l.running.Go(func() { _ = l.server.Serve(l.listener) })
 }
 
 // Addr returns the address on which links are accepted.
--- /dev/null
+++ b/node/sheetkeeper/sheetkeeper.go
@@ -0,0 +1,233 @@
+// Package sheetkeeper is the duty that owns the sheet in force on a node: it
+// follows the log, exchanges records with other nodes, and publishes the policies
+// of the sheet to readers.
+//
+// # Usage
+//
+//	k := &sheetkeeper.Keeper{Follower: f, Clock: clock, Log: client, OnSheet: adopted, ...}
+//	k.Run()
+//	defer k.Close()
+//	policies, ok := k.Policies()
+package sheetkeeper
+
+import (
+	"context"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/charmbracelet/log"
+
+	"github.com/cassiatally/cassiatally/cassiatally"
+	"github.com/cassiatally/cassiatally/cassiatally/follower"
+	"github.com/cassiatally/cassiatally/cassiatally/looper"
+	"github.com/cassiatally/cassiatally/cassiatally/protocol"
+	"github.com/cassiatally/cassiatally/cassiatally/ranker"
+	"github.com/cassiatally/cassiatally/cassiatally/registrar"
+	"github.com/cassiatally/cassiatally/cassiatally/ring"
+	"github.com/cassiatally/cassiatally/cassiatally/sheetparser"
+)
+
+const (
+	inboxSize = 256
+	// batchReserve keeps places for what the log answers.
+	batchReserve = 32
+	tickEvery    = 100 * time.Millisecond
+	longPoll     = 2 * time.Second
+	// readRetry is the pause after a failed read of the log.
+	readRetry     = 500 * time.Millisecond
+	appendTimeout = 3 * time.Second
+	appendRing    = 8
+	// sheetName names the sheet of the log in problems.
+	sheetName = "sheet.csv"
+)
+
+// Keeper is the duty. Its fields are set before Run.
+type Keeper struct {
+	Self      cassiatally.NodeRef
+	Follower  *follower.Follower
+	Clock     cassiatally.Clock
+	Transport cassiatally.Transport
+	Log       cassiatally.Log
+	Codec     *protocol.Codec
+	Logger    *log.Logger
+	// OnSheet is called by the duty with each sheet that comes into force; it must
+	// not block.
+	OnSheet func(*ranker.Ranker)
+
+	inbox   *ring.Ring[event]
+	duty    looper.Looper[event]
+	appends *ring.Ring[cassiatally.SheetRecord]
+	helpers sync.WaitGroup
+	ctx     context.Context
+	cancel  context.CancelFunc
+	ranks   atomic.Pointer[ranker.Ranker]
+	follows atomic.Bool
+	// contact is when the log last answered; zero for never.
+	contact atomic.Int64
+}
+
+type event interface {
+	apply(k *Keeper, now cassiatally.Instant)
+}
+
+type (
+	messageEvent struct {
+		from cassiatally.NodeRef
+		m    cassiatally.Message
+	}
+	toldEvent struct {
+		from    cassiatally.NodeRef
+		version cassiatally.Version
+	}
+	membersEvent struct{ view *registrar.View }
+	batchEvent   struct {
+		batch cassiatally.Batch
+		err   error
+	}
+)
+
+// Run starts the duty and the log appender.
+func (k *Keeper) Run() {
+	k.ctx, k.cancel = context.WithCancel(context.Background())
+	k.inbox = ring.New[event](inboxSize, ring.Wait)
+	k.appends = ring.New[cassiatally.SheetRecord](appendRing, ring.RefuseNewest)
+	k.duty = looper.Looper[event]{
+		Clock:  k.Clock,
+		Inbox:  k.inbox,
+		Handle: func(now cassiatally.Instant, e event) { e.apply(k, now) },
+		Tick:   func(now cassiatally.Instant) { k.carryOut(k.Follower.Tick(now)) },
+		Every:  tickEvery,
+	}
+	k.duty.Run()
+	k.helpers.Go(k.serveAppends)
+}
+
+// Close stops the duty and its helpers and waits for them.
+func (k *Keeper) Close() {
+	k.cancel()
+	k.appends.Close()
+	k.helpers.Wait()
+	k.duty.Close()
+}
+
+// Policies returns the policies of the sheet in force, or false when there is
+// none yet.
+func (k *Keeper) Policies() (cassiatally.Policies, bool) {
+	r := k.ranks.Load()
+	return r, r != nil
+}
+
+// Version returns the version in force.
+func (k *Keeper) Version() cassiatally.Version {
+	if r := k.ranks.Load(); r != nil {
+		return r.Version()
+	}
+	return 0
+}
+
+// LogContact returns the time since the log last answered, negative for never,
+// and whether this node follows the log.
+func (k *Keeper) LogContact() (time.Duration, bool) {
+	at := cassiatally.Instant(k.contact.Load())
+	if at == 0 {
+		return -1, k.follows.Load()
+	}
+	return k.Clock.Now().Sub(at), k.follows.Load()
+}
+
+// Message hands over a message from a node.
+func (k *Keeper) Message(from cassiatally.NodeRef, m cassiatally.Message) {
+	k.inbox.Offer(messageEvent{from: from, m: m}, batchReserve)
+}
+
+// Told hands over the version that another node has in force.
+func (k *Keeper) Told(from cassiatally.NodeRef, v cassiatally.Version) {
+	k.inbox.Offer(toldEvent{from: from, version: v}, batchReserve)
+}
+
+// Members hands over a new view of the members.
+func (k *Keeper) Members(v *registrar.View) {
+	k.inbox.Offer(membersEvent{view: v}, batchReserve)
+}
+
+func (e messageEvent) apply(k *Keeper, now cassiatally.Instant) {
+	switch m := e.m.(type) {
+	case cassiatally.SheetPull:
+		k.carryOut(k.Follower.HandlePull(now, e.from.Node, m))
+	case cassiatally.SheetRecord:
+		k.carryOut(k.Follower.HandleRecord(now, e.from.Node, m))
+	default:
+	}
+}
+
+func (e toldEvent) apply(k *Keeper, now cassiatally.Instant) {
+	k.carryOut(k.Follower.Told(now, e.from.Node, e.version))
+}
+
+func (e membersEvent) apply(k *Keeper, now cassiatally.Instant) {
+	k.follows.Store(slices.Contains(e.view.LogReaders, k.Self))
+	k.carryOut(k.Follower.MembersChanged(now, e.view.LogReaders))
+}
+
+func (e batchEvent) apply(k *Keeper, now cassiatally.Instant) {
+	if e.err != nil {
+		k.Logger.Debug("sheet records not read", "error", e.err)
+		k.carryOut(k.Follower.ReadFailed(now))
+		return
+	}
+	k.contact.Store(int64(now))
+	k.carryOut(k.Follower.HandleBatch(now, k.decode(e.batch)))
+}
+
+func (k *Keeper) decode(b cassiatally.Batch) follower.Batch {
+	out := follower.Batch{First: b.First, Next: b.Next}
+	for _, r := range b.Records {
+		entry := follower.Record{Offset: r.Offset, Expires: r.Expires}
+		m, err := k.Codec.Decode(r.Data)
+		if record, ok := m.(cassiatally.SheetRecord); ok && err == nil {
+			entry.Sheet = &record
+		} else {
+			k.Logger.Warn("log record skipped", "stream", follower.Stream, "offset", r.Offset, "error", err)
+		}
+		out.Records = append(out.Records, entry)
+	}
+	return out
+}
+
+func (k *Keeper) carryOut(actions []cassiatally.Action) {
+	for _, a := range actions {
+		switch a := a.(type) {
+		case cassiatally.Send:
+			if err := k.Transport.Send(a.To, a.Message); err != nil {
+				k.Logger.Debug("sheet message not sent", "to", a.To, "error", err)
+			}
+		case cassiatally.ReadLog:
+			k.read(a)
+		case cassiatally.AppendSheet:
+			k.appends.Offer(a.Record, 0)
+		case cassiatally.AdoptSheet:
+			k.adopt(a.Record)
+		default:
+		}
+	}
+}
+
+// adopt puts a sheet in force. A sheet that does not parse was not published by
+// the operators' tool; the one in force stays.
+func (k *Keeper) adopt(record cassiatally.SheetRecord) {
+	parser := sheetparser.Parser{}
+	rows, problems := parser.Parse(sheetName, record.Sheet)
+	if err := problems.Err(); err != nil {
+		k.Logger.Error("accepted sheet cannot be read; the one in force stays", "version", record.Version, "error", err)
+		return
+	}
+	r, err := ranker.New(rows, record.Version)
+	if err != nil {
+		k.Logger.Error("accepted sheet cannot be used; the one in force stays", "version", record.Version, "error", err)
+		return
+	}
+	k.ranks.Store(r)
+	k.OnSheet(r)
+}
--- /dev/null
+++ b/node/supervisor/routes.go
@@ -0,0 +1,101 @@
+package supervisor
+
+import (
+	"github.com/cassiatally/cassiatally/cassiatally"
+	"github.com/cassiatally/cassiatally/cassiatally/ranker"
+	"github.com/cassiatally/cassiatally/cassiatally/registrar"
+	"github.com/cassiatally/cassiatally/node/dispatcher"
+)
+
+// inbound passes a message to the duty that it is for. It runs in the reader of
+// a link and does not block.
+func (s *Supervisor) inbound(from cassiatally.NodeRef, m cassiatally.Message) {
+	switch m := m.(type) {
+	case cassiatally.Call:
+		s.inboundCall(from, m)
+	case cassiatally.Answer:
+		s.dispatcher.Answer(from.Node, m)
+	case cassiatally.Cancel:
+		s.executor.Cancel(m.ID)
+		s.claims.Message(from, m)
+	case cassiatally.RunQuery:
+		s.executor.Query(from.Node, m)
+	case cassiatally.Gossip:
+		s.members.Gossip(from, m)
+	case cassiatally.SheetPull, cassiatally.SheetRecord:
+		s.sheets.Message(from, m)
+	case cassiatally.KeyQuery, cassiatally.ClaimUpdate, cassiatally.ClaimAck, cassiatally.ClaimCopy,
+		cassiatally.ShardPull, cassiatally.ShardTable:
+		s.claims.Message(from, m)
+	default:
+		s.Logger.Warn("message without a receiver", "from", from)
+	}
+}
+
+func (s *Supervisor) inboundCall(from cassiatally.NodeRef, c cassiatally.Call) {
+	if cassiatally.DigestOf(c.Body) != c.Digest {
+		s.refuse(from, c, cassiatally.KindIncompleteAnswer, "the request body does not match its digest")
+		return
+	}
+	taken := false
+	if c.Stage == cassiatally.StageClaim {
+		taken = s.claims.Message(from, c)
+	} else {
+		taken = s.executor.Call(from.Node, c)
+	}
+	if !taken {
+		s.refuse(from, c, cassiatally.KindOverloaded, "the node of the backend server is overloaded")
+	}
+}
+
+// refuse answers a call that no duty took. A copy of a claim that is refused here
+// proves nothing about other copies of it.
+func (s *Supervisor) refuse(to cassiatally.NodeRef, c cassiatally.Call, kind cassiatally.ErrorKind, detail string) {
+	a := cassiatally.Answer{ID: c.ID, Outcome: cassiatally.OutcomeNotRun, Kind: kind, Detail: detail}
+	if c.Stage == cassiatally.StageClaim {
+		a.Outcome = cassiatally.OutcomeUnknown
+		a.Kind = cassiatally.KindUnavailable
+	}
+	if err := s.links.Send(to.Node, a); err != nil {
+		s.Logger.Debug("refusal not sent", "to", to, "error", err)
+	}
+}
+
+// viewChanged passes a new view of the members to the duties that use it.
+func (s *Supervisor) viewChanged(v *registrar.View) {
+	levels := make([]dispatcher.EndpointLevels, 0, len(v.Loads))
+	for _, l := range v.Loads {
+		levels = append(levels, dispatcher.EndpointLevels{Node: l.Node, Load: l.Load})
+	}
+	s.dispatcher.Endpoints(v.Candidates, levels)
+	s.claims.Members(v)
+	s.sheets.Members(v)
+}
+
+// gossiped passes on what gossip carries besides members.
+func (s *Supervisor) gossiped(g cassiatally.Gossip) {
+	s.sheets.Told(g.From, g.Sheet)
+	if len(g.Crashes) > 0 {
+		s.executor.Crashes(g.Crashes)
+	}
+	if s.sameDataCentre(g.From.Node) {
+		s.claims.ToldEpochs(g.From, g.ShardEpochs)
+	}
+}
+
+func (s *Supervisor) sameDataCentre(n cassiatally.NodeID) bool {
+	for _, ref := range s.members.View().Local {
+		if ref.Node == n {
+			return true
+		}
+	}
+	return false
+}
+
+// sheetAdopted is called by the sheetkeeper with each sheet that comes into force.
+func (s *Supervisor) sheetAdopted(r *ranker.Ranker) {
+	s.executor.SetShares(r.Shares())
+	s.members.Sheet(r.Version())
+	s.reports.Gauge("sheet_version", float64(r.Version()))
+	s.Logger.Info("sheet in force", "version", r.Version())
+}
--- /dev/null
+++ b/node/supervisor/supervisor.go
@@ -0,0 +1,313 @@
+// Package supervisor builds a node from its settings: the duties, the rings that
+// join them, and the servers.
+//
+// # Usage
+//
+//	s := &supervisor.Supervisor{Settings: settings, Clock: clock, Logger: logger}
+//	if err := s.Run(); err != nil { ... }
+//	s.Drain(ctx)
+//	s.Close()
+package supervisor
+
+import (
+	"math/rand/v2"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	"github.com/charmbracelet/log"
+
+	"github.com/cassiatally/cassiatally/cassiatally"
+	"github.com/cassiatally/cassiatally/cassiatally/assigner"
+	"github.com/cassiatally/cassiatally/cassiatally/claimer"
+	"github.com/cassiatally/cassiatally/cassiatally/follower"
+	"github.com/cassiatally/cassiatally/cassiatally/logclient"
+	"github.com/cassiatally/cassiatally/cassiatally/protocol"
+	"github.com/cassiatally/cassiatally/cassiatally/quarantiner"
+	"github.com/cassiatally/cassiatally/cassiatally/registrar"
+	"github.com/cassiatally/cassiatally/cassiatally/router"
+	"github.com/cassiatally/cassiatally/cassiatally/runner"
+	"github.com/cassiatally/cassiatally/cassiatally/settingsloader"
+	"github.com/cassiatally/cassiatally/node/adminserver"
+	"github.com/cassiatally/cassiatally/node/backendserver"
+	"github.com/cassiatally/cassiatally/node/callerserver"
+	"github.com/cassiatally/cassiatally/node/claimkeeper"
+	"github.com/cassiatally/cassiatally/node/dispatcher"
+	"github.com/cassiatally/cassiatally/node/executor"
+	"github.com/cassiatally/cassiatally/node/linker"
+	"github.com/cassiatally/cassiatally/node/memberkeeper"
+	"github.com/cassiatally/cassiatally/node/reporter"
+	"github.com/cassiatally/cassiatally/node/requestreader"
+	"github.com/cassiatally/cassiatally/node/sheetkeeper"
+)
+
+// outboxSize bounds the messages that wait to be written to one link.
+const outboxSize = 1024
+
+// Supervisor is a whole node. Its fields are set before Run.
+type Supervisor struct {
+	Settings settingsloader.Settings
+	Clock    cassiatally.Clock
+	Logger   *log.Logger
+
+	self    cassiatally.NodeRef
+	seq     atomic.Uint64
+	leaving atomic.Bool
+
+	codec      *protocol.Codec
+	logClient  *logclient.Client
+	links      *linker.Linker
+	reports    *reporter.Reporter
+	members    *memberkeeper.Keeper
+	sheets     *sheetkeeper.Keeper
+	claims     *claimkeeper.Keeper
+	dispatcher *dispatcher.Dispatcher
+	executor   *executor.Executor
+	callers    *callerserver.Server
+	backend    *backendserver.Server
+	admin      *adminserver.Server
+	closers    []func()
+}
+
+// Run starts the node. After an error everything that had started is stopped.
+func (s *Supervisor) Run() error {
+	s.self = cassiatally.NodeRef{
+		Node: s.Settings.Node.ID,
+		// The time of day makes incarnations of a node grow, which gossip needs to
+		// tell the latest one.
+		Incarnation: cassiatally.Incarnation(s.Clock.Wall().UnixMicro()),
+	}
+	steps := []func() error{
+		s.buildBase, s.startLinks, s.startMembers, s.startDuties, s.startServers,
+	}
+	for _, step := range steps {
+		if err := step(); err != nil {
+			s.Close()
+			return err
+		}
+	}
+	return nil
+}
+
+// Close stops everything in the opposite order of the start.
+func (s *Supervisor) Close() {
+	for i := len(s.closers) - 1; i >= 0; i-- {
+		s.closers[i]()
+	}
+	s.closers = nil
+}
+
+func (s *Supervisor) onClose(f func()) { s.closers = append(s.closers, f) }
+
+// nextID draws ids for calls. Those of the claimer have the highest bit set.
+func (s *Supervisor) nextID() cassiatally.CallID {
+	return cassiatally.CallID{Origin: s.self.Incarnation, Seq: s.seq.Add(1)}
+}
+
+// newRand returns a source for one duty; sources are not shared between duties.
+func newRand() *rand.Rand { return rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())) }
+
+func (s *Supervisor) buildBase() error {
+	var err error
+	if s.codec, err = protocol.New(); err != nil {
+		return err
+	}
+	if s.reports, err = reporter.New(s.Settings.Node.ID, s.Settings.Node.DataCentre); err != nil {
+		return err
+	}
+	s.onClose(s.reports.Close)
+	logAddress := strings.TrimPrefix(s.Settings.Log.Address, "http://")
+	s.logClient = &logclient.Client{Address: cassiatally.Address(logAddress), Timeout: s.Settings.Log.Timeout}
+	s.onClose(s.logClient.Close)
+	return nil
+}
+
+func (s *Supervisor) startLinks() error {
+	cfg := s.Settings
+	s.links = &linker.Linker{
+		Self:        s.self,
+		DataCentre:  cfg.Node.DataCentre,
+		Advertise:   cfg.Advertise.Links,
+		Listen:      cfg.Listen.Links,
+		Codec:       s.codec,
+		Logger:      s.Logger,
+		Heartbeat:   cfg.Links.Heartbeat,
+		DeadAfter:   cfg.Links.DeadAfter,
+		RingSize:    outboxSize,
+		AddressOf:   func(n cassiatally.NodeID) (cassiatally.Address, bool) { return s.members.AddressOf(n) },
+		Inbound:     s.inbound,
+		Lost:        func(peer cassiatally.NodeRef) { s.dispatcher.LinkLost(peer) },
+		Undelivered: func(to cassiatally.NodeID, m cassiatally.Message) { s.dispatcher.SendFailed(to, m) },
+	}
+	s.buildDuties()
+	if err := s.links.Listening(); err != nil {
+		return err
+	}
+	return nil
+}
+
+// buildDuties sets the fields of all duties. It runs before the first of them
+// starts, since they refer to each other.
+func (s *Supervisor) buildDuties() {
+	s.members = &memberkeeper.Keeper{
+		Clock:    s.Clock,
+		Links:    s.links,
+		Logger:   s.Logger,
+		OnView:   s.viewChanged,
+		OnGossip: s.gossiped,
+	}
+	s.buildDispatcher()
+	s.buildExecutor()
+	s.buildKeepers()
+}
+
+func (s *Supervisor) buildDispatcher() {
+	cfg := s.Settings
+	balancer, loads, budget := routing(cfg, newRand())
+	s.dispatcher = &dispatcher.Dispatcher{
+		Balancer:  balancer,
+		Loads:     loads,
+		Clock:     s.Clock,
+		Transport: s.links,
+		Router: router.New(router.Config{
+			Self:     s.self,
+			Balancer: balancer,
+			Budget:   budget,
+			Loads:    loads,
+			Shards:   func() cassiatally.ShardView { return s.claims.Shards() },
+			NextID:   s.nextID,
+		}),
+	}
+}
+
+func (s *Supervisor) buildExecutor() {
+	quarantine := quarantiner.New(s.self)
+	admitter, limiter := admission(s.Settings)
+	s.executor = &executor.Executor{
+		Runner:     runner.New(s.self, admitter, limiter, quarantine, s.nextID),
+		Quarantine: quarantine,
+		Clock:      s.Clock,
+		Transport:  s.links,
+		Requests:   requests{s.dispatcher},
+		Logger:     s.Logger,
+		Changed:    s.members.Endpoint,
+	}
+}
+
+func (s *Supervisor) buildKeepers() {
+	cfg := s.Settings
+	dc := cfg.Node.DataCentre
+	s.sheets = &sheetkeeper.Keeper{
+		Self:      s.self,
+		Follower:  follower.New(follower.Config{Self: s.self}, newRand()),
+		Clock:     s.Clock,
+		Transport: s.links,
+		Log:       s.logClient,
+		Codec:     s.codec,
+		Logger:    s.Logger,
+		OnSheet:   s.sheetAdopted,
+	}
+	s.claims = &claimkeeper.Keeper{
+		Self:       s.self,
+		DataCentre: dc,
+		Claimer:    claimer.New(s.self, dc, cfg.Keys.Shards),
+		Assigner:   assigner.New(s.self, dc, cfg.Keys.Shards),
+		Clock:      s.Clock,
+		Rand:       newRand(),
+		Transport:  s.links,
+		Requests:   requests{s.dispatcher},
+		Log:        s.logClient,
+		Codec:      s.codec,
+		Logger:     s.Logger,
+		NextID:     s.nextID,
+		OnEpochs:   func(sum cassiatally.Epoch) { s.members.ShardEpochs(sum) },
+	}
+}
+
+// startMembers builds the registrar, which needs the address that the kernel
+// chose for links, and starts the duties of membership.
+func (s *Supervisor) startMembers() error {
+	cfg := s.Settings
+	s.members.Registrar = registrar.New(registrar.Config{
+		Self:         s.self,
+		DataCentre:   cfg.Node.DataCentre,
+		Address:      s.links.Advertise,
+		Seeds:        cfg.Seeds,
+		Interval:     cfg.Gossip.Interval,
+		SuspectAfter: cfg.Gossip.SuspectAfter,
+		RemoveAfter:  cfg.Gossip.RemoveAfter,
+	}, newRand())
+	return nil
+}
+
+// startDuties starts all duties before the first message can arrive.
+func (s *Supervisor) startDuties() error {
+	s.dispatcher.Run()
+	s.onClose(s.dispatcher.Close)
+	s.executor.Run()
+	s.onClose(s.executor.Close)
+	s.sheets.Run()
+	s.onClose(s.sheets.Close)
+	s.claims.Run()
+	s.onClose(s.claims.Close)
+	s.members.Run()
+	s.onClose(s.members.Close)
+	s.links.Run()
+	s.onClose(s.links.Close)
+	return nil
+}
+
+func (s *Supervisor) startServers() error {
+	cfg := s.Settings
+	reader := requestreader.Reader{
+		MaxBody:        int64(cfg.Requests.MaxBody),
+		DefaultTimeout: cfg.Requests.DefaultTimeout,
+		MaxTimeout:     cfg.Requests.MaxTimeout,
+	}
+	s.admin = &adminserver.Server{Listen: cfg.Listen.Admin, Status: s.Status, Metrics: s.reports.Handler()}
+	s.backend = &backendserver.Server{
+		Listen: cfg.Listen.Backend, DataCentre: cfg.Node.DataCentre, Reader: reader, Clock: s.Clock,
+		Executor: s.executor, Policies: s.sheets.Policies, NextID: s.nextID,
+	}
+	s.callers = &callerserver.Server{
+		Listen: cfg.Listen.Callers, DataCentre: cfg.Node.DataCentre, Reader: reader, Clock: s.Clock,
+		Requests: requests{s.dispatcher}, Keys: s.claims, Observer: s.reports, Policies: s.sheets.Policies,
+		NextID: s.nextID, Retries: cfg.Retries.PerRoot, MaxInFlight: cfg.Requests.MaxInFlight,
+	}
+	servers := []interface {
+		Run() error
+		Close()
+	}{s.admin, s.backend, s.callers}
+	for _, server := range servers {
+		if err := server.Run(); err != nil {
+			return err
+		}
+		s.onClose(server.Close)
+	}
+	return nil
+}
+
+// Addresses are where a node listens, after the kernel has chosen ports.
+type Addresses struct {
+	Callers, Backend, Links, Admin cassiatally.Address
+}
+
+// Addresses returns where the node listens.
+func (s *Supervisor) Addresses() Addresses {
+	return Addresses{
+		Callers: s.callers.Addr(), Backend: s.backend.Addr(), Links: s.links.Addr(), Admin: s.admin.Addr(),
+	}
+}
+
+// requests adapts the dispatcher to the interfaces of its users.
+type requests struct{ *dispatcher.Dispatcher }
+
+// Submit hands over a request.
+func (r requests) Submit(req cassiatally.Request, reply func(cassiatally.Answer)) bool {
+	return r.Dispatcher.Submit(req, reply)
+}
+
+// Ask hands over a key query.
+func (r requests) Ask(to cassiatally.NodeID, q cassiatally.KeyQuery, timeout time.Duration, reply func(cassiatally.Answer)) bool {
+	return r.Dispatcher.Ask(to, q, timeout, reply)
+}
