--- a/cassiatally/action.go
+++ b/cassiatally/action.go
@@ -9,13 +9,6 @@
 	Message Message
 }
 
-// SendAddress passes a message to whichever node listens at an address. It
-// reaches seeds and members whose node id the sender does not know.
-type SendAddress struct {
-	To      Address
-	Message Message
-}
-
 // Deliver hands an answer to whoever submitted the request on this node.
 type Deliver struct {
 	Call   CallID
@@ -31,31 +24,49 @@
 // Submit has the router of this node route a request.
 type Submit struct{ Request Request }
 
+// Withdraw tells the router that nobody waits for a submitted request any more.
+type Withdraw struct{ Call CallID }
+
 // Append writes a record to a stream of the log service.
 type Append struct {
 	Stream Stream
 	Record []byte
 }
 
-// ReadLog reads records of a stream from an offset on.
+func (Send) action()     {}
+func (Deliver) action()  {}
+func (StartRun) action() {}
+func (AbortRun) action() {}
+func (Submit) action()   {}
+func (Withdraw) action() {}
+func (Append) action()   {}
+
+// AppendAssignment has the log appender of this node append an assignment to
+// the stream of the shard's data centre. Decisions do not encode, so the record
+// is typed.
+type AppendAssignment struct{ Assignment Assignment }
+
+func (AppendAssignment) action() {}
+
+// SendAddress passes a message to the node that accepts links at an address.
+type SendAddress struct {
+	To      Address
+	Message Message
+}
+
+// ReadLog reads a stream of the log service from an offset on.
 type ReadLog struct {
 	Stream Stream
 	From   Offset
 }
 
-// AppendSheet writes a copy of an accepted sheet to the log.
+// AppendSheet writes a sheet record to the log service.
 type AppendSheet struct{ Record SheetRecord }
 
 // AdoptSheet puts a sheet in force on this node.
 type AdoptSheet struct{ Record SheetRecord }
 
-func (Send) action()        {}
 func (SendAddress) action() {}
-func (Deliver) action()     {}
-func (StartRun) action()    {}
-func (AbortRun) action()    {}
-func (Submit) action()      {}
-func (Append) action()      {}
 func (ReadLog) action()     {}
 func (AppendSheet) action() {}
 func (AdoptSheet) action()  {}
--- /dev/null
+++ b/cassiatally/admitter/meter.go
@@ -0,0 +1,256 @@
+package admitter
+
+import (
+	"math"
+	"time"
+
+	"github.com/cassiatally/cassiatally/cassiatally"
+)
+
+const (
+	windowTime = 100 * time.Millisecond
+	// windowCount windows are averaged, so that a single odd one moves the levels
+	// by a quarter at most.
+	windowCount = 4
+	leastLevel  = 0.01
+	mostGrowth  = 1.5
+	// mostShrink bounds the fall of a level in one window for the same reason.
+	mostShrink = 0.5
+	// leastEnded is the number of ended runs below which the throughput of the
+	// windows is too coarse to be used.
+	leastEnded = 8
+	// leastArrivals is the number of arrivals below which the highest order value
+	// says little about the level that the entry applies.
+	leastArrivals = 8
+	// headroom shifts the levels so that the queue stays about half full: a dry
+	// queue wastes capacity and a full one refuses calls that passed the entry.
+	headroom = 0.04
+	// leastBacklog is the part of the queue, on average over the windows, below
+	// which no level falls. Arrivals that vary by chance look like overload now and
+	// then, but only overload fills the queue.
+	leastBacklog = 0.2
+	// spareCapacity is the part of the capacity that must be left for a rank
+	// without arrivals before its level grows.
+	spareCapacity = 0.05
+)
+
+type perRank [cassiatally.MaxRanks]float64
+
+// meter measures arrivals and capacity and computes the levels.
+type meter struct {
+	levels  [cassiatally.MaxRanks]cassiatally.Level
+	limit   cassiatally.Concurrency
+	windows [windowCount]sample
+	next    int
+	now     sample
+
+	begun, touched, lastEnded cassiatally.Instant
+	inFlight, queued          int
+	// capacity is in runs per second; 0 means unknown.
+	capacity float64
+}
+
+// sample is what was seen in one window.
+type sample struct {
+	seconds  float64
+	arrivals perRank
+	ended    float64
+	// busy is the sum of run time in the window, in seconds.
+	busy float64
+	// waiting is the sum of waiting time in the window, in seconds.
+	waiting float64
+	// below counts the arrivals with an order value up to the level.
+	below perRank
+	// passed is level times seconds: how much of the demand the count stands for.
+	passed perRank
+	// highest has the highest order value that arrived.
+	highest perRank
+}
+
+func (m *meter) begin(now cassiatally.Instant) {
+	m.begun, m.touched, m.lastEnded = now, now, now
+	for r := range m.levels {
+		m.levels[r] = 1
+	}
+}
+
+func (m *meter) arrived(r cassiatally.Rank, o cassiatally.Order) {
+	m.now.arrivals[r]++
+	if float64(o) <= float64(m.levels[r]) {
+		m.now.below[r]++
+	}
+	m.now.highest[r] = max(m.now.highest[r], float64(o))
+}
+
+// queue records the length of the queue from now on.
+func (m *meter) queue(now cassiatally.Instant, n int) {
+	m.advance(now)
+	m.queued = n
+}
+
+func (m *meter) started(now cassiatally.Instant, n int) {
+	m.advance(now)
+	if m.inFlight == 0 && n > 0 {
+		m.lastEnded = now
+	}
+	m.inFlight += n
+}
+
+func (m *meter) ended(now cassiatally.Instant) {
+	m.advance(now)
+	m.inFlight = max(m.inFlight-1, 0)
+	m.lastEnded = now
+	m.now.ended++
+}
+
+func (m *meter) advance(now cassiatally.Instant) {
+	d := now.Sub(m.touched).Seconds()
+	m.now.busy += float64(m.inFlight) * d
+	m.now.waiting += float64(m.queued) * d
+	m.touched = now
+}
+
+// free returns how many calls could start at once.
+func (m *meter) free() int { return max(int(m.limit)-m.inFlight, 0) }
+
+// idle reports whether no run ended in the last window.
+func (m *meter) idle() bool {
+	return m.windows[(m.next+windowCount-1)%windowCount].ended == 0
+}
+
+// window returns the time over which the last window ran, in seconds.
+func (m *meter) window() float64 {
+	return m.windows[(m.next+windowCount-1)%windowCount].seconds
+}
+
+// close ends the window if it is long enough, and reports whether it did.
+func (m *meter) close(now cassiatally.Instant, limit cassiatally.Concurrency, typical time.Duration) bool {
+	m.limit = limit
+	d := now.Sub(m.begun)
+	if d < windowTime {
+		return false
+	}
+	m.advance(now)
+	m.now.seconds = d.Seconds()
+	for r, l := range m.levels {
+		m.now.passed[r] = float64(l) * m.now.seconds
+	}
+	m.windows[m.next] = m.now
+	m.next = (m.next + 1) % windowCount
+	m.now = sample{}
+	m.begun = now
+	m.measure(now, typical)
+	return true
+}
+
+// measure derives the capacity by Little's law: limit divided by the mean run
+// time. While the limit is in use this is the throughput itself.
+func (m *meter) measure(now cassiatally.Instant, typical time.Duration) {
+	sum := m.sum()
+	run := typical.Seconds()
+	if sum.ended >= leastEnded {
+		run = sum.busy / sum.ended
+	} else if m.inFlight > 0 {
+		// A backend server from which nothing returns is slower than it was.
+		run = max(run, now.Sub(m.lastEnded).Seconds())
+	}
+	m.capacity = 0
+	if run > 0 {
+		m.capacity = float64(m.limit) / run
+	}
+}
+
+func (m *meter) sum() (sum sample) {
+	for _, w := range m.windows {
+		sum.seconds += w.seconds
+		sum.ended += w.ended
+		sum.busy += w.busy
+		sum.waiting += w.waiting
+		for r := range w.arrivals {
+			sum.arrivals[r] += w.arrivals[r]
+			sum.below[r] += w.below[r]
+			sum.passed[r] += w.passed[r]
+			sum.highest[r] = max(sum.highest[r], w.highest[r])
+		}
+	}
+	return sum
+}
+
+// update sets the levels and returns the capacity available to each rank, in
+// runs per second. Bound is the number of entries that may queue.
+func (m *meter) update(shares perRank, bound int) perRank {
+	sum := m.sum()
+	backlog := float64(m.queued) / float64(bound)
+	filling := sum.waiting/sum.seconds >= leastBacklog*float64(bound)
+	rates := sum.arrivals
+	for r := range rates {
+		rates[r] /= sum.seconds
+	}
+	available := m.available(rates, shares)
+	for r, l := range m.levels {
+		level := float64(l)
+		next := level
+		switch {
+		case rates[r] > 0:
+			next = available[r] * (1 + headroom*(0.5-backlog)) / sum.demand(r)
+		case available[r] > spareCapacity*m.capacity:
+			next = level * mostGrowth
+		}
+		least := level
+		if filling {
+			least *= mostShrink
+		}
+		next = min(max(next, least), level*mostGrowth)
+		m.levels[r] = cassiatally.Level(min(max(next, leastLevel), 1))
+	}
+	return available
+}
+
+// demand returns the demand of a rank before any refusal at the entry, in calls
+// per second. Entry nodes apply a level some time after it was set, and order
+// values are spread evenly. So the calls below the level tell the demand as soon
+// as they arrive, while the number of all arrivals tells about an earlier level.
+func (s *sample) demand(r int) float64 {
+	passed := s.passed[r]
+	if n := s.arrivals[r]; n >= leastArrivals {
+		// While the entry still applies a lower level, nothing arrives above that.
+		passed = min(passed, s.highest[r]*(n+1)/n*s.seconds)
+	}
+	if s.below[r] == 0 {
+		return s.arrivals[r] / s.seconds
+	}
+	return s.below[r] / max(passed, leastLevel*s.seconds/2)
+}
+
+// available allocates the capacity: kept shares first, then strict precedence.
+func (m *meter) available(rates, shares perRank) (available perRank) {
+	if m.capacity <= 0 {
+		for r := range available {
+			available[r] = math.Inf(1)
+		}
+		return available
+	}
+	var kept perRank
+	left := m.capacity
+	for r := range kept {
+		kept[r] = min(shares[r]*m.capacity, rates[r])
+		left -= kept[r]
+	}
+	for r := range available {
+		own := max(left, 0) + kept[r]
+		available[r] = max(own, shares[r]*m.capacity)
+		left -= max(min(rates[r], own)-kept[r], 0)
+	}
+	return available
+}
+
+func (m *meter) published() []cassiatally.Level {
+	levels := make([]cassiatally.Level, cassiatally.MaxRanks)
+	for r := range levels {
+		levels[r] = 1
+		if m.levels[r] > 0 {
+			levels[r] = m.levels[r]
+		}
+	}
+	return levels
+}
--- a/cassiatally/quarantiner/quarantiner.go
+++ b/cassiatally/quarantiner/quarantiner.go
@@ -43,6 +43,9 @@
 	maxReporters = 256
 	// maxReports bounds the reports of a gossip message.
 	maxReports = 8
+	// reportEvery matches the gossip rounds, so that each set of reports is sent
+	// however often the owner asks for it.
+	reportEvery = time.Second
 )
 
 var _ cassiatally.Quarantine = (*Quarantiner)(nil)
@@ -51,6 +54,10 @@
 type Quarantiner struct {
 	self    cassiatally.NodeRef
 	records map[cassiatally.Fingerprint]*record
+
+	reports    []cassiatally.CrashReport
+	reportedAt cassiatally.Instant
+	changed    bool
 }
 
 // record is what is known about one fingerprint.
@@ -103,7 +110,7 @@
 			continue
 		}
 		t.crashes++
-		r.touch(now, t)
+		q.touch(now, r, t)
 		r.judge(now)
 	}
 }
@@ -117,7 +124,7 @@
 	if t := r.tally(q.self); t != nil {
 		t.clears++
 		t.crashes, t.settled = 0, 0
-		r.touch(now, t)
+		q.touch(now, r, t)
 	}
 	r.settle()
 }
@@ -143,13 +150,22 @@
 		t.settled = 0
 		r.settleOthers(t)
 	}
-	r.touch(now, t)
+	q.touch(now, r, t)
 	r.judge(now)
 }
 
 // Reports returns what to tell other nodes: recent changes, those first that
-// were not told for the longest time.
+// were not told for the longest time. The next ones follow after a second.
 func (q *Quarantiner) Reports(now cassiatally.Instant) []cassiatally.CrashReport {
+	if q.changed || now.Reached(q.reportedAt.Add(reportEvery)) {
+		q.reports = q.nextReports(now)
+		q.reportedAt = now
+		q.changed = false
+	}
+	return slices.Clone(q.reports)
+}
+
+func (q *Quarantiner) nextReports(now cassiatally.Instant) []cassiatally.CrashReport {
 	type item struct {
 		report cassiatally.CrashReport
 		tally  *tally
@@ -237,9 +253,10 @@
 	return t
 }
 
-func (r *record) touch(now cassiatally.Instant, t *tally) {
+func (q *Quarantiner) touch(now cassiatally.Instant, r *record, t *tally) {
 	t.changedAt, t.reportedAt = now, 0
 	r.changedAt = now
+	q.changed = true
 }
 
 // crashes returns the crashes since the last completed run.
--- a/cassiatally/quarantiner/quarantiner_test.go
+++ b/cassiatally/quarantiner/quarantiner_test.go
@@ -113,3 +113,25 @@
 	is.Equal(suspects, 1023)
 	is.True(len(q.Reports(now)) <= 8)
 }
+
+// Guards against reports that are never told because others of the same time
+// fill each message, when the owner asks more often than gossip sends.
+func TestAllReportsAreToldInTurn(t *testing.T) {
+	is := is.New(t)
+	q := nodes("a")[0]
+	var inFlight []cassiatally.Fingerprint
+	for f := range 32 {
+		inFlight = append(inFlight, cassiatally.Fingerprint(1+f))
+	}
+	q.Crashed(start, inFlight)
+	told := map[cassiatally.Fingerprint]bool{}
+	for i := range 40 {
+		reports := q.Reports(start.Add(time.Duration(i) * 100 * time.Millisecond))
+		if i%10 == 0 {
+			for _, r := range reports {
+				told[r.Fingerprint] = true
+			}
+		}
+	}
+	is.Equal(len(told), 32)
+}
