--- a/node/backendserver/server.go
+++ b/node/backendserver/server.go
@@ -34,8 +34,10 @@
 	maxHeaderBytes    = 16 << 10
 	maxAnnouncement   = 4 << 10
 	maxSlots          = 1 << 16
-	shutdownGrace     = 5 * time.Second
-	replyGrace        = 500 * time.Millisecond
+	// shutdownGrace exceeds the 5 s for which net/http waits on a connection that
+	// never sent a request.
+	shutdownGrace = 10 * time.Second
+	replyGrace    = 500 * time.Millisecond
 )
 
 // Server serves the backend server of the host. Its fields are set before Run.
--- a/node/callerserver/server.go
+++ b/node/callerserver/server.go
@@ -29,7 +29,9 @@
 const (
 	readHeaderTimeout = 5 * time.Second
 	maxHeaderBytes    = 16 << 10
-	shutdownGrace     = 5 * time.Second
+	// shutdownGrace exceeds the 5 s for which net/http waits on a connection that
+	// never sent a request.
+	shutdownGrace = 10 * time.Second
 	// replyGrace is how long the server waits for the router after the deadline of a
 	// request. The router answers at the deadline; this only guards against a lost
 	// reply.
