linker: test links under silent connections and malformed frames

Cause: the links between nodes had no tests of their own. Change: tests for order, answers on the same link, silent connections, undelivered messages, changed addresses and malformed frames; each checks that Close leaves no goroutine. Measured: go test -race -count=2 ./linker passes.

--- /dev/null
+++ b/node/linker/linker_test.go
@@ -0,0 +1,261 @@
+package linker_test
+
+import (
+	"context"
+	"io"
+	"net"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/charmbracelet/log"
+	"github.com/coder/websocket"
+	"github.com/matryer/is"
+	"go.uber.org/goleak"
+
+	"github.com/cassiatally/cassiatally/cassiatally"
+	"github.com/cassiatally/cassiatally/cassiatally/protocol"
+	"github.com/cassiatally/cassiatally/node/linker"
+)
+
+const limit = 30 * time.Second
+
+// peer is a linker with what it received.
+type peer struct {
+	*linker.Linker
+	received    chan cassiatally.Message
+	lost        chan cassiatally.NodeRef
+	undelivered chan cassiatally.Message
+}
+
+// book tells linkers where nodes accept links.
+type book struct {
+	mu        sync.Mutex
+	addresses map[cassiatally.NodeID]cassiatally.Address
+}
+
+func (b *book) set(n cassiatally.NodeID, a cassiatally.Address) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.addresses[n] = a
+}
+
+func (b *book) addressOf(n cassiatally.NodeID) (cassiatally.Address, bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	a, ok := b.addresses[n]
+	return a, ok
+}
+
+func newPeer(t *testing.T, b *book, id cassiatally.NodeID) *peer {
+	t.Helper()
+	codec, err := protocol.New()
+	if err != nil {
+		t.Fatal(err)
+	}
+	p := &peer{
+		received:    make(chan cassiatally.Message, 64),
+		lost:        make(chan cassiatally.NodeRef, 64),
+		undelivered: make(chan cassiatally.Message, 64),
+	}
+	p.Linker = &linker.Linker{
+		Self:        cassiatally.NodeRef{Node: id, Incarnation: 1},
+		Listen:      "127.0.0.1:0",
+		Codec:       codec,
+		Logger:      log.New(io.Discard),
+		Heartbeat:   100 * time.Millisecond,
+		DeadAfter:   500 * time.Millisecond,
+		RingSize:    8,
+		AddressOf:   b.addressOf,
+		Inbound:     func(_ cassiatally.NodeRef, m cassiatally.Message) { p.received <- m },
+		Lost:        func(ref cassiatally.NodeRef) { p.lost <- ref },
+		Undelivered: func(_ cassiatally.NodeID, m cassiatally.Message) { p.undelivered <- m },
+	}
+	if err := p.Listening(); err != nil {
+		t.Fatal(err)
+	}
+	p.Run()
+	b.set(id, p.Addr())
+	return p
+}
+
+func receive[T any](t *testing.T, c chan T) T {
+	t.Helper()
+	select {
+	case v := <-c:
+		return v
+	case <-time.After(limit):
+		t.Fatal("nothing arrived")
+		panic("unreachable")
+	}
+}
+
+// pipe passes bytes between a caller and a target until it is told to swallow
+// them, which is how a connection goes silent for good.
+type pipe struct {
+	listener net.Listener
+	target   string
+	silent   atomic.Bool
+	running  sync.WaitGroup
+	mu       sync.Mutex
+	open     []net.Conn
+}
+
+func newPipe(t *testing.T, target cassiatally.Address) *pipe {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	p := &pipe{listener: l, target: string(target)}
+	p.running.Go(p.accept)
+	return p
+}
+
+func (p *pipe) accept() {
+	for {
+		in, err := p.listener.Accept()
+		if err != nil {
+			return
+		}
+		out, err := net.Dial("tcp", p.target)
+		if err != nil {
+			_ = in.Close()
+			continue
+		}
+		p.mu.Lock()
+		p.open = append(p.open, in, out)
+		p.mu.Unlock()
+		p.running.Go(func() { p.copy(out, in) })
+		p.running.Go(func() { p.copy(in, out) })
+	}
+}
+
+func (p *pipe) copy(to, from net.Conn) {
+	buf := make([]byte, 4096)
+	for {
+		n, err := from.Read(buf)
+		if err != nil {
+			return
+		}
+		if !p.silent.Load() {
+			_, _ = to.Write(buf[:n])
+		}
+	}
+}
+
+func (p *pipe) close() {
+	_ = p.listener.Close()
+	p.mu.Lock()
+	for _, c := range p.open {
+		_ = c.Close()
+	}
+	p.mu.Unlock()
+	p.running.Wait()
+}
+
+// Guards against messages that get lost or reordered on a link, against answers
+// that need a second connection, and against goroutines that Close leaves behind.
+func TestMessagesBothWays(t *testing.T) {
+	defer goleak.VerifyNone(t)
+	is := is.New(t)
+	b := &book{addresses: make(map[cassiatally.NodeID]cassiatally.Address)}
+	one, two := newPeer(t, b, "one"), newPeer(t, b, "two")
+	defer one.Close()
+	defer two.Close()
+	for i := range 5 {
+		is.NoErr(one.Send("two", cassiatally.SheetPull{Have: cassiatally.Version(i)}))
+	}
+	for i := range 5 {
+		is.Equal(receive(t, two.received), cassiatally.Message(cassiatally.SheetPull{Have: cassiatally.Version(i)}))
+	}
+	b.set("one", "127.0.0.1:1") // only the open link leads back
+	is.NoErr(two.Send("one", cassiatally.ShardPull{Have: 7}))
+	is.Equal(receive(t, one.received), cassiatally.Message(cassiatally.ShardPull{Have: 7}))
+	is.NoErr(one.Send("one", cassiatally.ShardPull{Have: 8})) // to itself
+	is.Equal(receive(t, one.received), cassiatally.Message(cassiatally.ShardPull{Have: 8}))
+}
+
+// Guards against a link that is taken for alive after its connection has gone
+// silent for good while new connections work.
+func TestSilentConnection(t *testing.T) {
+	defer goleak.VerifyNone(t)
+	is := is.New(t)
+	b := &book{addresses: make(map[cassiatally.NodeID]cassiatally.Address)}
+	one, two := newPeer(t, b, "one"), newPeer(t, b, "two")
+	defer one.Close()
+	defer two.Close()
+	silent := newPipe(t, two.Addr())
+	defer silent.close()
+	b.set("two", cassiatally.Address(silent.listener.Addr().String()))
+	is.NoErr(one.Send("two", cassiatally.SheetPull{Have: 1}))
+	receive(t, two.received)
+	silent.silent.Store(true)
+	is.Equal(receive(t, one.lost).Node, cassiatally.NodeID("two"))
+	is.Equal(receive(t, two.lost).Node, cassiatally.NodeID("one"))
+
+	fresh := newPipe(t, two.Addr())
+	defer fresh.close()
+	b.set("two", cassiatally.Address(fresh.listener.Addr().String()))
+	is.NoErr(one.Send("two", cassiatally.SheetPull{Have: 2}))
+	is.Equal(receive(t, two.received), cassiatally.Message(cassiatally.SheetPull{Have: 2}))
+}
+
+// Guards against a message to a dead node that disappears without a report.
+func TestUndelivered(t *testing.T) {
+	defer goleak.VerifyNone(t)
+	is := is.New(t)
+	b := &book{addresses: make(map[cassiatally.NodeID]cassiatally.Address)}
+	one, two := newPeer(t, b, "one"), newPeer(t, b, "two")
+	defer one.Close()
+	two.Close()
+	is.NoErr(one.Send("two", cassiatally.SheetPull{Have: 1}))
+	is.Equal(receive(t, one.undelivered), cassiatally.Message(cassiatally.SheetPull{Have: 1}))
+	err := one.Send("unknown", cassiatally.SheetPull{Have: 1})
+	is.Equal(cassiatally.KindOf(err), cassiatally.KindUnreachable)
+}
+
+// Guards against a message that reaches another node than the one it is for,
+// after an address has changed hands.
+func TestAddressOfAnotherNode(t *testing.T) {
+	defer goleak.VerifyNone(t)
+	is := is.New(t)
+	b := &book{addresses: make(map[cassiatally.NodeID]cassiatally.Address)}
+	one, two := newPeer(t, b, "one"), newPeer(t, b, "two")
+	defer one.Close()
+	defer two.Close()
+	b.set("gone", two.Addr())
+	is.NoErr(one.Send("gone", cassiatally.SheetPull{Have: 1}))
+	receive(t, one.undelivered)
+	is.Equal(len(two.received), 0)
+}
+
+// Guards against a peer whose malformed frames disturb the links of others.
+func TestMalformedFrames(t *testing.T) {
+	defer goleak.VerifyNone(t)
+	is := is.New(t)
+	b := &book{addresses: make(map[cassiatally.NodeID]cassiatally.Address)}
+	one, two := newPeer(t, b, "one"), newPeer(t, b, "two")
+	defer one.Close()
+	defer two.Close()
+	is.NoErr(one.Send("two", cassiatally.SheetPull{Have: 1}))
+	receive(t, two.received)
+	for _, frame := range [][]byte{nil, []byte("junk"), {0x83, 9, 2, 0xa0}} {
+		ctx, cancel := context.WithTimeout(context.Background(), limit)
+		conn, resp, err := websocket.Dial(ctx, "ws://"+string(two.Addr())+"/v1/link", nil)
+		is.NoErr(err)
+		if resp.Body != nil {
+			_ = resp.Body.Close()
+		}
+		is.NoErr(conn.Write(ctx, websocket.MessageBinary, frame))
+		for err == nil {
+			_, _, err = conn.Read(ctx)
+		}
+		is.NoErr(ctx.Err()) // the node closed the connection
+		_ = conn.CloseNow()
+		cancel()
+	}
+	is.NoErr(one.Send("two", cassiatally.SheetPull{Have: 2}))
+	is.Equal(receive(t, two.received), cassiatally.Message(cassiatally.SheetPull{Have: 2}))
+}
