--- a/cassiatally/assigner/assigner.go
+++ b/cassiatally/assigner/assigner.go
@@ -8,6 +8,13 @@
 // it gives up the history by naming its own epoch as CompleteFrom. An epoch in
 // force never goes back.
 //
+// A reader whose log was cut takes a re-appended record or a peer's table as its
+// base, and judges the records after the place for which the base speaks. A base
+// for a place before the cut is not used: the winner may have been cut off, and
+// a later loser would be taken for it. When neither turns up, as after an outage of a whole data centre, a new
+// pair is appended as a re-appended record whose epoch is above every epoch that
+// the log can have held: an epoch is never above twice the number of records.
+//
 // # Usage
 //
 // The duty that owns the assigner reads the stream and passes on what it reads:
@@ -23,7 +30,9 @@
 //
 // Peers pass on their tables when the sum of their epochs is higher:
 //
-//	a.Adopt(table.Assignments)
+//	a.Adopt(table)
+//
+// While NeedsTable reports true, the owner asks a peer for its whole table.
 //
 // An Assigner is not safe for concurrent use. Snapshot returns a view that is
 // never changed.
@@ -43,6 +52,12 @@
 	// table of a node that has just started is not complete, and a new pair gives
 	// up the history of the shard.
 	orphanGrace = 5 * time.Second
+	// rebaseGrace is how long a cut log must stay without a base before a new pair
+	// is appended. Gossip brings the table of a live peer well before that.
+	rebaseGrace = 15 * time.Second
+	// maxHeld bounds the records of a shard that wait for a base. A shard has a few
+	// records in the time that the log keeps them.
+	maxHeld = 256
 	// appendRetry bounds the appends of one shard while the log is down.
 	appendRetry = time.Second
 	// reappendFraction of the time that the log keeps a record passes before its
@@ -50,11 +65,21 @@
 	reappendFraction = 2
 )
 
+// heldRecord is a record that cannot be judged without a base.
+type heldRecord struct {
+	at     cassiatally.Offset
+	record cassiatally.Assignment
+}
+
 // shard is the table entry of one shard.
 type shard struct {
 	inForce cassiatally.Assignment
-	// highest is the highest epoch read from the log, whether adopted or not.
-	highest cassiatally.Epoch
+	// from is where the run of records that was read without a gap begins.
+	from cassiatally.Offset
+	// held has the records that wait for a base.
+	held []heldRecord
+	// judgeFrom is the offset up to which a peer's table has the winners.
+	judgeFrom cassiatally.Offset
 	// gapped tells that records were dropped before they were read, so the next
 	// record with the following epoch may be the loser of a race.
 	gapped  bool
@@ -91,19 +116,19 @@
 // StartAt tells the offset at which a batch from the log begins. A batch that
 // begins after the offset that was expected means that records were dropped.
 func (a *Assigner) StartAt(first cassiatally.Offset) {
-	switch {
-	case !a.started:
-		a.started = true
-		a.complete = first == 0
-		a.next = first
-	case first > a.next:
-		a.complete = false
-		a.next = first
-		a.caughtUp = false
-		for i := range a.shards {
-			a.shards[i].gapped = true
-		}
+	if a.started && first <= a.next {
+		return
+	}
+	a.complete = !a.started && first == 0
+	a.caughtUp = false
+	for i := range a.shards {
+		s := &a.shards[i]
+		s.gapped = s.inForce.Epoch > 0 && s.judgeFrom < first
+		s.from = first
+		s.held = nil
 	}
+	a.started = true
+	a.next = first
 }
 
 // Next returns the offset to read from.
@@ -131,33 +156,89 @@
 	if s == nil {
 		return false
 	}
-	wins := a.wins(s, as)
-	s.highest = max(s.highest, as.Epoch)
-	if wins {
-		s.put(as)
-	}
-	if as.Epoch == s.inForce.Epoch && (wins || as.Reappend) {
+	before := s.inForce
+	a.judge(s, at, as)
+	changed := s.inForce != before
+	if plain(as) == s.inForce {
 		s.reappendAt = now.Add(expires / reappendFraction)
 		s.appended = false
 	}
-	return wins
+	return changed
+}
+
+// judge applies a record, or holds it until there is a base.
+func (a *Assigner) judge(s *shard, at cassiatally.Offset, as cassiatally.Assignment) {
+	if a.based(s) {
+		if at >= s.judgeFrom && wins(s.inForce, as) {
+			s.put(as)
+		}
+		return
+	}
+	switch {
+	case !as.Reappend || as.ReadTo < s.from || as.Epoch < s.inForce.Epoch:
+		s.hold(at, as)
+	case startsAnew(as):
+		// Every epoch before ReadTo is lower, and so is every one that was read since.
+		if as.Epoch > s.highestHeld() {
+			a.rebase(s, as, at)
+		}
+	default:
+		s.hold(at, as)
+		a.rebase(s, as, as.ReadTo)
+	}
+}
+
+func (s *shard) hold(at cassiatally.Offset, as cassiatally.Assignment) {
+	s.held = append(s.held, heldRecord{at, as})
+	if len(s.held) > maxHeld {
+		s.from = s.held[0].at + 1
+		s.held = s.held[1:]
+	}
+}
+
+func (s *shard) highestHeld() cassiatally.Epoch {
+	highest := s.inForce.Epoch
+	for _, h := range s.held {
+		highest = max(highest, h.record.Epoch)
+	}
+	return highest
+}
+
+// rebase takes an assignment that was in force at an offset, and judges the
+// records that were held from there on.
+func (a *Assigner) rebase(s *shard, as cassiatally.Assignment, from cassiatally.Offset) {
+	if as.Epoch > s.inForce.Epoch {
+		s.put(as)
+	}
+	s.gapped = false
+	s.judgeFrom = max(s.judgeFrom, from)
+	held := s.held
+	s.held = nil
+	for _, h := range held {
+		a.judge(s, h.at, h.record)
+	}
 }
 
-func (a *Assigner) wins(s *shard, as cassiatally.Assignment) bool {
+// wins reports whether a record takes the place of the assignment in force.
+func wins(cur, as cassiatally.Assignment) bool {
 	switch {
 	case as.Reappend:
-		return (s.gapped || !a.complete) && as.Epoch > s.inForce.Epoch && as.Epoch >= s.highest
-	case s.gapped:
-		return false
-	case s.inForce.Epoch == 0:
-		return a.complete && as.Epoch == 1
+		return startsAnew(as) && as.Epoch > cur.Epoch
+	case cur.Epoch == 0:
+		return as.Epoch == 1
 	default:
-		// A higher epoch that was read while there was no base means that this
-		// record is not the first with its epoch.
-		return as.Epoch == s.inForce.Epoch+1 && as.Epoch > s.highest && follows(s.inForce, as)
+		return as.Epoch == cur.Epoch+1 && follows(cur, as)
 	}
 }
 
+// startsAnew reports whether a record is a new pair without a base. Its epoch is
+// above all epochs that the log can have held before ReadTo.
+func startsAnew(as cassiatally.Assignment) bool {
+	return as.Reappend && as.CompleteFrom == as.Epoch && as.Epoch == epochAfter(as.ReadTo)
+}
+
+func epochAfter(next cassiatally.Offset) cassiatally.Epoch { return 2 * cassiatally.Epoch(next+1) }
+
 // follows reports whether a correct node can append next on top of cur.
 func follows(cur, next cassiatally.Assignment) bool {
 	if next.CompleteFrom < cur.CompleteFrom {
@@ -166,24 +247,58 @@
 	return next.CompleteFrom == next.Epoch || next.Holder == cur.Holder || next.Holder == cur.Standby
 }
 
-// Adopt applies the table of a peer. Entries of epochs that are not higher than
-// the epoch in force are ignored.
-func (a *Assigner) Adopt(table []cassiatally.Assignment) bool {
+// Adopt applies the table of a peer. An epoch in force never goes back, and an
+// equal entry confirms one that a gap in the log has made doubtful.
+//
+// The table is a base for the records from its offset on. A table from before
+// the place where this reader began leaves a gap, so it tells past winners only.
+func (a *Assigner) Adopt(t cassiatally.ShardTable) bool {
 	changed := false
-	for _, as := range table {
+	for _, as := range t.Assignments {
 		s := a.entry(as.Shard)
-		if s == nil || as.Epoch <= s.inForce.Epoch {
+		if s == nil || as.Epoch < s.inForce.Epoch || (as.Epoch == s.inForce.Epoch && as != s.inForce) {
 			continue
 		}
-		s.put(as)
-		changed = true
+		before := s.inForce
+		switch {
+		case a.based(s) && t.Next <= a.next:
+			// This reader has judged the same records itself.
+		case t.Next >= s.from:
+			a.rebase(s, as, t.Next)
+		case as != s.inForce:
+			s.put(as)
+			s.gapped = true
+		}
+		changed = changed || s.inForce != before
 	}
 	return changed
 }
 
-func (s *shard) put(as cassiatally.Assignment) {
+// NeedsTable reports whether the owner has to ask a peer for its whole table,
+// because the log was cut before it was read.
+func (a *Assigner) NeedsTable() bool {
+	for i := range a.shards {
+		if !a.based(&a.shards[i]) {
+			return true
+		}
+	}
+	return false
+}
+
+// based reports whether the next record in the log can be judged.
+func (a *Assigner) based(s *shard) bool {
+	return !s.gapped && (a.complete || s.inForce.Epoch > 0)
+}
+
+// plain returns an assignment without what only its record in the log has.
+func plain(as cassiatally.Assignment) cassiatally.Assignment {
 	as.Reappend = false
-	s.inForce = as
+	as.ReadTo = 0
+	return as
+}
+
+func (s *shard) put(as cassiatally.Assignment) {
+	s.inForce = plain(as)
 	s.gapped = false
 	s.changed = true
 	s.orphan = false
@@ -208,12 +323,13 @@
 	return changed
 }
 
-// Table returns all assignments in force, for a peer that is behind.
-func (a *Assigner) Table() []cassiatally.Assignment {
-	var table []cassiatally.Assignment
+// Table returns the assignments in force, for a peer that is behind. Assignments
+// that a gap in the log has made doubtful are left out.
+func (a *Assigner) Table() cassiatally.ShardTable {
+	table := cassiatally.ShardTable{Next: a.next}
 	for i := range a.shards {
-		if a.shards[i].inForce.Epoch > 0 {
-			table = append(table, a.shards[i].inForce)
+		if a.shards[i].inForce.Epoch > 0 && a.based(&a.shards[i]) {
+			table.Assignments = append(table.Assignments, a.shards[i].inForce)
 		}
 	}
 	return table
@@ -251,7 +367,8 @@
 func (a *Assigner) reappend(now cassiatally.Instant, s *shard) (cassiatally.Assignment, bool) {
 	as := s.inForce
 	as.Reappend = true
-	return as, as.Holder == a.self && s.reappendAt > 0 && now.Reached(s.reappendAt)
+	as.ReadTo = a.next
+	return as, as.Holder == a.self && a.based(s) && s.reappendAt > 0 && now.Reached(s.reappendAt)
 }
 
 func (a *Assigner) fresh(now cassiatally.Instant, id cassiatally.ShardID) (cassiatally.Assignment, bool) {
@@ -267,8 +384,12 @@
 	ref := cassiatally.ShardRef{DataCentre: a.dc, Shard: id}
 	order := staying(cassiatally.Rendezvous(ref.String(), a.live))
 	turn := a.turn(order)
+	based := a.based(s)
 	wait := time.Duration(turn) * turnDelay
-	if s.inForce.Epoch > 0 {
+	switch {
+	case !based:
+		wait += rebaseGrace
+	case s.inForce.Epoch > 0:
 		wait += orphanGrace
 	}
 	if turn < 0 || !now.Reached(s.orphanSince.Add(wait)) {
@@ -276,17 +397,20 @@
 	}
 	standby, ok := cassiatally.StandbyFor(ref, order[0], order)
 	epoch := s.inForce.Epoch + 1
-	return cassiatally.Assignment{
-		Shard: ref, Epoch: epoch, Holder: order[0].Ref, Standby: standby.Ref, CompleteFrom: epoch,
-	}, ok
+	fresh := cassiatally.Assignment{Shard: ref, Holder: order[0].Ref, Standby: standby.Ref}
+	if !based {
+		epoch = epochAfter(a.next)
+		fresh.Reappend = true
+		fresh.ReadTo = a.next
+	}
+	fresh.Epoch = epoch
+	fresh.CompleteFrom = epoch
+	return fresh, ok
 }
 
-// unpaired reports whether neither holder nor standby is live.
+// unpaired reports whether neither holder nor standby is live, or unknown.
 func (a *Assigner) unpaired(s *shard) bool {
-	if s.gapped || (s.inForce.Epoch == 0 && !a.complete) {
-		return false
-	}
-	return !a.isLive(s.inForce.Holder) && !a.isLive(s.inForce.Standby)
+	return !a.based(s) || !a.isLive(s.inForce.Holder) && !a.isLive(s.inForce.Standby)
 }
 
 func (a *Assigner) isLive(ref cassiatally.NodeRef) bool {
--- a/cassiatally/assigner/assigner_test.go
+++ b/cassiatally/assigner/assigner_test.go
@@ -25,8 +25,9 @@
 	}
 }
 
-func reappended(as cassiatally.Assignment) cassiatally.Assignment {
+func reappended(as cassiatally.Assignment, readTo cassiatally.Offset) cassiatally.Assignment {
 	as.Reappend = true
+	as.ReadTo = readTo
 	return as
 }
 
@@ -56,9 +57,13 @@
 		{"a holder from nowhere is ignored", 0, []cassiatally.Assignment{first, assignment(2, three, two, 1)}, 1, one},
 		{"a new pair gives up the history", 0, []cassiatally.Assignment{first, assignment(2, three, two, 2)}, 2, three},
 		{"history never grows back", 0, []cassiatally.Assignment{assignment(1, one, two, 1), assignment(2, one, two, 2), assignment(3, one, two, 1)}, 2, one},
-		{"a cut log is based on a re-appended record", 7, []cassiatally.Assignment{reappended(assignment(5, one, two, 3)), assignment(6, two, three, 3)}, 6, two},
-		{"a re-appended record never goes back", 0, []cassiatally.Assignment{first, assignment(2, two, one, 1), reappended(first)}, 2, two},
-		{"a late base cannot tell the winner of a race", 7, []cassiatally.Assignment{assignment(6, two, three, 3), reappended(assignment(5, one, two, 3)), assignment(6, one, three, 3)}, 0, cassiatally.NodeRef{}},
+		{"a cut log is based on a re-appended record", 7, []cassiatally.Assignment{reappended(assignment(5, one, two, 3), 7), assignment(6, two, three, 3)}, 6, two},
+		{"a re-appended record never goes back", 0, []cassiatally.Assignment{first, assignment(2, two, one, 1), reappended(first, 2)}, 2, two},
+		{"a base speaks for the place where it was read", 7, []cassiatally.Assignment{assignment(6, two, three, 3), reappended(assignment(5, one, two, 3), 7), assignment(6, one, three, 3)}, 6, two},
+		{"a base from before the cut is not used", 7, []cassiatally.Assignment{reappended(assignment(5, one, two, 3), 6), assignment(6, one, three, 3)}, 0, cassiatally.NodeRef{}},
+		{"an invalid record does not block the winner", 0, []cassiatally.Assignment{first, assignment(2, three, two, 1), assignment(2, two, three, 1)}, 2, two},
+		{"a new pair after a cut needs no base", 9, []cassiatally.Assignment{reappended(assignment(20, three, two, 20), 9), assignment(21, two, one, 20)}, 21, two},
+		{"a new pair after a cut is above all epochs", 0, []cassiatally.Assignment{first, reappended(assignment(20, three, two, 20), 9)}, 20, three},
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
@@ -85,8 +90,12 @@
 	a.Fold(0, 0, time.Hour, assignment(1, one, two, 1))
 	a.StartAt(9)
 	is.True(!a.Fold(0, 9, time.Hour, assignment(2, one, three, 1)))
-	is.True(a.Adopt([]cassiatally.Assignment{assignment(2, two, three, 1)}))
-	is.True(!a.Adopt([]cassiatally.Assignment{assignment(1, one, two, 1)}))
+	is.True(a.NeedsTable())
+	is.True(!a.Adopt(cassiatally.ShardTable{Next: 8, Assignments: []cassiatally.Assignment{assignment(1, one, two, 1)}}))
+	is.True(a.NeedsTable()) // the table is older than the gap
+	is.True(a.Adopt(cassiatally.ShardTable{Next: 10, Assignments: []cassiatally.Assignment{assignment(2, two, three, 1)}}))
+	is.True(!a.Adopt(cassiatally.ShardTable{Next: 10, Assignments: []cassiatally.Assignment{assignment(1, one, two, 1)}}))
+	is.True(!a.NeedsTable())
 	is.True(a.Fold(0, 10, time.Hour, assignment(3, three, one, 1)))
 	is.Equal(len(a.Changed()), 1)
 	is.Equal(len(a.Changed()), 0)
@@ -132,8 +141,8 @@
 	a.Fold(0, 0, time.Hour, assignment(1, one, two, 1))
 	is.Equal(len(a.Tick(cassiatally.Instant(29*time.Minute))), 0)
 	out := a.Tick(cassiatally.Instant(31 * time.Minute))
-	is.Equal(out, []cassiatally.Action{cassiatally.AppendAssignment{Assignment: reappended(assignment(1, one, two, 1))}})
-	a.Fold(cassiatally.Instant(31*time.Minute), 1, time.Hour, reappended(assignment(1, one, two, 1)))
+	is.Equal(out, []cassiatally.Action{cassiatally.AppendAssignment{Assignment: reappended(assignment(1, one, two, 1), 1)}})
+	a.Fold(cassiatally.Instant(31*time.Minute), 1, time.Hour, reappended(assignment(1, one, two, 1), 1))
 	is.Equal(len(a.Tick(cassiatally.Instant(40*time.Minute))), 0)
 }
 
--- a/cassiatally/claimer/claim.go
+++ b/cassiatally/claimer/claim.go
@@ -26,8 +26,8 @@
 	submitted bool
 	// orphaned tells that the shard passed to another holder during the run.
 	orphaned bool
-	// call is kept until the request is submitted.
-	call     cassiatally.Call
+	// call is kept until the request is submitted or void.
+	call     *cassiatally.Call
 	deadline cassiatally.Instant
 	// waitUntil is when the last waiting call is answered in any case.
 	waitUntil cassiatally.Instant
@@ -57,6 +57,10 @@
 // request is what the router has to run for the claim.
 func (cl *claim) request(id cassiatally.CallID) cassiatally.Request {
 	c := cl.call
+	if c == nil {
+		// Only a switched off mechanism submits a claim of an earlier holder.
+		c = &cassiatally.Call{}
+	}
 	return cassiatally.Request{
 		ID: id, Root: c.Root, Service: c.Service, Work: c.Work, Tenant: c.Tenant,
 		Policy: cassiatally.Policy{Rank: c.Rank}, Order: c.Order, Deadline: cl.deadline,
--- a/cassiatally/claimer/claimer.go
+++ b/cassiatally/claimer/claimer.go
@@ -76,6 +76,7 @@
 	runs         map[cassiatally.CallID]*claim
 	waiting      map[waiter]*claim
 	answers      answerStore
+	heldBytes    int
 	seq          uint64
 	out          []cassiatally.Action
 	faults       faults
@@ -185,6 +186,7 @@
 
 func (c *Claimer) forget(s *shard, cl *claim, a cassiatally.Answer) {
 	delete(s.claims, cl.key)
+	c.dropCall(cl)
 	if cl.running() {
 		cl.orphaned = true
 		return
--- a/cassiatally/claimer/explore_test.go
+++ b/cassiatally/claimer/explore_test.go
@@ -48,7 +48,8 @@
 
 // Guards against a second run of a key, a not_run answer for a request that ran
 // or runs later, and a ran answer without a run, under lost, duplicated and
-// reordered messages, pauses, crashes, takeovers and racing appends. Guards also
+// reordered messages, pauses, crashes, takeovers, racing appends and a log that
+// drops records before they are read. Guards also
 // against a shard that takes no claims after the faults have ended.
 func TestRulesHoldUnderFaults(t *testing.T) {
 	var total worldStats
@@ -85,11 +86,11 @@
 		seed   int
 	}{
 		{"standby acknowledgement", faults{skipAck: true}, 0},
-		{"sealing of earlier epochs", faults{skipSeal: true}, 0},
-		{"unfinished claims become unknown", faults{forgetPending: true}, 7},
-		{"whole copy before takeover", faults{partialCopy: true}, 0},
-		{"epoch and incarnation of acknowledgements", faults{anyEpochAcks: true}, 2517},
-		{"void recorded before not_run", faults{earlyNotRun: true}, 76},
+		{"sealing of earlier epochs", faults{skipSeal: true}, 7},
+		{"unfinished claims become unknown", faults{forgetPending: true}, 2},
+		{"whole copy before takeover", faults{partialCopy: true}, 8},
+		{"epoch and incarnation of acknowledgements", faults{anyEpochAcks: true}, 8278},
+		{"void recorded before not_run", faults{earlyNotRun: true}, 13},
 	}
 	search, _ := strconv.Atoi(os.Getenv("CLAIMER_SEARCH"))
 	for _, c := range cases {
--- a/cassiatally/claimer/holder.go
+++ b/cassiatally/claimer/holder.go
@@ -14,7 +14,13 @@
 	rotateAfter = 12 * time.Hour
 	// claimsPerRotation starts a new epoch early, so that the claims of two
 	// rotations stay within the memory of a node.
-	claimsPerRotation = 1 << 15
+	claimsPerRotation = 1 << 14
+	// maxClaims closes a shard that cannot rotate because the log is down. A claim
+	// takes about 250 bytes at the holder and at the standby.
+	maxClaims = 3 * claimsPerRotation
+	// maxHeldBytes bounds the bodies of the calls whose claims are not recorded
+	// yet, over all shards of the node.
+	maxHeldBytes = 8 << 20
 	// answerGrace is how long after its deadline a call still waits for a void to
 	// be acknowledged before it is answered as unknown.
 	answerGrace = time.Second
@@ -48,11 +54,12 @@
 		key:         call.Key,
 		epoch:       parts.Epoch,
 		fingerprint: cassiatally.FingerprintOf(call.Service, call.Work, call.Body),
-		call:        call,
+		call:        &call,
 		deadline:    now.Add(call.Remaining),
 		waitUntil:   now.Add(call.Remaining + answerGrace),
 		waiters:     []waiter{w},
 	}
+	c.heldBytes += len(call.Body)
 	s.claims[cl.key] = cl
 	s.minted++
 	if call.Remaining <= 0 {
@@ -224,7 +231,8 @@
 // closed reports whether the shard takes no new claims.
 func (c *Claimer) closed(now cassiatally.Instant, s *shard) bool {
 	return c.draining || s.peerSealed || s.current.Standby.IsZero() ||
-		s.outbox.stalled(now) || len(s.outbox.entries) >= maxOutbox
+		s.outbox.stalled(now) || len(s.outbox.entries) >= maxOutbox ||
+		len(s.claims) >= maxClaims || c.heldBytes >= maxHeldBytes
 }
 
 // durable reports whether the standby has recorded the state of the claim.
@@ -268,12 +276,19 @@
 	c.runs[id] = cl
 	c.out = append(c.out, cassiatally.Submit{Request: cl.request(id)})
 	cl.submitted = true
-	cl.call = cassiatally.Call{}
+	c.dropCall(cl)
+}
+
+func (c *Claimer) dropCall(cl *claim) {
+	if cl.call != nil {
+		c.heldBytes -= len(cl.call.Body)
+		cl.call = nil
+	}
 }
 
 func (c *Claimer) voidExpired(now cassiatally.Instant, cl *claim) {
 	cl.state = cassiatally.ClaimVoid
-	cl.call = cassiatally.Call{}
+	c.dropCall(cl)
 	c.answers.put(now, cl, failure(cassiatally.KindExpired, cassiatally.OutcomeNotRun, "the deadline passed before the claim was acknowledged"))
 }
 
--- a/cassiatally/claimer/world_test.go
+++ b/cassiatally/claimer/world_test.go
@@ -59,6 +59,8 @@
 	net     []envelope
 	late    []envelope
 	log     []cassiatally.Assignment
+	first   int
+	trims   int
 	appends []testAppend
 	runs    []testRun
 	keys    []cassiatally.Key
@@ -79,7 +81,7 @@
 
 func newWorld(t *rapid.T, f faults) *world {
 	w := &world{
-		t: t, faults: f,
+		t: t, faults: f, trims: 1,
 		calls: make(map[cassiatally.CallID]subject), roots: make(map[cassiatally.RootID]cassiatally.Key),
 		submits: make(map[cassiatally.Key]int), ran: make(map[subject]bool), denied: make(map[subject]bool),
 	}
@@ -136,6 +138,7 @@
 		{3, w.settle},
 		{3, w.outage},
 		{1, w.adopt},
+		{w.trims, w.trim},
 	}
 	total := 0
 	for _, m := range moves {
@@ -409,7 +412,8 @@
 }
 
 func (w *world) read(n *testNode, most int) {
-	n.table.StartAt(0)
+	n.table.StartAt(cassiatally.Offset(w.first))
+	n.cursor = max(n.cursor, w.first)
 	for ; n.cursor < len(w.log) && most > 0; most-- {
 		n.table.Fold(w.now, cassiatally.Offset(n.cursor), time.Hour, w.log[n.cursor])
 		n.cursor++
@@ -419,13 +423,20 @@
 	w.stats.epochs = max(w.stats.epochs, int(n.table.SumEpochs()))
 }
 
+// trim has the log drop its oldest records.
+func (w *world) trim() { w.first = min(len(w.log), w.first+1+w.pick(3, "trimmed")) }
+
 // adopt passes on a table by gossip.
 func (w *world) adopt() {
 	n := w.awake()
 	if n == nil {
 		return
 	}
-	n.table.Adopt(w.nodes[w.pick(len(w.nodes), "peer")].table.Table())
+	w.gossip(n, w.nodes[w.pick(len(w.nodes), "peer")])
+}
+
+func (w *world) gossip(n, peer *testNode) {
+	n.table.Adopt(peer.table.Table())
 	w.do(n, n.claims.AssignmentsChanged(w.now, n.table.Changed()))
 }
 
@@ -485,6 +496,7 @@
 			}
 			w.setMembers(n, func(m *testNode) bool { return !m.paused })
 			w.read(n, len(w.log))
+			w.gossip(n, w.nodes[w.pick(len(w.nodes), "peer")])
 			w.tickNode(n)
 		}
 		for i := 0; i < perRound && len(w.net) > 0; i++ {
@@ -495,7 +507,7 @@
 
 // recovers reports whether a new key is run once the faults have ended.
 func (w *world) recovers() bool {
-	const settlings = 5
+	const settlings = 6
 	for _, n := range w.nodes {
 		n.paused = false
 	}
--- a/cassiatally/message.go
+++ b/cassiatally/message.go
@@ -194,13 +194,21 @@
 	// CompleteFrom is the lowest epoch of which the holder has every claim.
 	CompleteFrom Epoch
 	Reappend     bool
+	// ReadTo is, in a re-appended record, the offset up to which its writer had
+	// read the stream. A reader judges the records from there on itself.
+	ReadTo Offset
 }
 
 // ShardPull asks a node for its shard table.
 type ShardPull struct{ Have Epoch }
 
 // ShardTable passes on the assignments of a data centre.
-type ShardTable struct{ Assignments []Assignment }
+type ShardTable struct {
+	Assignments []Assignment
+	// Next is the offset up to which the sender has read the stream. It is zero
+	// in the log's own records.
+	Next Offset
+}
 
 // ClaimState is the state of an idempotency key at its holder.
 type ClaimState uint8
--- a/cassiatally/protocol/wire.go
+++ b/cassiatally/protocol/wire.go
@@ -166,12 +166,13 @@
 }
 
 type wireAssignment struct {
-	Shard        wireShardRef      `cbor:"1,keyasint,omitempty"`
-	Epoch        cassiatally.Epoch `cbor:"2,keyasint,omitempty"`
-	Holder       wireNodeRef       `cbor:"3,keyasint,omitempty"`
-	Standby      wireNodeRef       `cbor:"4,keyasint,omitempty"`
-	CompleteFrom cassiatally.Epoch `cbor:"5,keyasint,omitempty"`
-	Reappend     bool              `cbor:"6,keyasint,omitempty"`
+	Shard        wireShardRef       `cbor:"1,keyasint,omitempty"`
+	Epoch        cassiatally.Epoch  `cbor:"2,keyasint,omitempty"`
+	Holder       wireNodeRef        `cbor:"3,keyasint,omitempty"`
+	Standby      wireNodeRef        `cbor:"4,keyasint,omitempty"`
+	CompleteFrom cassiatally.Epoch  `cbor:"5,keyasint,omitempty"`
+	Reappend     bool               `cbor:"6,keyasint,omitempty"`
+	ReadTo       cassiatally.Offset `cbor:"7,keyasint,omitempty"`
 }
 
 func toAssignment(m cassiatally.Assignment) wireAssignment {
@@ -182,6 +183,7 @@
 		Standby:      toNodeRef(m.Standby),
 		CompleteFrom: m.CompleteFrom,
 		Reappend:     m.Reappend,
+		ReadTo:       m.ReadTo,
 	}
 }
 
@@ -193,6 +195,7 @@
 		Standby:      fromNodeRef(w.Standby),
 		CompleteFrom: w.CompleteFrom,
 		Reappend:     w.Reappend,
+		ReadTo:       w.ReadTo,
 	}
 }
 
@@ -481,18 +484,21 @@
 func fromShardPull(w wireShardPull) cassiatally.ShardPull { return cassiatally.ShardPull(w) }
 
 type wireShardTable struct {
-	Assignments []wireAssignment `cbor:"1,keyasint,omitempty"`
+	Assignments []wireAssignment   `cbor:"1,keyasint,omitempty"`
+	Next        cassiatally.Offset `cbor:"2,keyasint,omitempty"`
 }
 
 func toShardTable(m cassiatally.ShardTable) wireShardTable {
 	return wireShardTable{
 		Assignments: each(m.Assignments, toAssignment),
+		Next:        m.Next,
 	}
 }
 
 func fromShardTable(w wireShardTable) cassiatally.ShardTable {
 	return cassiatally.ShardTable{
 		Assignments: each(w.Assignments, fromAssignment),
+		Next:        w.Next,
 	}
 }
 
