claimer: explore hand-overs and test sealing

Cause: the exploration had no node that hands over its shards before it leaves, and no test stated that a standby seals before it appends. Change: the model gets draining nodes; a unit test covers sealing and the takeover without a whole copy. The seeds of TestExplorationNoticesMissingMechanism follow the changed moves; each is the first that finds a violation.

--- a/cassiatally/claimer/claimer_test.go
+++ b/cassiatally/claimer/claimer_test.go
@@ -195,6 +195,36 @@
 	is.Equal(refused[0].Outcome, cassiatally.OutcomeUnknown)
 }
 
+// Guards against a standby that acknowledges claims after it has begun a
+// takeover, and against one that takes over history that it does not have.
+func TestStandbySealsBeforeTakeover(t *testing.T) {
+	cases := []struct {
+		name     string
+		copied   bool
+		complete cassiatally.Epoch
+	}{
+		{"with the whole copy", true, 1},
+		{"with a part of the copy", false, 2},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			s := New(standbyRef, testDC, 1)
+			s.AssignmentsChanged(0, []cassiatally.Assignment{{
+				Shard: testShard, Epoch: 1, Holder: holderRef, Standby: standbyRef, CompleteFrom: 1,
+			}})
+			s.HandleClaimCopy(0, "holder", cassiatally.ClaimCopy{Shard: testShard, Epoch: 1, From: holderRef, Seq: 1, Last: c.copied})
+			next := proposed(s.MembersChanged(second(4), []cassiatally.Member{{Ref: standbyRef}, {Ref: spareRef}}))
+			is.Equal(next.Holder, standbyRef)
+			is.Equal(next.Standby, spareRef)
+			is.Equal(next.CompleteFrom, c.complete)
+			update := cassiatally.ClaimUpdate{Shard: testShard, Epoch: 1, From: holderRef, Seq: 2, Claim: cassiatally.Claim{Key: keyOf(1, 1)}}
+			ack := s.HandleClaimUpdate(second(4), "holder", update)[0].(cassiatally.Send).Message.(cassiatally.ClaimAck)
+			is.True(ack.Sealed)
+		})
+	}
+}
+
 // Guards against claims that pile up, and against a node that leaves with its
 // shards.
 func TestNextEpochs(t *testing.T) {
--- a/cassiatally/claimer/explore_test.go
+++ b/cassiatally/claimer/explore_test.go
@@ -85,12 +85,12 @@
 		faults faults
 		seed   int
 	}{
-		{"standby acknowledgement", faults{skipAck: true}, 0},
-		{"sealing of earlier epochs", faults{skipSeal: true}, 7},
-		{"unfinished claims become unknown", faults{forgetPending: true}, 2},
-		{"whole copy before takeover", faults{partialCopy: true}, 8},
-		{"epoch and incarnation of acknowledgements", faults{anyEpochAcks: true}, 8278},
-		{"void recorded before not_run", faults{earlyNotRun: true}, 13},
+		{"standby acknowledgement", faults{skipAck: true}, 3},
+		{"sealing of earlier epochs", faults{skipSeal: true}, 14},
+		{"unfinished claims become unknown", faults{forgetPending: true}, 3},
+		{"whole copy before takeover", faults{partialCopy: true}, 47},
+		{"epoch and incarnation of acknowledgements", faults{anyEpochAcks: true}, 6313},
+		{"void recorded before not_run", faults{earlyNotRun: true}, 24},
 	}
 	search, _ := strconv.Atoi(os.Getenv("CLAIMER_SEARCH"))
 	for _, c := range cases {
--- a/cassiatally/claimer/world_test.go
+++ b/cassiatally/claimer/world_test.go
@@ -60,7 +60,6 @@
 	late    []envelope
 	log     []cassiatally.Assignment
 	first   int
-	trims   int
 	appends []testAppend
 	runs    []testRun
 	keys    []cassiatally.Key
@@ -81,7 +80,7 @@
 
 func newWorld(t *rapid.T, f faults) *world {
 	w := &world{
-		t: t, faults: f, trims: 1,
+		t: t, faults: f,
 		calls: make(map[cassiatally.CallID]subject), roots: make(map[cassiatally.RootID]cassiatally.Key),
 		submits: make(map[cassiatally.Key]int), ran: make(map[subject]bool), denied: make(map[subject]bool),
 	}
@@ -138,7 +137,8 @@
 		{3, w.settle},
 		{3, w.outage},
 		{1, w.adopt},
-		{w.trims, w.trim},
+		{1, w.trim},
+		{1, w.drain},
 	}
 	total := 0
 	for _, m := range moves {
@@ -450,7 +450,7 @@
 	var members []cassiatally.Member
 	for _, m := range w.nodes {
 		if m == n || live(m) {
-			members = append(members, cassiatally.Member{Ref: m.ref, DataCentre: testDC, Leaving: false})
+			members = append(members, cassiatally.Member{Ref: m.ref, DataCentre: testDC, Leaving: m.claims.draining})
 		}
 	}
 	n.table.MembersChanged(w.now, members)
@@ -466,7 +466,14 @@
 
 func (w *world) pause() { w.nodes[w.pick(len(w.nodes), "node")].paused = true }
 
-func (w *world) resume() { w.nodes[w.pick(len(w.nodes), "node")].paused = false }
+// resume wakes a node, or replaces one that has handed over its shards.
+func (w *world) resume() {
+	n := w.nodes[w.pick(len(w.nodes), "node")]
+	n.paused = false
+	if n.claims.draining && n.claims.Drained() {
+		w.start(n)
+	}
+}
 
 // outage pauses a node, most often the holder, for so long that the others
 // replace it. It does nothing while another node is paused.
@@ -480,6 +487,18 @@
 	w.settle()
 }
 
+// drain has a node hand over its shards, as it does before it leaves.
+func (w *world) drain() {
+	for _, n := range w.nodes {
+		if n.claims.draining {
+			return
+		}
+	}
+	if n := w.awake(); n != nil {
+		w.do(n, n.claims.Drain(w.now))
+	}
+}
+
 // settle lets the nodes that are not paused work without faults for a while, so
 // that random moves start from many different healthy states.
 func (w *world) settle() {
@@ -510,6 +529,9 @@
 	const settlings = 6
 	for _, n := range w.nodes {
 		n.paused = false
+		if n.claims.draining {
+			w.start(n)
+		}
 	}
 	w.net = nil
 	for range settlings {
