claimkeeper: follow the assigner's new rule for a base

Cause: the assigner now judges a cut log from a peer's table, and its tables carry the offset that they speak for. Change: tables keep their offset on the way; a node without a base asks a member for one; the status shows the shards with holder and standby.

--- a/node/adminserver/status.go
+++ b/node/adminserver/status.go
@@ -11,6 +11,7 @@
 	Members     []MemberStatus  `json:"members"`
 	Services    []ServiceStatus `json:"services"`
 	Local       LocalStatus     `json:"local"`
+	Shards      []ShardStatus   `json:"shards"`
 	Requests    RequestStatus   `json:"requests"`
 	Traffic     TrafficStatus   `json:"traffic"`
 }
@@ -55,6 +56,16 @@
 	Levels   []float64 `json:"levels"`
 }
 
+// ShardStatus is one shard of idempotency keys of the node's own data centre.
+type ShardStatus struct {
+	Shard   int    `json:"shard"`
+	Epoch   uint64 `json:"epoch"`
+	Holder  string `json:"holder"`
+	Standby string `json:"standby"`
+	// CompleteFrom is the lowest epoch of which the holder has every claim.
+	CompleteFrom uint64 `json:"complete_from"`
+}
+
 // RequestStatus counts what became of the calls that this node sent on.
 type RequestStatus struct {
 	InFlight       int    `json:"in_flight"`
--- a/node/claimkeeper/claimkeeper.go
+++ b/node/claimkeeper/claimkeeper.go
@@ -114,6 +114,9 @@
 // Shards returns the view of which node holds a shard.
 func (k *Keeper) Shards() cassiatally.ShardView { return k.view.Load().noting(k) }
 
+// Table returns the assignments of the own data centre.
+func (k *Keeper) Table() []cassiatally.Assignment { return k.view.Load().table }
+
 // Drained reports whether this node holds no shard any more.
 func (k *Keeper) Drained() bool { return k.drained.Load() }
 
@@ -237,7 +240,7 @@
 	case cassiatally.ClaimCopy:
 		k.carryOut(now, k.Claimer.HandleClaimCopy(now, e.from.Node, m))
 	case cassiatally.ShardPull:
-		k.send(e.from.Node, cassiatally.ShardTable{Assignments: k.Assigner.Table()})
+		k.send(e.from.Node, k.Assigner.Table())
 	case cassiatally.ShardTable:
 		k.takeTable(now, m)
 	default:
--- a/node/claimkeeper/tables.go
+++ b/node/claimkeeper/tables.go
@@ -17,6 +17,7 @@
 	home    cassiatally.DataCentre
 	own     cassiatally.ShardView
 	foreign map[cassiatally.DataCentre]foreignTable
+	table   []cassiatally.Assignment
 }
 
 // notingView asks for the table of a data centre when it is used.
@@ -64,7 +65,7 @@
 		}
 		changed = k.adoptForeign(now, as) || changed
 	}
-	if len(own) > 0 && k.Assigner.Adopt(own) {
+	if len(own) > 0 && k.Assigner.Adopt(cassiatally.ShardTable{Assignments: own, Next: t.Next}) {
 		changed = true
 		k.tableChanged(now)
 	}
@@ -104,27 +105,48 @@
 // tellPairs passes changed assignments to their holders and standbys at once.
 // Gossip would take a second or more, in which the shard answers nobody.
 func (k *Keeper) tellPairs(changed []cassiatally.Assignment) {
+	next := k.Assigner.Table().Next
 	for _, as := range changed {
 		for _, ref := range []cassiatally.NodeRef{as.Holder, as.Standby} {
 			if !ref.IsZero() && ref != k.Self {
-				k.send(ref.Node, cassiatally.ShardTable{Assignments: []cassiatally.Assignment{as}})
+				k.send(ref.Node, cassiatally.ShardTable{Assignments: []cassiatally.Assignment{as}, Next: next})
 			}
 		}
 	}
 }
 
-// pullOwn asks a log reader for the table of this data centre while a shard has
-// no holder that is live.
+// pullOwn asks a member for the table of this data centre while this node has
+// none to judge the log by, or while a shard has no holder that is live.
 func (k *Keeper) pullOwn(now cassiatally.Instant) {
-	if k.members == nil || k.follows || len(k.members.LogReaders) == 0 || !now.Reached(k.pulledAt[k.DataCentre].Add(pullPause)) {
+	if k.members == nil || !now.Reached(k.pulledAt[k.DataCentre].Add(pullPause)) {
 		return
 	}
-	if k.allHoldersLive() {
+	if !k.Assigner.NeedsTable() && (k.follows || k.allHoldersLive()) {
+		return
+	}
+	to, ok := k.tableSource()
+	if !ok {
 		return
 	}
 	k.pulledAt[k.DataCentre] = now
-	readers := k.members.LogReaders
-	k.send(readers[k.Rand.IntN(len(readers))].Node, cassiatally.ShardPull{Have: k.Assigner.SumEpochs()})
+	k.send(to, cassiatally.ShardPull{Have: k.Assigner.SumEpochs()})
+}
+
+// tableSource returns a log reader of the data centre, or any other member when
+// this node is the only reader.
+func (k *Keeper) tableSource() (cassiatally.NodeID, bool) {
+	for _, refs := range [][]cassiatally.NodeRef{k.members.LogReaders, k.members.Local} {
+		var others []cassiatally.NodeRef
+		for _, ref := range refs {
+			if ref != k.Self {
+				others = append(others, ref)
+			}
+		}
+		if len(others) > 0 {
+			return others[k.Rand.IntN(len(others))].Node, true
+		}
+	}
+	return "", false
 }
 
 func (k *Keeper) allHoldersLive() bool {
@@ -132,7 +154,7 @@
 	for _, ref := range k.members.Local {
 		live[ref] = struct{}{}
 	}
-	table := k.Assigner.Table()
+	table := k.Assigner.Table().Assignments
 	for _, as := range table {
 		if _, ok := live[as.Holder]; !ok {
 			return false
@@ -148,5 +170,5 @@
 	for dc, t := range k.foreign {
 		foreign[dc] = t
 	}
-	k.view.Store(&shardView{home: k.DataCentre, own: k.Assigner.Snapshot(), foreign: foreign})
+	k.view.Store(&shardView{home: k.DataCentre, own: k.Assigner.Snapshot(), foreign: foreign, table: k.Assigner.Table().Assignments})
 }
--- a/node/supervisor/status.go
+++ b/node/supervisor/status.go
@@ -55,6 +55,7 @@
 		Members:     memberStatus(v),
 		Services:    serviceStatus(v),
 		Local:       s.localStatus(v),
+		Shards:      shardStatus(s.claims.Table()),
 		Requests: adminserver.RequestStatus{
 			InFlight:       s.callers.InFlight(),
 			RefusedAtEntry: counts.RefusedAtEntry,
@@ -120,6 +121,20 @@
 	return out
 }
 
+func shardStatus(table []cassiatally.Assignment) []adminserver.ShardStatus {
+	out := make([]adminserver.ShardStatus, 0, len(table))
+	for _, as := range table {
+		out = append(out, adminserver.ShardStatus{
+			Shard:        int(as.Shard.Shard),
+			Epoch:        uint64(as.Epoch),
+			Holder:       string(as.Holder.Node),
+			Standby:      string(as.Standby.Node),
+			CompleteFrom: uint64(as.CompleteFrom),
+		})
+	}
+	return out
+}
+
 func (s *Supervisor) localStatus(v *registrar.View) adminserver.LocalStatus {
 	for i := range v.Members {
 		if v.Members[i].Ref != s.self {
