admitter, limiter: keep chance from shedding urgent work

Cause: the test model did not count urgent calls refused at the entry. With those counted, small backend servers lost up to 4% of the urgent calls at 6 times capacity: levels fell on the chance of a few windows, and the limiter halved a limit twice in a row when the first test was enough. Change: a level falls only when the rank and the more urgent ones fill the queue and when 4 and 12 windows agree. Rank 0 may queue three times as long. A second probe in a row is milder, and a floor counts as measured only by a probe that began with a full window. The verdict counts refusals at the entry.

--- a/cassiatally/admitter/admitter.go
+++ b/cassiatally/admitter/admitter.go
@@ -41,6 +41,10 @@
 	// tokenTime is the time for which a rank can save up its kept share. A longer
 	// time would let a rank that was idle hold up urgent work.
 	tokenTime = 250 * time.Millisecond
+	// urgentBound multiplies the bound of the queue for the most urgent rank of the
+	// sheet. A limit that is halved for a probe must not cost urgent calls that can
+	// wait; their deadlines still bound the queue.
+	urgentBound = 3
 	// leastTokens and leastQuota let a rank with a small kept share survive the
 	// unevenness of its own arrivals.
 	leastTokens = 4
@@ -89,11 +93,11 @@
 	a.q.add(e, r, key)
 	worst := a.worst()
 	if worst == nil {
-		a.meter.queue(now, a.q.len())
+		a.meter.queue(now, a.q)
 		return nil
 	}
 	refused := a.q.remove(worst)
-	a.meter.queue(now, a.q.len())
+	a.meter.queue(now, a.q)
 	return []cassiatally.Dropped{{ID: refused.ID, Kind: cassiatally.KindOverloaded}}
 }
 
@@ -174,7 +178,7 @@
 // is not. That is the entry that would be served last: of the least urgent rank
 // that has more entries than its kept share of the queue, the one with the
 // highest key. Entries within a kept share come on top of the bound, so that they
-// take no room from urgent work.
+// take no room from urgent work. Rank 0 may queue longer than the others.
 func (a *Admitter) worst() *item {
 	bound := a.bound()
 	room := bound + a.meter.free()
@@ -187,6 +191,9 @@
 			last = a.q.last[r].top()
 		}
 	}
+	if last != nil && last.rank == 0 {
+		room += (urgentBound - 1) * bound
+	}
 	if room >= 0 {
 		return nil
 	}
@@ -222,7 +229,7 @@
 		a.ranks[r].tokens = max(a.ranks[r].tokens-1, 0)
 		start = append(start, e.ID)
 	}
-	a.meter.queue(now, a.q.len())
+	a.meter.queue(now, a.q)
 	a.meter.started(now, len(start))
 	return start, dropped
 }
--- a/cassiatally/admitter/admitter_test.go
+++ b/cassiatally/admitter/admitter_test.go
@@ -73,7 +73,8 @@
 		v.shares = append(v.shares, float64(r.inTime)/entitled)
 	}
 	// Calls that have not ended when the model stops are not lost.
-	v.urgent = 1 - float64(results[0].late+results[0].refused)/float64(results[0].offered)
+	lost := results[0].late + results[0].refused + results[0].refusedAtEntry
+	v.urgent = 1 - float64(lost)/float64(results[0].offered)
 	return v
 }
 
@@ -338,17 +339,22 @@
 func TestFullQueueRefusesTheWorst(t *testing.T) {
 	is := is.New(t)
 	a := &admitter.Admitter{LeastQueue: 3}
-	for _, e := range []cassiatally.Entry{entry(1, 1, 0.2), entry(2, 1, 0.9), entry(3, 0, 0.9)} {
+	for _, e := range []cassiatally.Entry{entry(1, 2, 0.2), entry(2, 2, 0.9), entry(3, 1, 0.9)} {
 		is.Equal(len(a.Offer(0, e)), 0)
 	}
 	overloaded := func(seq uint64) []cassiatally.Dropped {
 		return []cassiatally.Dropped{{ID: entry(seq, 0, 0).ID, Kind: cassiatally.KindOverloaded}}
 	}
-	is.Equal(a.Offer(0, entry(4, 1, 0.5)), overloaded(2)) // highest order value of the last rank
-	is.Equal(a.Offer(0, entry(5, 1, 0.6)), overloaded(5)) // the entry itself
-	is.Equal(a.Offer(0, entry(6, 0, 0.99)), overloaded(4))
-	is.Equal(a.Offer(0, entry(7, 0, 0.1)), overloaded(1)) // an urgent entry displaces the last of the others
-	is.Equal(a.Offer(0, entry(8, 0, 0.2)), overloaded(6))
+	is.Equal(a.Offer(0, entry(4, 2, 0.5)), overloaded(2)) // highest order value of the last rank
+	is.Equal(a.Offer(0, entry(5, 2, 0.6)), overloaded(5)) // the entry itself
+	is.Equal(a.Offer(0, entry(6, 1, 0.99)), overloaded(4))
+	is.Equal(a.Offer(0, entry(7, 1, 0.1)), overloaded(1)) // an urgent entry displaces the last of the others
+	is.Equal(a.Offer(0, entry(8, 1, 0.2)), overloaded(6))
+	for seq := uint64(9); seq < 18; seq++ {
+		dropped := a.Offer(0, entry(seq, 0, 0.5))
+		is.Equal(len(dropped) == 1, seq < 12) // the most urgent rank displaces the others, then queues longer
+	}
+	is.Equal(a.Offer(0, entry(18, 0, 0.4)), overloaded(17)) // but not without bound
 }
 
 // Guards against work on calls whose deadline cannot be met.
--- a/cassiatally/admitter/meter.go
+++ b/cassiatally/admitter/meter.go
@@ -12,8 +12,12 @@
 	// windowCount windows are averaged, so that a single odd one moves the levels
 	// by a quarter at most.
 	windowCount = 4
-	leastLevel  = 0.01
-	mostGrowth  = 1.5
+	// longCount windows are averaged as well, and a level falls only if both agree.
+	// A small backend server sees too few calls in a few windows to tell overload
+	// from chance, and a probe of the limiter is no loss of capacity.
+	longCount  = 12
+	leastLevel = 0.01
+	mostGrowth = 1.5
 	// mostShrink bounds the fall of a level in one window for the same reason.
 	mostShrink = 0.5
 	// leastEnded is the number of ended runs below which the throughput of the
@@ -25,10 +29,11 @@
 	// headroom shifts the levels so that the queue stays about half full: a dry
 	// queue wastes capacity and a full one refuses calls that passed the entry.
 	headroom = 0.04
-	// leastBacklog is the part of the queue, on average over the windows, below
-	// which no level falls. Arrivals that vary by chance look like overload now and
-	// then, but only overload fills the queue.
-	leastBacklog = 0.2
+	// leastBacklog is the part of the queue that a rank and the more urgent ones
+	// must hold, on average over the windows, before the level of the rank falls.
+	// Arrivals that vary by chance look like overload now and then, but only
+	// overload of these ranks fills the queue with them.
+	leastBacklog = 0.4
 	// spareCapacity is the part of the capacity that must be left for a rank
 	// without arrivals before its level grows.
 	spareCapacity = 0.05
@@ -40,12 +45,14 @@
 type meter struct {
 	levels  [cassiatally.MaxRanks]cassiatally.Level
 	limit   cassiatally.Concurrency
-	windows [windowCount]sample
+	windows [longCount]sample
 	next    int
 	now     sample
 
 	begun, touched, lastEnded cassiatally.Instant
-	inFlight, queued          int
+	inFlight                  int
+	// queued has the entries of each rank in the queue.
+	queued [cassiatally.MaxRanks]int
 	// capacity is in runs per second; 0 means unknown.
 	capacity float64
 }
@@ -57,8 +64,10 @@
 	ended    float64
 	// busy is the sum of run time in the window, in seconds.
 	busy float64
-	// waiting is the sum of waiting time in the window, in seconds.
-	waiting float64
+	// limit is the sum of the concurrency limit over time, in seconds.
+	limit float64
+	// waiting is the sum of the waiting time of each rank, in seconds.
+	waiting perRank
 	// below counts the arrivals with an order value up to the level.
 	below perRank
 	// passed is level times seconds: how much of the demand the count stands for.
@@ -83,9 +92,11 @@
 }
 
 // queue records the length of the queue from now on.
-func (m *meter) queue(now cassiatally.Instant, n int) {
+func (m *meter) queue(now cassiatally.Instant, q *queue) {
 	m.advance(now)
-	m.queued = n
+	for r := range m.queued {
+		m.queued[r] = q.rankLen(cassiatally.Rank(r))
+	}
 }
 
 func (m *meter) started(now cassiatally.Instant, n int) {
@@ -106,7 +117,9 @@
 func (m *meter) advance(now cassiatally.Instant) {
 	d := now.Sub(m.touched).Seconds()
 	m.now.busy += float64(m.inFlight) * d
-	m.now.waiting += float64(m.queued) * d
+	for r, n := range m.queued {
+		m.now.waiting[r] += float64(n) * d
+	}
 	m.touched = now
 }
 
@@ -115,12 +128,12 @@
 
 // idle reports whether no run ended in the last window.
 func (m *meter) idle() bool {
-	return m.windows[(m.next+windowCount-1)%windowCount].ended == 0
+	return m.windows[(m.next+longCount-1)%longCount].ended == 0
 }
 
 // window returns the time over which the last window ran, in seconds.
 func (m *meter) window() float64 {
-	return m.windows[(m.next+windowCount-1)%windowCount].seconds
+	return m.windows[(m.next+longCount-1)%longCount].seconds
 }
 
 // close ends the window if it is long enough, and reports whether it did.
@@ -132,11 +145,12 @@
 	}
 	m.advance(now)
 	m.now.seconds = d.Seconds()
+	m.now.limit = float64(limit) * m.now.seconds
 	for r, l := range m.levels {
 		m.now.passed[r] = float64(l) * m.now.seconds
 	}
 	m.windows[m.next] = m.now
-	m.next = (m.next + 1) % windowCount
+	m.next = (m.next + 1) % longCount
 	m.now = sample{}
 	m.begun = now
 	m.measure(now, typical)
@@ -146,7 +160,7 @@
 // measure derives the capacity by Little's law: limit divided by the mean run
 // time. While the limit is in use this is the throughput itself.
 func (m *meter) measure(now cassiatally.Instant, typical time.Duration) {
-	sum := m.sum()
+	sum := m.sum(windowCount)
 	run := typical.Seconds()
 	if sum.ended >= leastEnded {
 		run = sum.busy / sum.ended
@@ -160,14 +174,17 @@
 	}
 }
 
-func (m *meter) sum() (sum sample) {
-	for _, w := range m.windows {
+// sum adds up the last n windows.
+func (m *meter) sum(n int) (sum sample) {
+	for i := range n {
+		w := &m.windows[(m.next+longCount-1-i)%longCount]
 		sum.seconds += w.seconds
 		sum.ended += w.ended
 		sum.busy += w.busy
-		sum.waiting += w.waiting
+		sum.limit += w.limit
 		for r := range w.arrivals {
 			sum.arrivals[r] += w.arrivals[r]
+			sum.waiting[r] += w.waiting[r]
 			sum.below[r] += w.below[r]
 			sum.passed[r] += w.passed[r]
 			sum.highest[r] = max(sum.highest[r], w.highest[r])
@@ -179,25 +196,27 @@
 // update sets the levels and returns the capacity available to each rank, in
 // runs per second. Bound is the number of entries that may queue.
 func (m *meter) update(shares perRank, bound int) perRank {
-	sum := m.sum()
-	backlog := float64(m.queued) / float64(bound)
-	filling := sum.waiting/sum.seconds >= leastBacklog*float64(bound)
-	rates := sum.arrivals
-	for r := range rates {
-		rates[r] /= sum.seconds
+	sum := m.sum(windowCount)
+	backlog, waiting := 0.0, 0.0
+	for _, n := range m.queued {
+		backlog += float64(n) / float64(bound)
 	}
-	available := m.available(rates, shares)
+	pull := 1 + headroom*(0.5-backlog)
+	available, targets := m.targets(sum, m.capacity, shares)
+	long := m.sum(longCount)
+	_, longTargets := m.targets(long, long.capacity(m.capacity), shares)
 	for r, l := range m.levels {
 		level := float64(l)
-		next := level
-		switch {
-		case rates[r] > 0:
-			next = available[r] * (1 + headroom*(0.5-backlog)) / sum.demand(r)
-		case available[r] > spareCapacity*m.capacity:
-			next = level * mostGrowth
+		next := max(targets[r], longTargets[r]) * pull
+		if sum.arrivals[r] == 0 {
+			next = level
+			if available[r] > spareCapacity*m.capacity {
+				next = level * mostGrowth
+			}
 		}
 		least := level
-		if filling {
+		waiting += sum.waiting[r] / sum.seconds
+		if waiting >= leastBacklog*float64(bound) {
 			least *= mostShrink
 		}
 		next = min(max(next, least), level*mostGrowth)
@@ -206,6 +225,31 @@
 	return available
 }
 
+// targets returns the capacity available to each rank, and the level at which its
+// demand just fits that.
+func (m *meter) targets(sum sample, capacity float64, shares perRank) (available, levels perRank) {
+	rates := sum.arrivals
+	for r := range rates {
+		rates[r] /= sum.seconds
+	}
+	available = allocate(capacity, rates, shares)
+	for r := range levels {
+		if rates[r] > 0 {
+			levels[r] = available[r] / sum.demand(r)
+		}
+	}
+	return available, levels
+}
+
+// capacity returns the capacity over the windows of the sum, or otherwise while
+// too few runs have ended.
+func (s *sample) capacity(otherwise float64) float64 {
+	if s.ended < leastEnded || s.busy <= 0 {
+		return otherwise
+	}
+	return s.limit / s.seconds * s.ended / s.busy
+}
+
 // demand returns the demand of a rank before any refusal at the entry, in calls
 // per second. Entry nodes apply a level some time after it was set, and order
 // values are spread evenly. So the calls below the level tell the demand as soon
@@ -222,23 +266,24 @@
 	return s.below[r] / max(passed, leastLevel*s.seconds/2)
 }
 
-// available allocates the capacity: kept shares first, then strict precedence.
-func (m *meter) available(rates, shares perRank) (available perRank) {
-	if m.capacity <= 0 {
+// allocate divides the capacity: kept shares first, then strict precedence. An
+// unknown capacity is unlimited.
+func allocate(capacity float64, rates, shares perRank) (available perRank) {
+	if capacity <= 0 {
 		for r := range available {
 			available[r] = math.Inf(1)
 		}
 		return available
 	}
 	var kept perRank
-	left := m.capacity
+	left := capacity
 	for r := range kept {
-		kept[r] = min(shares[r]*m.capacity, rates[r])
+		kept[r] = min(shares[r]*capacity, rates[r])
 		left -= kept[r]
 	}
 	for r := range available {
 		own := max(left, 0) + kept[r]
-		available[r] = max(own, shares[r]*m.capacity)
+		available[r] = max(own, shares[r]*capacity)
 		left -= max(min(rates[r], own)-kept[r], 0)
 	}
 	return available
--- a/cassiatally/admitter/model_test.go
+++ b/cassiatally/admitter/model_test.go
@@ -19,7 +19,7 @@
 }
 
 // outcome counts the calls of one flow after the warm-up.
-type outcome struct{ offered, inTime, late, refused int }
+type outcome struct{ offered, inTime, late, refused, refusedAtEntry int }
 
 // model is a backend server with slots and an entry that applies the levels of
 // the previous window. It steps through virtual time.
@@ -141,6 +141,9 @@
 				}
 				order := cassiatally.Order(rng.Float64())
 				if !m.deaf && float64(order) > float64(inForce[f.rank]) {
+					if measured {
+						results[i].refusedAtEntry++
+					}
 					continue
 				}
 				seq++
--- a/cassiatally/limiter/limiter.go
+++ b/cassiatally/limiter/limiter.go
@@ -45,9 +45,12 @@
 	mildestCut = 0.9
 	// testCut is the part of the earlier limit at which self times are compared.
 	testCut = 0.75
-	// queueingRatio: self time that falls below this part in a test means that the
-	// lower limit may still be above the real concurrency.
-	queueingRatio = 0.6
+	// queueingMargin: self time that falls as far as the limit, but for this part
+	// of the difference, means that the limit may still be too high.
+	queueingMargin = 0.2
+	// furtherCut is the factor of a probe that follows another one. A deep cut on a
+	// limit that was right already would cost a small backend server urgent calls.
+	furtherCut = 0.7
 	// growth is the factor of a small step.
 	growth = 1.1
 	// failureCut is the factor of a cut after failures.
@@ -131,7 +134,12 @@
 }
 
 // state is a limit with its threshold and the self time that belongs to it.
-type state struct{ limit, threshold, self float64 }
+type state struct {
+	limit, threshold, self float64
+	// steady is set when self time was that of a full window. The self time at
+	// which a cut begins may still have been rising.
+	steady bool
+}
 
 // window gathers the runs that ended from a time on.
 type window struct {
@@ -364,22 +372,22 @@
 
 // cut lowers the limit to where self time is expected to be near its floor.
 func (l *Limiter) cut(now cassiatally.Instant, mean float64) {
-	l.lower(now, mean, cutTarget*l.floor/mean)
+	l.lower(now, mean, cutTarget*l.floor/mean, false)
 }
 
 // probe halves the limit to measure the floor.
 func (l *Limiter) probe(now cassiatally.Instant, mean float64) {
-	l.lower(now, mean, deepestCut)
+	l.lower(now, mean, deepestCut, true)
 }
 
-func (l *Limiter) lower(now cassiatally.Instant, mean, factor float64) {
+func (l *Limiter) lower(now cassiatally.Instant, mean, factor float64, steady bool) {
 	if l.limit <= leastLimit {
 		// There is nothing left to cut, so the change must be genuine.
 		l.settle(now, mean, l.limit)
 		return
 	}
 	if l.earlier.limit == 0 {
-		l.earlier = state{limit: l.limit, threshold: l.threshold, self: mean}
+		l.earlier = state{limit: l.limit, threshold: l.threshold, self: mean, steady: steady}
 	}
 	l.set(now, l.limit*min(max(factor, deepestCut), mildestCut))
 	l.threshold = l.limit
@@ -397,7 +405,8 @@
 // slower it stays.
 func (l *Limiter) judge(now cassiatally.Instant, mean, deviation float64, precise bool) {
 	observed := mean / l.earlier.self
-	middle := (1 + l.limit/l.earlier.limit) / 2
+	expected := l.limit / l.earlier.limit
+	middle := (1 + expected) / 2
 	if !precise && l.window.n < testRuns && math.Abs(observed-middle) <= testConfidence*deviation*middle {
 		return
 	}
@@ -405,9 +414,9 @@
 	case observed > middle:
 		l.threshold = l.earlier.threshold
 		l.settle(now, mean, l.earlier.limit)
-	case observed < queueingRatio:
+	case observed < expected+queueingMargin*(1-expected) && (!l.verified || mean > nearFloor*l.floor):
 		l.earlier = state{}
-		l.probe(now, mean)
+		l.lower(now, mean, furtherCut, true)
 	default:
 		// Limit and self time before the cut give the concurrency by Little's law.
 		l.settle(now, mean, l.earlier.limit*observed)
@@ -417,9 +426,9 @@
 // settle takes self time at the present limit as the floor, and goes on with
 // another limit.
 func (l *Limiter) settle(now cassiatally.Instant, mean, limit float64) {
+	l.verified, l.falling = l.verified || l.earlier.steady, false
 	l.earlier = state{}
 	l.setFloor(mean)
-	l.verified, l.falling = true, false
 	l.refreshed = now
 	l.threshold = max(l.threshold, limit)
 	l.set(now, limit)
