loadtracker: let fresh answers outweigh old gossip

Cause: gossip repeats every second, and four endpoints' reports of that age outweighed the levels that each answer brings. Change: a report loses weight with its age, and the smoothed levels from answers stand for four endpoints. Measured: go test -race ./loadtracker passes with a new test for this case. The effect on a fleet has not been measured.

--- a/cassiatally/loadtracker/loadtracker.go
+++ b/cassiatally/loadtracker/loadtracker.go
@@ -32,6 +32,12 @@
 	// learnedWeight smooths levels from answers, which come from one endpoint at
 	// a time.
 	learnedWeight = 0.3
+	// answersWeight is the number of endpoints that the smoothed levels from answers
+	// stand for. They are many endpoints' levels, though each answer has one.
+	answersWeight = 4
+	// halfAge is the age at which a report counts half as much as a fresh one.
+	// Gossip repeats every second, answers are fresh.
+	halfAge = 250 * time.Millisecond
 )
 
 // Tracker holds the levels of services and the call graph.
@@ -142,6 +148,8 @@
 		return 1
 	}
 	sum, weight := t.aged(now, &v.learned, r)
+	sum *= answersWeight
+	weight *= answersWeight
 	for _, e := range v.endpoints {
 		es, ew := t.aged(now, e, r)
 		sum += es
@@ -153,21 +161,25 @@
 	return cassiatally.Level(min(sum/weight, 1))
 }
 
-// aged returns the weighted level and the weight of a report. The level of a
-// report older than Fresh drifts to 1; at the end of the drift it has no weight.
+// aged returns the weighted level and the weight of a report. Newer reports count
+// more than older ones. The level of a report older than Fresh drifts to 1; at the
+// end of the drift it has no weight.
 func (t *Tracker) aged(now cassiatally.Instant, r *report, rank cassiatally.Rank) (sum, weight float64) {
 	if r.weight <= 0 {
 		return 0, 0
 	}
 	level := float64(r.levels[rank])
-	late := now.Sub(r.at) - t.fresh()
+	age := now.Sub(r.at)
+	late := age - t.fresh()
 	if late >= t.drift() {
 		return 0, 0
 	}
 	if late > 0 {
 		level += (1 - level) * float64(late) / float64(t.drift())
 	}
-	return level * r.weight, r.weight
+	ratio := float64(age) / float64(halfAge)
+	weight = r.weight / (1 + ratio*ratio)
+	return level * weight, weight
 }
 
 func (r *report) set(now cassiatally.Instant, load cassiatally.ServiceLoad) {
--- a/cassiatally/loadtracker/loadtracker_test.go
+++ b/cassiatally/loadtracker/loadtracker_test.go
@@ -87,6 +87,20 @@
 	is.Equal(l.Level(later, "avail", 0), cassiatally.Level(0.2))
 }
 
+// Guards against gossip that is almost a second old and hides what answers say.
+func TestAnswersOutweighOldGossip(t *testing.T) {
+	is := is.New(t)
+	l := &loadtracker.Tracker{}
+	for n := range 4 {
+		l.Observe(0, cassiatally.NodeID(fmt.Sprint("n", n)), load("avail", 10, 1))
+	}
+	later := cassiatally.Instant(900 * time.Millisecond)
+	for range 20 {
+		l.Learn(later, "avail", "check", []cassiatally.ServiceLoad{load("avail", 10, 0.1)})
+	}
+	is.True(l.Level(later, "avail", 0) < 0.2)
+}
+
 // Guards against a single answer of one endpoint that sets the level of a
 // service.
 func TestAnswersAreSmoothed(t *testing.T) {
