--- /dev/null
+++ b/standin/caller/caller_test.go
@@ -0,0 +1,155 @@
+package caller_test
+
+import (
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/cassiatally/cassiatally/standin/answerchecker"
+	"github.com/cassiatally/cassiatally/standin/caller"
+	"github.com/cassiatally/cassiatally/standin/core"
+	"github.com/cassiatally/cassiatally/standin/loadplan"
+)
+
+// reply is what the fake node does with one copy of a request.
+type reply string
+
+const (
+	replyOK      reply = "ok"
+	replyForeign reply = "foreign"
+	replyShort   reply = "short"
+	replyRefused reply = "refused"
+	replyLost    reply = "lost"
+	replySilent  reply = "silent"
+)
+
+type fakeNode struct {
+	mu      sync.Mutex
+	replies []reply
+	copies  []string
+	keys    int
+	lookUp  string
+}
+
+func (n *fakeNode) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	switch {
+	case r.URL.Path == "/v1/keys":
+		n.mu.Lock()
+		n.keys++
+		n.mu.Unlock()
+		_, _ = io.WriteString(w, `{"key":"key-`+strings.Repeat("x", n.keys)+`"}`)
+	case strings.HasPrefix(r.URL.Path, "/v1/keys/"):
+		w.Header().Set(core.HeaderOutcome, n.lookUp)
+	default:
+		n.answer(w, r)
+	}
+}
+
+func (n *fakeNode) answer(w http.ResponseWriter, r *http.Request) {
+	_, _ = io.ReadAll(r.Body)
+	n.mu.Lock()
+	next := n.replies[0]
+	n.replies = n.replies[1:]
+	n.copies = append(n.copies, r.Header.Get(core.HeaderKey)+"/"+r.Header.Get(core.HeaderAttempt))
+	n.mu.Unlock()
+	body := `{"service":"s","kind":"k","id":"r1"}`
+	switch next {
+	case replyLost:
+		panic(http.ErrAbortHandler)
+	case replySilent:
+		<-r.Context().Done()
+		return
+	case replyRefused:
+		w.Header().Set(core.HeaderOutcome, core.ToldNotRun)
+		w.WriteHeader(http.StatusServiceUnavailable)
+		_, _ = io.WriteString(w, `{"type":"about:blank","kind":"overloaded"}`)
+		return
+	case replyForeign:
+		body = `{"service":"s","kind":"k","id":"r2"}`
+	}
+	w.Header().Set(core.HeaderContentDigest, answerchecker.Digest([]byte(body)))
+	w.Header().Set(core.HeaderOutcome, core.ToldRan)
+	if next == replyShort {
+		w.Header().Set("Content-Length", "100")
+	}
+	_, _ = io.WriteString(w, body)
+}
+
+// Guards against a caller that says more than it was told: only a node's answer
+// for the key covers a copy that was lost before.
+func TestOutcomes(t *testing.T) {
+	hard := loadplan.Resend{Policy: loadplan.ResendHard, Count: 1}
+	onRefusal := loadplan.Resend{Policy: loadplan.ResendHard, Count: 1, OnRefusal: true}
+	none := loadplan.Resend{Policy: loadplan.ResendNone}
+	cases := []struct {
+		name    string
+		resend  loadplan.Resend
+		keyed   bool
+		replies []reply
+		outcome string
+		fault   core.Fault
+		copies  []string
+	}{
+		{"answered", none, false, []reply{replyOK}, core.ToldRan, core.FaultNone, []string{"/"}},
+		{"answer of another request", none, false, []reply{replyForeign}, core.ToldRan, core.FaultForeign, []string{"/"}},
+		{"answer cut short", none, false, []reply{replyShort}, core.ToldRan, core.FaultIncomplete, []string{"/"}},
+		{"refused", none, false, []reply{replyRefused}, core.ToldNotRun, core.FaultNone, []string{"/"}},
+		{"connection lost", none, true, []reply{replyLost}, core.ToldUnknown, core.FaultNone, []string{"key-x/1"}},
+		{"timeout, then answered", hard, true, []reply{replySilent, replyOK}, core.ToldRan, core.FaultNone, []string{"key-x/1", "key-x/2"}},
+		{"lost without a key, then refused", hard, false, []reply{replyLost, replyRefused}, core.ToldUnknown, core.FaultNone, []string{"/", "/"}},
+		{"lost with a key, then refused", hard, true, []reply{replyLost, replyRefused}, core.ToldNotRun, core.FaultNone, []string{"key-x/1", "key-x/2"}},
+		{"refused, not sent again", hard, true, []reply{replyRefused}, core.ToldNotRun, core.FaultNone, []string{"key-x/1"}},
+		{"refused, then a new key", onRefusal, true, []reply{replyRefused, replyOK}, core.ToldRan, core.FaultNone, []string{"key-x/1", "key-xx/1"}},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			node := &fakeNode{replies: c.replies}
+			web := httptest.NewServer(node)
+			defer web.Close()
+			told := do(t, web.URL, loadplan.Class{Resend: c.resend, Keyed: c.keyed})
+			is.Equal(told.Outcome, c.outcome)
+			is.Equal(told.Fault, c.fault)
+			is.Equal(told.Attempts, len(c.copies))
+			is.Equal(told.InTime, c.outcome == core.ToldRan && c.fault == core.FaultNone)
+			node.mu.Lock()
+			defer node.mu.Unlock()
+			is.Equal(node.copies, c.copies)
+		})
+	}
+}
+
+func do(t *testing.T, url string, class loadplan.Class) core.Told {
+	t.Helper()
+	class.Name, class.Service, class.Kind = "c", "s", "k"
+	class.Timeout, class.Target = time.Second, time.Minute
+	c := &caller.Caller{Nodes: []string{url}, Client: &http.Client{Transport: &http.Transport{}}}
+	return c.Do(t.Context(), caller.Job{ID: "r1", Class: class, Phase: "p", Due: time.Now()})
+}
+
+// Guards against an unknown outcome that is not looked up.
+func TestLookUp(t *testing.T) {
+	is := is.New(t)
+	node := &fakeNode{replies: []reply{replyLost}, lookUp: core.ToldRan}
+	web := httptest.NewServer(node)
+	defer web.Close()
+	told := do(t, web.URL, loadplan.Class{Keyed: true, Lookups: 1})
+	is.Equal(told.Outcome, core.ToldUnknown)
+	is.Equal(told.LookedUp, core.ToldRan)
+}
+
+// Guards against a request that was never sent and counts as uncertain.
+func TestUnreachable(t *testing.T) {
+	is := is.New(t)
+	web := httptest.NewServer(http.NotFoundHandler())
+	web.Close()
+	told := do(t, web.URL, loadplan.Class{})
+	is.Equal(told.Outcome, core.ToldNotRun)
+	is.Equal(told.ErrorKind, "caller_unreachable")
+}
--- /dev/null
+++ b/standin/slotqueue/slotqueue_test.go
@@ -0,0 +1,33 @@
+package slotqueue_test
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/matryer/is"
+
+	"github.com/cassiatally/cassiatally/standin/slotqueue"
+)
+
+// Guards against more work at one time than there are slots, a queue without a
+// bound, and a place that a cancelled wait keeps.
+func TestSlotsAndQueue(t *testing.T) {
+	is := is.New(t)
+	q := slotqueue.New(1, 1)
+	is.NoErr(q.Enter(t.Context()))
+	ctx, cancel := context.WithCancel(t.Context())
+	waited := make(chan error)
+	go func() { waited <- q.Enter(ctx) }()
+	for q.Pending() < 2 {
+		time.Sleep(time.Millisecond)
+	}
+	is.Equal(q.Enter(t.Context()), slotqueue.ErrFull)
+	cancel()
+	is.True(errors.Is(<-waited, context.Canceled))
+	is.Equal(int(q.Pending()), 1)
+	q.Leave()
+	is.NoErr(q.Enter(t.Context()))
+	is.Equal(int(q.Running()), 1)
+}
