follower: append a base again before the log drops it

Cause: the follower waited until the newest copy of the sheet in force was about to expire. With frequent publishing that copy is always young, the log is truncated all the same, and nodes that restart find neither offset 0 nor a re-appended record. Change: append again when the newest base, not the newest copy, has less than a quarter of its retention left. An outage longer than a quarter of the retention, less jitter and a repeated append, followed by a restart of all nodes, leaves the fleet without a base: with a retention of 60 s and outages of 8 s the exploration finds it.

--- a/cassiatally/follower/follower.go
+++ b/cassiatally/follower/follower.go
@@ -32,7 +32,7 @@
 	settleTime  = 2 * time.Second
 	settlePeers = 2
 	// reappendFraction is the part of the retention that is left when the record in
-	// force is appended again. It leaves time for an outage of the log.
+	// force is appended again, as the divisor. It leaves time for an outage of the log.
 	reappendFraction = 4
 	// reappendPause is the least time between two appends of the record in force.
 	reappendPause = 5 * time.Second
@@ -74,9 +74,11 @@
 	caughtUp bool
 	pulledAt cassiatally.Instant
 
-	// copyExpires is when the log drops the newest copy of the record in force.
-	copyExpires cassiatally.Instant
-	copyVersion cassiatally.Version
+	// baseExpires is when the log drops the newest record that a reader without a
+	// sheet can start from: the one at offset 0 or a re-appended one. All records
+	// after it are still there, the one in force among them.
+	baseExpires cassiatally.Instant
+	based       bool
 	longest     time.Duration
 	appendAt    cassiatally.Instant
 }
@@ -131,24 +133,28 @@
 	for _, r := range b.Records {
 		if r.Sheet == nil {
 			f.folder.Skip(r.Offset)
-			continue
+		} else {
+			f.folder.Apply(r.Offset, *r.Sheet)
 		}
-		f.folder.Apply(r.Offset, *r.Sheet)
-		f.noteCopy(now, r)
+		f.noteBase(now, r)
 	}
 	f.caughtUp = len(b.Records) == 0
 	f.settled = f.settled || (f.caughtUp && f.folder.Based())
 	return append(f.adopt(), f.read()...)
 }
 
-func (f *Follower) noteCopy(now cassiatally.Instant, r Record) {
+func (f *Follower) noteBase(now cassiatally.Instant, r Record) {
 	f.longest = max(f.longest, r.Expires)
-	current, ok := f.folder.Current()
-	if !ok || r.Sheet.Version != current.Version || r.Sheet.Digest != current.Digest {
-		return
+	if r.Offset == 0 || f.isCopy(r.Sheet) {
+		f.based = true
+		f.baseExpires = now.Add(r.Expires)
 	}
-	f.copyVersion = current.Version
-	f.copyExpires = now.Add(r.Expires)
+}
+
+// isCopy reports whether a record is a re-appended copy of the one in force.
+func (f *Follower) isCopy(r *cassiatally.SheetRecord) bool {
+	current, ok := f.folder.Current()
+	return ok && r != nil && r.Reappend && r.Version == current.Version && r.Digest == current.Digest
 }
 
 // adopt puts the current record in force when it is newer.
@@ -202,10 +208,12 @@
 	return f.settle(now)
 }
 
-// reappend appends the record in force again when the log is about to drop its
-// newest copy, or has dropped it.
+// reappend appends the record in force again when the log is about to drop the
+// newest base. To wait for the newest copy instead is not enough: with frequent
+// publishing it is always young, the log is truncated all the same, and readers
+// that restart find no base, until no reader is left that accepts new sheets.
 func (f *Follower) reappend(now cassiatally.Instant) []cassiatally.Action {
-	if !f.follows || !f.caughtUp || f.inForce == 0 || !f.copyEnds(now) {
+	if !f.follows || !f.caughtUp || f.inForce == 0 || !f.baseEnds(now) {
 		f.appendAt = 0
 		return nil
 	}
@@ -221,6 +229,6 @@
 	return []cassiatally.Action{cassiatally.AppendSheet{Record: current}}
 }
 
-func (f *Follower) copyEnds(now cassiatally.Instant) bool {
-	return f.copyVersion != f.inForce || now.Reached(f.copyExpires.Add(-f.longest/reappendFraction))
+func (f *Follower) baseEnds(now cassiatally.Instant) bool {
+	return !f.based || now.Reached(f.baseExpires.Add(-f.longest/reappendFraction))
 }
