assigner: serve nodes that do not follow the log

Cause: only two nodes of a data centre follow the log. A node that lives on the tables of its peers passed them on with offset 0, a holder among them never learned when its record expires, and a reader late in rendezvous order waited 2 s for each node before it to assign a shard. Change: a table speaks for the offset up to which it is known (KnownTo). Readers of the log re-append for a silent holder in the last quarter of the record's time. The wait for a turn is at most 6 s where only readers can act. Measured: `go test -race ./...` passes in cassiatally. In the model all nodes read the log, so nodes without it are covered by a table test only.

--- a/cassiatally/assigner/assigner.go
+++ b/cassiatally/assigner/assigner.go
@@ -32,6 +32,7 @@
 //
 //	a.Adopt(table)
 //
+// A node that does not follow the log lives on the tables of its peers alone.
 // While NeedsTable reports true, the owner asks a peer for its whole table.
 //
 // An Assigner is not safe for concurrent use. Snapshot returns a view that is
@@ -48,6 +49,9 @@
 	// turnDelay is how long each member waits for the members before it in
 	// rendezvous order to append the assignment of a shard without a pair.
 	turnDelay = 2 * time.Second
+	// maxReaderDelay bounds the wait for a turn where only the readers of the log
+	// can act. They are few, and may come late in rendezvous order.
+	maxReaderDelay = 3 * turnDelay
 	// orphanGrace is how long holder and standby must both be absent. The member
 	// table of a node that has just started is not complete, and a new pair gives
 	// up the history of the shard.
@@ -87,8 +91,9 @@
 	// orphanSince is when the shard was first seen without a pair.
 	orphanSince cassiatally.Instant
 	orphan      bool
-	// reappendAt is when the holder appends the assignment again; zero for one
-	// that came from a peer.
+	// expires is how long the log keeps the record in force; zero when it was not
+	// read from the log.
+	expires    time.Duration
 	reappendAt cassiatally.Instant
 	appendedAt cassiatally.Instant
 	appended   bool
@@ -160,6 +165,7 @@
 	a.judge(s, at, as)
 	changed := s.inForce != before
 	if plain(as) == s.inForce {
+		s.expires = expires
 		s.reappendAt = now.Add(expires / reappendFraction)
 		s.appended = false
 	}
@@ -261,8 +267,11 @@
 		}
 		before := s.inForce
 		switch {
-		case a.based(s) && t.Next <= a.next:
-			// This reader has judged the same records itself.
+		case a.based(s):
+			if as != s.inForce {
+				s.put(as)
+			}
+			s.judgeFrom = max(s.judgeFrom, t.Next)
 		case t.Next >= s.from:
 			a.rebase(s, as, t.Next)
 		case as != s.inForce:
@@ -303,7 +312,7 @@
 	s.changed = true
 	s.orphan = false
 	s.appended = false
-	s.reappendAt = 0
+	s.expires = 0
 }
 
 // MembersChanged replaces the live members of the data centre.
@@ -323,10 +332,29 @@
 	return changed
 }
 
+// KnownTo returns the offset for which the table speaks: what this node has read
+// of the log itself, or what its peers had read when they passed on their tables.
+func (a *Assigner) KnownTo() cassiatally.Offset {
+	var known cassiatally.Offset
+	first := true
+	for i := range a.shards {
+		s := &a.shards[i]
+		if !a.based(s) {
+			continue
+		}
+		at := max(a.next, s.judgeFrom)
+		if first || at < known {
+			known = at
+		}
+		first = false
+	}
+	return known
+}
+
 // Table returns the assignments in force, for a peer that is behind. Assignments
 // that a gap in the log has made doubtful are left out.
 func (a *Assigner) Table() cassiatally.ShardTable {
-	table := cassiatally.ShardTable{Next: a.next}
+	table := cassiatally.ShardTable{Next: a.KnownTo()}
 	for i := range a.shards {
 		if a.shards[i].inForce.Epoch > 0 && a.based(&a.shards[i]) {
 			table.Assignments = append(table.Assignments, a.shards[i].inForce)
@@ -364,16 +392,25 @@
 	return out
 }
 
+// reappend returns the assignment in force when it nears the end of the log. A
+// holder that does not follow the log may not know, so that readers of the log
+// act in its place in the last quarter of the time.
 func (a *Assigner) reappend(now cassiatally.Instant, s *shard) (cassiatally.Assignment, bool) {
 	as := s.inForce
 	as.Reappend = true
-	as.ReadTo = a.next
-	return as, as.Holder == a.self && a.based(s) && s.reappendAt > 0 && now.Reached(s.reappendAt)
+	as.ReadTo = max(a.next, s.judgeFrom)
+	due := s.reappendAt
+	if as.Holder != a.self {
+		due = due.Add(s.expires / (2 * reappendFraction))
+	}
+	return as, a.based(s) && s.expires > 0 && now.Reached(due)
 }
 
 func (a *Assigner) fresh(now cassiatally.Instant, id cassiatally.ShardID) (cassiatally.Assignment, bool) {
 	s := &a.shards[id]
-	if !a.caughtUp || !a.unpaired(s) {
+	// Only a reader of the log can tell that a shard has no assignment at all.
+	unassigned := !a.based(s) || s.inForce.Epoch == 0
+	if (unassigned && !a.caughtUp) || !a.unpaired(s) {
 		s.orphan = false
 		return cassiatally.Assignment{}, false
 	}
@@ -386,6 +423,9 @@
 	turn := a.turn(order)
 	based := a.based(s)
 	wait := time.Duration(turn) * turnDelay
+	if unassigned {
+		wait = min(wait, maxReaderDelay)
+	}
 	switch {
 	case !based:
 		wait += rebaseGrace
--- a/cassiatally/assigner/assigner_test.go
+++ b/cassiatally/assigner/assigner_test.go
@@ -101,6 +101,23 @@
 	is.Equal(len(a.Changed()), 0)
 }
 
+// Guards against a node without the log that ignores tables, that cannot pass
+// them on, or that takes a loser for the winner when it begins to read.
+func TestNodeWithoutLog(t *testing.T) {
+	is := is.New(t)
+	a := assigner.New(three, dc, 1)
+	is.True(a.NeedsTable())
+	is.True(a.Adopt(cassiatally.ShardTable{Next: 4, Assignments: []cassiatally.Assignment{assignment(2, one, two, 1)}}))
+	is.True(a.Adopt(cassiatally.ShardTable{Next: 6, Assignments: []cassiatally.Assignment{assignment(3, two, three, 1)}}))
+	is.Equal(a.Table(), cassiatally.ShardTable{Next: 6, Assignments: []cassiatally.Assignment{assignment(3, two, three, 1)}})
+	a.StartAt(5)
+	is.True(!a.NeedsTable())
+	is.True(!a.Fold(0, 5, time.Hour, assignment(3, one, three, 1)))
+	is.True(a.Fold(0, 6, time.Hour, assignment(4, three, one, 1)))
+	a.StartAt(9)
+	is.True(a.NeedsTable())
+}
+
 // Guards against several nodes that append the first assignment at once, and
 // against a pair that is replaced before the member table is complete.
 func TestFirstAssignmentIsOneNodesTurn(t *testing.T) {
@@ -142,6 +159,11 @@
 	is.Equal(len(a.Tick(cassiatally.Instant(29*time.Minute))), 0)
 	out := a.Tick(cassiatally.Instant(31 * time.Minute))
 	is.Equal(out, []cassiatally.Action{cassiatally.AppendAssignment{Assignment: reappended(assignment(1, one, two, 1), 1)}})
+	other := assigner.New(three, dc, 1)
+	other.StartAt(0)
+	other.Fold(0, 0, time.Hour, assignment(1, one, two, 1))
+	is.Equal(len(other.Tick(cassiatally.Instant(44*time.Minute))), 0)
+	is.Equal(len(other.Tick(cassiatally.Instant(46*time.Minute))), 1) // the holder does not follow the log
 	a.Fold(cassiatally.Instant(31*time.Minute), 1, time.Hour, reappended(assignment(1, one, two, 1), 1))
 	is.Equal(len(a.Tick(cassiatally.Instant(40*time.Minute))), 0)
 }
