admitter: serve ranks that fit before calls become too late

Cause: in busy spells urgent calls with a high order value waited until their deadline passed, and 3 to 10% of the calls that the levels had let in were refused at the queue. Change: while a rank's level is 1, a call that would soon be too late goes first. Levels of the other ranks follow the backlog more strongly and fall at a shorter queue; the most urgent rank is pulled less.

--- a/cassiatally/admitter/admitter.go
+++ b/cassiatally/admitter/admitter.go
@@ -45,6 +45,10 @@
 	// sheet. A limit that is halved for a probe must not cost urgent calls that can
 	// wait; their deadlines still bound the queue.
 	urgentBound = 3
+	// rescueTime is the time before the last moment to start at which a call of a
+	// rank that fits goes first. In a busy spell, calls with a high order value
+	// would otherwise wait until their deadline passes.
+	rescueTime = 200 * time.Millisecond
 	// leastTokens and leastQuota let a rank with a small kept share survive the
 	// unevenness of its own arrivals.
 	leastTokens = 4
@@ -215,7 +219,7 @@
 	a.prepare(now)
 	dropped = a.dropDue(now)
 	for len(start) < free {
-		it := a.choose()
+		it := a.choose(now)
 		if it == nil {
 			break
 		}
@@ -235,36 +239,50 @@
 }
 
 func (a *Admitter) dropDue(now cassiatally.Instant) (dropped []cassiatally.Dropped) {
-	for {
-		it := a.q.due.top()
-		if it == nil || it.entry.Deadline.Sub(now) >= a.typicalOf(it.rank) {
-			return dropped
+	for r := range a.q.due {
+		for {
+			it := a.q.due[r].top()
+			if it == nil || it.entry.Deadline.Sub(now) >= a.typicalOf(it.rank) {
+				break
+			}
+			a.starved = true
+			e := a.q.remove(it)
+			dropped = append(dropped, cassiatally.Dropped{ID: e.ID, Kind: cassiatally.KindExpired})
 		}
-		a.starved = true
-		e := a.q.remove(it)
-		dropped = append(dropped, cassiatally.Dropped{ID: e.ID, Kind: cassiatally.KindExpired})
 	}
+	return dropped
 }
 
 // choose returns the entry to start next: of the most urgent rank that is below
 // its kept share, else of the most urgent rank.
-func (a *Admitter) choose() *item {
+func (a *Admitter) choose(now cassiatally.Instant) *item {
 	var first *item
-	for r := range a.q.first {
-		it := a.q.first[r].top()
-		if it == nil {
+	for i := range a.q.first {
+		r := cassiatally.Rank(i)
+		if a.q.rankLen(r) == 0 {
 			continue
 		}
 		if a.ranks[r].tokens >= 1 {
-			return it
+			return a.firstOf(now, r)
 		}
 		if first == nil {
-			first = it
+			first = a.firstOf(now, r)
 		}
 	}
 	return first
 }
 
+// firstOf returns the entry of the rank with the lowest key. While no call of the
+// rank is refused at the entry, an entry that would soon be too late goes first:
+// the rank fits, so none of its calls has to be lost.
+func (a *Admitter) firstOf(now cassiatally.Instant, r cassiatally.Rank) *item {
+	due := a.q.due[r].top()
+	if due != nil && a.meter.levels[r] >= 1 && due.entry.Deadline.Sub(now) < a.typicalOf(r)+rescueTime {
+		return due
+	}
+	return a.q.first[r].top()
+}
+
 // Remove takes a cancelled entry out of the queue.
 func (a *Admitter) Remove(id cassiatally.CallID) bool {
 	if a.q == nil {
--- a/cassiatally/admitter/admitter_test.go
+++ b/cassiatally/admitter/admitter_test.go
@@ -384,6 +384,20 @@
 	is.Equal(dropped, []cassiatally.Dropped{{ID: entry(3, 0, 0).ID, Kind: cassiatally.KindExpired}})
 }
 
+// Guards against calls with a high order value that wait until they are too late
+// in a busy spell, although their rank fits.
+func TestSoonTooLateGoesFirst(t *testing.T) {
+	is := is.New(t)
+	a := &admitter.Admitter{}
+	high, low := entry(1, 0, 0.9), entry(2, 0, 0.1)
+	high.Deadline = cassiatally.Instant(time.Second)
+	low.Deadline = cassiatally.Instant(2 * time.Second)
+	a.Offer(0, high)
+	a.Offer(0, low)
+	start, _ := a.Next(cassiatally.Instant(900*time.Millisecond), 1)
+	is.Equal(seqs(start), []uint64{1})
+}
+
 // Guards against a cancelled call that is started, and against entries that are
 // lost when others leave the middle of the queue.
 func TestRemove(t *testing.T) {
--- a/cassiatally/admitter/meter.go
+++ b/cassiatally/admitter/meter.go
@@ -26,14 +26,6 @@
 	// leastArrivals is the number of arrivals below which the highest order value
 	// says little about the level that the entry applies.
 	leastArrivals = 8
-	// headroom shifts the levels so that the queue stays about half full: a dry
-	// queue wastes capacity and a full one refuses calls that passed the entry.
-	headroom = 0.04
-	// leastBacklog is the part of the queue that a rank and the more urgent ones
-	// must hold, on average over the windows, before the level of the rank falls.
-	// Arrivals that vary by chance look like overload now and then, but only
-	// overload of these ranks fills the queue with them.
-	leastBacklog = 0.4
 	// spareCapacity is the part of the capacity that must be left for a rank
 	// without arrivals before its level grows.
 	spareCapacity = 0.05
@@ -198,16 +190,13 @@
 func (m *meter) update(shares perRank, bound int) perRank {
 	sum := m.sum(windowCount)
 	backlog, waiting := 0.0, 0.0
-	for _, n := range m.queued {
-		backlog += float64(n) / float64(bound)
-	}
-	pull := 1 + headroom*(0.5-backlog)
 	available, targets := m.targets(sum, m.capacity, shares)
 	long := m.sum(longCount)
 	_, longTargets := m.targets(long, long.capacity(m.capacity), shares)
 	for r, l := range m.levels {
 		level := float64(l)
-		next := max(targets[r], longTargets[r]) * pull
+		backlog += float64(m.queued[r]) / float64(bound)
+		next := max(targets[r], longTargets[r]) * pull(r, backlog)
 		if sum.arrivals[r] == 0 {
 			next = level
 			if available[r] > spareCapacity*m.capacity {
@@ -216,7 +205,7 @@
 		}
 		least := level
 		waiting += sum.waiting[r] / sum.seconds
-		if waiting >= leastBacklog*float64(bound) {
+		if waiting >= leastBacklog(r)*float64(bound) {
 			least *= mostShrink
 		}
 		next = min(max(next, least), level*mostGrowth)
@@ -250,6 +239,33 @@
 	return s.limit / s.seconds * s.ended / s.busy
 }
 
+// leastBacklog returns the part of the queue that a rank and the more urgent ones
+// must hold, on average over the windows, before the level of the rank falls.
+// Arrivals that vary by chance look like overload now and then, but only overload
+// of these ranks fills the queue with them. The most urgent rank has more room in
+// the queue and is shed last, so more is asked for.
+func leastBacklog(r int) float64 {
+	const urgent, others = 0.4, 0.1
+	if r == 0 {
+		return urgent
+	}
+	return others
+}
+
+// pull returns the factor by which a level follows the backlog of the queue. A
+// dry queue wastes capacity, and a full one refuses calls that passed the entry.
+// The most urgent rank is pulled less, since it must not give way to chance.
+func pull(r int, backlog float64) float64 {
+	const (
+		strength, rest             = 0.2, 0.1
+		urgentStrength, urgentRest = 0.04, 0.5
+	)
+	if r == 0 {
+		return 1 + urgentStrength*(urgentRest-backlog)
+	}
+	return 1 + strength*(rest-backlog)
+}
+
 // demand returns the demand of a rank before any refusal at the entry, in calls
 // per second. Entry nodes apply a level some time after it was set, and order
 // values are spread evenly. So the calls below the level tell the demand as soon
--- a/cassiatally/admitter/queue.go
+++ b/cassiatally/admitter/queue.go
@@ -88,7 +88,7 @@
 type queue struct {
 	first [cassiatally.MaxRanks]sorted
 	last  [cassiatally.MaxRanks]sorted
-	due   sorted
+	due   [cassiatally.MaxRanks]sorted
 	byID  map[cassiatally.CallID]*item
 	spare []*item
 	seq   uint64
@@ -97,11 +97,11 @@
 func newQueue() *queue {
 	q := &queue{
 		byID: make(map[cassiatally.CallID]*item),
-		due:  sorted{place: placeDue, before: dueBefore},
 	}
 	for r := range q.first {
 		q.first[r] = sorted{place: placeFirst, before: keyBefore}
 		q.last[r] = sorted{place: placeLast, before: keyAfter}
+		q.due[r] = sorted{place: placeDue, before: dueBefore}
 	}
 	return q
 }
@@ -125,7 +125,7 @@
 	q.first[r].add(it)
 	q.last[r].add(it)
 	if e.Deadline != 0 {
-		q.due.add(it)
+		q.due[r].add(it)
 	}
 }
 
@@ -143,7 +143,7 @@
 func (q *queue) remove(it *item) cassiatally.Entry {
 	q.first[it.rank].remove(it)
 	q.last[it.rank].remove(it)
-	q.due.remove(it)
+	q.due[it.rank].remove(it)
 	delete(q.byID, it.entry.ID)
 	q.spare = append(q.spare, it)
 	return it.entry
