--- a/standin/httpserver/httpserver.go
+++ b/standin/httpserver/httpserver.go
@@ -49,6 +49,7 @@
 	server   *http.Server
 	cancel   context.CancelFunc
 	failed   chan error
+	fresh    freshConns
 }
 
 // NewEcho returns a router that bounds request bodies.
@@ -97,9 +98,10 @@
 	s.server = &http.Server{
 		Handler:           s.Handler,
 		BaseContext:       func(net.Listener) context.Context { return base },
-		ConnState:         s.ConnState,
+		ConnState:         s.connState,
 		ReadHeaderTimeout: 10 * time.Second,
 	}
+	s.server.RegisterOnShutdown(s.fresh.closeAll)
 	go func() { s.failed <- s.server.Serve(l) }()
 	if s.Stdout != nil {
 		fmt.Fprintf(s.Stdout, "listening address=%s\n", s.Address())
@@ -107,6 +109,13 @@
 	return nil
 }
 
+func (s *Server) connState(c net.Conn, state http.ConnState) {
+	s.fresh.follow(c, state)
+	if s.ConnState != nil {
+		s.ConnState(c, state)
+	}
+}
+
 // Address returns the address to which Bind bound the server.
 func (s *Server) Address() cassiatally.Address {
 	return cassiatally.Address(s.listener.Addr().String())
