standin: test cold start, retried onward calls and misleading announcements

Cause: these options of the backend server had no test. Change: tests for them. They have not been run with the mechanisms off.

--- a/standin/backendserver/backendserver_test.go
+++ b/standin/backendserver/backendserver_test.go
@@ -221,10 +221,68 @@
 	is.Equal(check.Check(answerchecker.Digest(nil), a.body), core.FaultCorrupted)
 }
 
+// Guards against a cold start that does not slow requests down.
+func TestColdStart(t *testing.T) {
+	is := is.New(t)
+	const serviceTime = 20 * time.Millisecond
+	url, _ := serve(t, func(s *backendserver.Server) { s.ServiceTime, s.ColdStart = serviceTime, time.Hour })
+	begin := time.Now()
+	a, err := call(t.Context(), url, "check", `{"id":"r1"}`, "")
+	is.NoErr(err)
+	is.Equal(a.status, http.StatusOK)
+	is.True(time.Since(begin) >= 5*serviceTime)
+}
+
+// Guards against an application whose naive retries are not sent, or are sent as
+// other calls than the one that failed.
+func TestRetriedOnwardCall(t *testing.T) {
+	cases := []struct {
+		name    string
+		retries int
+		status  int
+		numbers []string
+	}{
+		{"no retry", 0, http.StatusBadGateway, []string{"1"}},
+		{"one retry", 1, http.StatusOK, []string{"1", "1"}},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			var mu sync.Mutex
+			var numbers []string
+			node := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+				mu.Lock()
+				defer mu.Unlock()
+				numbers = append(numbers, r.Header.Get(core.HeaderCall))
+				if len(numbers) == 1 {
+					w.WriteHeader(http.StatusServiceUnavailable)
+					return
+				}
+				_, _ = io.WriteString(w, `{"id":"r1"}`)
+			}))
+			defer node.Close()
+			url, _ := serve(t, func(s *backendserver.Server) {
+				s.Work = backendserver.Work{"check": {{Service: "a", Kind: "x"}}}
+				s.Children = &childcaller.Caller{Node: node.URL, Client: http.DefaultClient, Retries: c.retries}
+			})
+			a, err := call(t.Context(), url, "check", `{"id":"r1"}`, "1m")
+			is.NoErr(err)
+			is.Equal(a.status, c.status)
+			mu.Lock()
+			defer mu.Unlock()
+			is.Equal(numbers, c.numbers)
+		})
+	}
+}
+
 // Guards against control values that are accepted but have no effect.
 func TestControl(t *testing.T) {
 	is := is.New(t)
-	url, _ := serve(t, func(s *backendserver.Server) { s.ServiceTime = time.Hour })
+	lies := make(chan backendserver.Lie, 1)
+	url, _ := serve(t, func(s *backendserver.Server) {
+		s.ServiceTime = time.Hour
+		s.Lie = func(_ context.Context, l backendserver.Lie) { lies <- l }
+	})
 	put := func(body string) int {
 		req, err := http.NewRequestWithContext(t.Context(), http.MethodPut, url+"/control", bytes.NewReader([]byte(body)))
 		is.NoErr(err)
@@ -237,6 +295,8 @@
 	a, err := call(t.Context(), url, "check", `{"id":"r1"}`, "")
 	is.NoErr(err)
 	is.Equal(a.problem.Kind, cassiatally.KindBackendFailed.String())
+	is.Equal(put(`{"lie":{"slots":500}}`), http.StatusOK)
+	is.Equal(<-lies, backendserver.Lie{Slots: 500})
 	is.Equal(put(`{"servicetime":"1ms"}`), http.StatusBadRequest)
 	is.Equal(put(`{"state":"gone"}`), http.StatusBadRequest)
 	is.Equal(put(`{"fail_rate":2}`), http.StatusBadRequest)
