bench: add the launcher and the demo

Cause: There was no program that runs a whole deployment, so nobody could see ranks, outcomes and latencies of a fleet under overload. The flag parser of the operator program was not usable by others.

Change: The new module bench starts log, recorder, fault proxies, 16 nodes and 16 backend servers as child processes that the kernel ends with it, and has the command demo. flagparser moves from operator to the library; its caller states the program's name.

--- /dev/null
+++ b/bench/deployment/named.go
@@ -0,0 +1,82 @@
+package deployment
+
+import (
+	"time"
+
+	"github.com/cassiatally/cassiatally/cassiatally"
+	"github.com/cassiatally/cassiatally/standin/loadplan"
+)
+
+const (
+	kibi = 1 << 10
+	// resends is how often callers send a request again after a timeout.
+	resends = 2
+	lookups = 3
+)
+
+// class returns a class whose callers time out at the target and then send the
+// request again.
+func class(name, service, kind string, target time.Duration, part float64) Class {
+	return Class{Part: part, Class: loadplan.Class{
+		Name: loadplan.ClassName(name), Service: cassiatally.Service(service), Kind: cassiatally.WorkKind(kind),
+		Tenants: []cassiatally.Tenant{"north", "south", "east", "west"},
+		Timeout: target, Target: target, BodySize: kibi,
+		Resend: loadplan.Resend{Policy: loadplan.ResendHard, Count: resends},
+	}}
+}
+
+// keyed returns a class of work that is not idempotent.
+func keyed(name, service, kind string, target time.Duration, part float64) Class {
+	c := class(name, service, kind, target, part)
+	c.Keyed = true
+	c.Lookups = lookups
+	return c
+}
+
+func barrier() Deployment {
+	const check = "avail-svc/check"
+	return Deployment{
+		DataCentres: []cassiatally.DataCentre{"edinburgh", "glasgow", "stirling", "dundee"},
+		Narrow:      "avail-svc",
+		Deep:        "check",
+		Services: []Service{
+			{Name: "avail-svc", Slots: 15, Connections: 200, Work: []string{"check"}},
+			{Name: "booking-svc", Slots: 110, Connections: 750, Work: []string{"confirm=" + check + ",dispatch-svc/schedule_delivery,depot-svc/reserve"}},
+			{Name: "dispatch-svc", Slots: 110, Connections: 750, Work: []string{"schedule_delivery", "view_schedule=" + check}},
+			{Name: "depot-svc", Slots: 110, Connections: 750, Work: []string{"reserve", "check_stock=" + check, "report"}},
+		},
+		Classes: []Class{
+			keyed("confirm", "booking-svc", "confirm", 2*time.Second, 0.15),
+			class("check", "avail-svc", "check", 800*time.Millisecond, 0.25),
+			class("stock", "depot-svc", "check_stock", 800*time.Millisecond, 0.25),
+			class("view", "dispatch-svc", "view_schedule", 1500*time.Millisecond, 0.35),
+			class("report", "depot-svc", "report", 10*time.Second, 0.2),
+		},
+		Elsewhere:     []loadplan.ClassName{"report"},
+		CallerLatency: time.Millisecond,
+		Sheet:         "examples/barrier/sheet.csv",
+	}
+}
+
+func intake() Deployment {
+	const verify = "harapan/verify"
+	return Deployment{
+		DataCentres: []cassiatally.DataCentre{"manila", "quezon", "baguio", "batangas"},
+		Narrow:      "harapan",
+		Deep:        "verify",
+		Services: []Service{
+			{Name: "harapan", Slots: 10, Connections: 160, Work: []string{"verify"}},
+			{Name: "archivo", Slots: 90, Connections: 630, Work: []string{"prior_filings=" + verify}},
+			{Name: "kasunduan", Slots: 90, Connections: 630, Work: []string{"sign=archivo/prior_filings"}},
+			{Name: "pormularyo", Slots: 90, Connections: 630, Work: []string{"fill=" + verify, "export=" + verify}},
+		},
+		Classes: []Class{
+			class("prior_filings", "archivo", "prior_filings", 800*time.Millisecond, 0.15),
+			keyed("sign", "kasunduan", "sign", 2*time.Second, 0.1),
+			class("fill", "pormularyo", "fill", 1500*time.Millisecond, 0.35),
+			class("export", "pormularyo", "export", 10*time.Second, 0.4),
+		},
+		CallerLatency: 8 * time.Millisecond,
+		Sheet:         "examples/intake/sheet.yaml",
+	}
+}
--- /dev/null
+++ b/bench/launcher/process.go
@@ -0,0 +1,129 @@
+package launcher
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"os"
+	"os/exec"
+	"strings"
+	"syscall"
+	"time"
+
+	"github.com/cockroachdb/errors"
+)
+
+// PID is the id of a process.
+type PID int
+
+// Process is one started process.
+type Process struct {
+	Name string
+	// Listening has the fields of the line that tells where the process listens,
+	// such as address.
+	Listening map[string]string
+	// Routes has the address of each route that a fault proxy printed.
+	Routes map[string]string
+
+	cmd     *exec.Cmd
+	logFile *os.File
+	line    chan string
+	exited  chan struct{}
+}
+
+// PID returns the id of the process.
+func (p *Process) PID() PID { return PID(p.cmd.Process.Pid) }
+
+// Exited returns a channel that is closed when the process has ended.
+func (p *Process) Exited() <-chan struct{} { return p.exited }
+
+// Signal sends a signal to the process unless it has ended.
+func (p *Process) Signal(s syscall.Signal) {
+	select {
+	case <-p.exited:
+	default:
+		// The process may end in between; then there is nothing to do.
+		_ = p.cmd.Process.Signal(s)
+	}
+}
+
+// Kill ends the process at once and waits for its end.
+func (p *Process) Kill() {
+	p.Signal(syscall.SIGKILL)
+	<-p.exited
+}
+
+func (p *Process) start() error {
+	stdout, err := p.cmd.StdoutPipe()
+	if err != nil {
+		return errors.CombineErrors(err, p.logFile.Close())
+	}
+	if err := p.cmd.Start(); err != nil {
+		return errors.CombineErrors(err, p.logFile.Close())
+	}
+	p.Routes = make(map[string]string)
+	go p.watch(stdout)
+	return nil
+}
+
+// watch is the duty that copies the output, reports the listening line, and
+// waits for the end.
+func (p *Process) watch(stdout io.Reader) {
+	defer close(p.exited)
+	defer p.logFile.Close()
+	reported := false
+	lines := bufio.NewScanner(stdout)
+	for lines.Scan() {
+		fmt.Fprintln(p.logFile, lines.Text())
+		if reported {
+			continue
+		}
+		if values, ok := parseLine(lines.Text(), "route "); ok {
+			p.Routes[values["name"]] = values["listen"]
+		}
+		if _, ok := parseLine(lines.Text(), "listening "); ok {
+			reported = true
+			p.line <- lines.Text()
+		}
+	}
+	// The exit status tells nothing: most processes end by a signal.
+	_ = p.cmd.Wait()
+}
+
+func (p *Process) waitListening(ctx context.Context) error {
+	timer := time.NewTimer(startLimit)
+	defer timer.Stop()
+	select {
+	case line := <-p.line:
+		p.Listening, _ = parseLine(line, "listening ")
+		return nil
+	case <-p.exited:
+		return errors.Newf("%s ended before it listened; see %s", p.Name, p.logFile.Name())
+	case <-timer.C:
+		return errors.Newf("%s did not listen within %v; see %s", p.Name, startLimit, p.logFile.Name())
+	case <-ctx.Done():
+		return errors.Wrapf(ctx.Err(), "waiting for %s", p.Name)
+	}
+}
+
+func (p *Process) waitExit(ctx context.Context) {
+	select {
+	case <-p.exited:
+	case <-ctx.Done():
+	}
+}
+
+// parseLine reads the key=value fields of a line that begins with the prefix.
+func parseLine(line, prefix string) (map[string]string, bool) {
+	rest, ok := strings.CutPrefix(line, prefix)
+	if !ok {
+		return nil, false
+	}
+	values := make(map[string]string)
+	for field := range strings.FieldsSeq(rest) {
+		key, value, _ := strings.Cut(field, "=")
+		values[key] = value
+	}
+	return values, true
+}
--- a/operator/flagparser/parser.go
+++ b/cassiatally/flagparser/parser.go
@@ -8,7 +8,7 @@
 //
 // # Usage
 //
-//	p := flagparser.New("sheet check")
+//	p := flagparser.New("cassiatally sheet check")
 //	p.Positional(&file, "FILE", "the sheet", true)
 //	p.Flags.Bool(&json, "", "json", "print JSON")
 //	help, err := p.Parse(args)
@@ -39,7 +39,8 @@
 	positions int
 }
 
-// New returns a parser for the command, which has the flag --help.
+// New returns a parser for the command, named with its program, which has the
+// flag --help.
 func New(command string) *Parser {
 	p := &Parser{Flags: flaggy.NewParser(command)}
 	p.Flags.ShowHelpWithHFlag = false
@@ -94,7 +95,7 @@
 	if p.message != "" {
 		message = p.message
 	}
-	return cassiatally.NewError(cassiatally.KindUsage, "%s; see cassiatally %s --help", strings.TrimSpace(message), p.Flags.Name)
+	return cassiatally.NewError(cassiatally.KindUsage, "%s; see %s --help", strings.TrimSpace(message), p.Flags.Name)
 }
 
 // Describe returns one line for each flag.
--- a/operator/cli/command.go
+++ b/operator/cli/command.go
@@ -12,7 +12,7 @@
 	"strings"
 
 	"github.com/cassiatally/cassiatally/operator/environment"
-	"github.com/cassiatally/cassiatally/operator/flagparser"
+	"github.com/cassiatally/cassiatally/cassiatally/flagparser"
 )
 
 // Command is one command of the program.
--- a/operator/command/sheet/check/check.go
+++ b/operator/command/sheet/check/check.go
@@ -13,7 +13,7 @@
 	"github.com/cassiatally/cassiatally/cassiatally/sheetparser"
 	"github.com/cassiatally/cassiatally/operator/cli"
 	"github.com/cassiatally/cassiatally/operator/environment"
-	"github.com/cassiatally/cassiatally/operator/flagparser"
+	"github.com/cassiatally/cassiatally/cassiatally/flagparser"
 	"github.com/cassiatally/cassiatally/operator/sheetsource"
 )
 
@@ -33,7 +33,7 @@
 // New returns the command.
 func New(env environment.Environment) cli.Command {
 	o := &Options{Env: env}
-	p := flagparser.New("sheet check")
+	p := flagparser.New("cassiatally sheet check")
 	p.Positional(&o.File, "FILE", "the sheet", true)
 	p.Flags.Bool(&o.JSON, "", "json", "print the report as JSON")
 	return cli.Command{
--- a/operator/command/sheet/diff/diff.go
+++ b/operator/command/sheet/diff/diff.go
@@ -15,7 +15,7 @@
 	"github.com/cassiatally/cassiatally/cassiatally/sheetdiffer"
 	"github.com/cassiatally/cassiatally/operator/cli"
 	"github.com/cassiatally/cassiatally/operator/environment"
-	"github.com/cassiatally/cassiatally/operator/flagparser"
+	"github.com/cassiatally/cassiatally/cassiatally/flagparser"
 	"github.com/cassiatally/cassiatally/operator/sheetsource"
 )
 
@@ -34,7 +34,7 @@
 // New returns the command.
 func New(env environment.Environment) cli.Command {
 	o := &Options{Env: env, Timeout: defaultTimeout}
-	p := flagparser.New("sheet diff")
+	p := flagparser.New("cassiatally sheet diff")
 	p.Positional(&o.Before, "A", "file or version before the change", true)
 	p.Positional(&o.After, "B", "file or version after the change", true)
 	p.Flags.String(&o.Log, "", "log", "address of the log service (required for versions)")
--- a/operator/command/sheet/history/history.go
+++ b/operator/command/sheet/history/history.go
@@ -15,7 +15,7 @@
 	"github.com/cassiatally/cassiatally/cassiatally/sheetreader"
 	"github.com/cassiatally/cassiatally/operator/cli"
 	"github.com/cassiatally/cassiatally/operator/environment"
-	"github.com/cassiatally/cassiatally/operator/flagparser"
+	"github.com/cassiatally/cassiatally/cassiatally/flagparser"
 	"github.com/cassiatally/cassiatally/operator/sheetsource"
 	"github.com/cassiatally/cassiatally/operator/tabler"
 )
@@ -47,7 +47,7 @@
 // New returns the command.
 func New(env environment.Environment) cli.Command {
 	o := &Options{Env: env, Timeout: defaultTimeout}
-	p := flagparser.New("sheet history")
+	p := flagparser.New("cassiatally sheet history")
 	p.Flags.String(&o.Log, "", "log", "address of the log service (required)")
 	p.Flags.Duration(&o.Timeout, "", "timeout", "time to wait for the log service (default: 10s)")
 	p.Flags.Bool(&o.JSON, "", "json", "print one JSON object for each record")
--- a/operator/command/sheet/publish/publish.go
+++ b/operator/command/sheet/publish/publish.go
@@ -20,7 +20,7 @@
 	"github.com/cassiatally/cassiatally/cassiatally/sheetdiffer"
 	"github.com/cassiatally/cassiatally/operator/cli"
 	"github.com/cassiatally/cassiatally/operator/environment"
-	"github.com/cassiatally/cassiatally/operator/flagparser"
+	"github.com/cassiatally/cassiatally/cassiatally/flagparser"
 	"github.com/cassiatally/cassiatally/operator/sheetsource"
 )
 
@@ -55,7 +55,7 @@
 // New returns the command.
 func New(env environment.Environment) cli.Command {
 	o := &Options{Env: env, BasedOn: noVersion, Publisher: env.User, Timeout: defaultTimeout}
-	p := flagparser.New("sheet publish")
+	p := flagparser.New("cassiatally sheet publish")
 	p.Positional(&o.File, "FILE", "the sheet", true)
 	p.Flags.String(&o.Log, "", "log", "address of the log service (required)")
 	p.Flags.Int64(&o.BasedOn, "", "based-on", "version that the sheet was made from; 0 for the first sheet (required)")
--- a/operator/command/sheet/show/show.go
+++ b/operator/command/sheet/show/show.go
@@ -15,7 +15,7 @@
 	"github.com/cassiatally/cassiatally/cassiatally/sheet"
 	"github.com/cassiatally/cassiatally/operator/cli"
 	"github.com/cassiatally/cassiatally/operator/environment"
-	"github.com/cassiatally/cassiatally/operator/flagparser"
+	"github.com/cassiatally/cassiatally/cassiatally/flagparser"
 	"github.com/cassiatally/cassiatally/operator/sheetsource"
 	"github.com/cassiatally/cassiatally/operator/tabler"
 )
@@ -42,7 +42,7 @@
 // New returns the command.
 func New(env environment.Environment) cli.Command {
 	o := &Options{Env: env, Timeout: defaultTimeout}
-	p := flagparser.New("sheet show")
+	p := flagparser.New("cassiatally sheet show")
 	p.Positional(&o.Version, "VERSION", "the version; the one in force when left out", false)
 	p.Flags.String(&o.Log, "", "log", "address of the log service (required)")
 	p.Flags.Duration(&o.Timeout, "", "timeout", "time to wait for the log service (default: 10s)")
--- a/operator/command/version/version.go
+++ b/operator/command/version/version.go
@@ -14,7 +14,7 @@
 	"github.com/cassiatally/cassiatally/cassiatally/protocol"
 	"github.com/cassiatally/cassiatally/operator/cli"
 	"github.com/cassiatally/cassiatally/operator/environment"
-	"github.com/cassiatally/cassiatally/operator/flagparser"
+	"github.com/cassiatally/cassiatally/cassiatally/flagparser"
 )
 
 // Options are the inputs of the command.
@@ -32,7 +32,7 @@
 // New returns the command.
 func New(env environment.Environment) cli.Command {
 	o := &Options{Env: env}
-	p := flagparser.New("version")
+	p := flagparser.New("cassiatally version")
 	p.Flags.Bool(&o.JSON, "", "json", "print JSON")
 	return cli.Command{
 		Name:        "version",
