--- a/cassiatally/sheetfolder/folder_test.go
+++ b/cassiatally/sheetfolder/folder_test.go
@@ -152,6 +152,8 @@
 func TestReadersAgree(t *testing.T) {
 	// Fewer checks can miss the rare orders that need all rules of the folder.
 	is.New(t).NoErr(flag.Set("rapid.checks", "2000"))
+	// A fixed seed gives the same verdict in every run.
+	is.New(t).NoErr(flag.Set("rapid.seed", "1"))
 	based := 0
 	rapid.Check(t, func(t *rapid.T) {
 		w := &world{}
