admitter, registrar: keep admitted call trees and false suspicion apart

Cause: the demo's overload (3 times the narrow service) wasted 829 of 8,065 trees that passed the entry: their onward calls were refused at avail-svc, behind calls that had cost nothing yet. Levels by gossip were up to 4 s old and stamped as fresh at every tick, so entries followed old levels. Change: onward calls queue before calls of callers of the same rank; reports carry the instant that they are from; small fleets tell loads with each heartbeat; the time of suspicion grows by 20 ms for each member.

--- a/cassiatally/admitter/admitter.go
+++ b/cassiatally/admitter/admitter.go
@@ -45,6 +45,11 @@
 	// sheet. A limit that is halved for a probe must not cost urgent calls that can
 	// wait; their deadlines still bound the queue.
 	urgentBound = 3
+	// onwardLead puts onward calls before all calls that come from callers, in the
+	// order of serving as well as in that of refusing. To refuse an onward call
+	// wastes what services further up have done for it; in an overload trial, one
+	// call in seven that passed the entry was wasted that way.
+	onwardLead = 1e6
 	// rescueTime is the time before the last moment to start at which a call of a
 	// rank that fits goes first. In a busy spell, calls with a high order value
 	// would otherwise wait until their deadline passes.
@@ -88,6 +93,9 @@
 	s.share = e.Share
 	a.meter.arrived(r, e.Order)
 	key := float64(e.Order) * s.tenants.arrived(e.Tenant)
+	if e.Onward {
+		key -= onwardLead
+	}
 	if kind := a.hopeless(now, e, r, key); kind != cassiatally.KindNone {
 		return []cassiatally.Dropped{{ID: e.ID, Kind: kind}}
 	}
@@ -182,7 +190,8 @@
 // is not. That is the entry that would be served last: of the least urgent rank
 // that has more entries than its kept share of the queue, the one with the
 // highest key. Entries within a kept share come on top of the bound, so that they
-// take no room from urgent work. Rank 0 may queue longer than the others.
+// take no room from urgent work. Rank 0 and onward calls may queue longer than the
+// others.
 func (a *Admitter) worst() *item {
 	bound := a.bound()
 	room := bound + a.meter.free()
@@ -195,7 +204,7 @@
 			last = a.q.last[r].top()
 		}
 	}
-	if last != nil && last.rank == 0 {
+	if last != nil && (last.rank == 0 || last.entry.Onward) {
 		room += (urgentBound - 1) * bound
 	}
 	if room >= 0 {
--- a/cassiatally/interfaces.go
+++ b/cassiatally/interfaces.go
@@ -60,6 +60,8 @@
 	Tenant   Tenant
 	Order    Order
 	Deadline Instant
+	// Onward marks a call for which services further up have done work already.
+	Onward bool
 }
 
 // Dropped is an entry that will not be started, with the reason.
@@ -158,8 +160,9 @@
 type LoadTracker interface {
 	// Learn records the levels of the services that a (service, kind) touched.
 	Learn(now Instant, s Service, w WorkKind, loads []ServiceLoad)
-	// Observe records the level of one endpoint, as gossip reports it.
-	Observe(now Instant, n NodeID, load ServiceLoad)
+	// Observe records the level that one endpoint had at an instant, as gossip
+	// reports it. A report that is not newer than the last one changes nothing.
+	Observe(at Instant, n NodeID, load ServiceLoad)
 	// Admit reports whether the chain can serve the order value, and if not, the
 	// service that cannot.
 	Admit(now Instant, s Service, w WorkKind, r Rank, o Order) (bool, Service)
--- a/cassiatally/loadtracker/loadtracker.go
+++ b/cassiatally/loadtracker/loadtracker.go
@@ -99,22 +99,26 @@
 	}
 }
 
-// Observe records the levels of one endpoint.
-func (t *Tracker) Observe(now cassiatally.Instant, n cassiatally.NodeID, load cassiatally.ServiceLoad) {
-	v := t.service(now, load.Service)
+// Observe records the levels that one endpoint had at an instant. Gossip repeats
+// old reports; only a newer one is news.
+func (t *Tracker) Observe(at cassiatally.Instant, n cassiatally.NodeID, load cassiatally.ServiceLoad) {
+	v := t.service(at, load.Service)
 	if v == nil {
 		return
 	}
 	r := v.endpoints[n]
 	if r == nil {
-		v.dropStale(now, t.fresh()+t.drift())
+		v.dropStale(at, t.fresh()+t.drift())
 		if len(v.endpoints) >= defaultEndpoints {
 			return
 		}
 		r = &report{}
 		v.endpoints[n] = r
 	}
-	r.set(now, load)
+	if r.weight > 0 && at <= r.at {
+		return
+	}
+	r.set(at, load)
 }
 
 // Admit reports whether every service that the work touches can serve the order
@@ -278,7 +282,7 @@
 		v = &service{endpoints: make(map[cassiatally.NodeID]*report)}
 		t.services[s] = v
 	}
-	v.used = now
+	v.used = max(v.used, now)
 	return v
 }
 
--- a/cassiatally/registrar/merge.go
+++ b/cassiatally/registrar/merge.go
@@ -111,7 +111,7 @@
 	delete(m.tombstones, in.Ref.Node)
 	delete(m.asked, in.Ref.Node)
 	in.Endpoint.Load.Node = in.Ref.Node
-	m.table[in.Ref.Node] = &entry{member: in, grewAt: m.now, score: m.score(in.Ref.Node)}
+	m.table[in.Ref.Node] = &entry{member: in, grewAt: m.now, loadAt: m.now, score: m.score(in.Ref.Node)}
 	m.crowded = m.crowded || in.DataCentre != m.cfg.DataCentre
 }
 
@@ -122,6 +122,7 @@
 		e.grewAt, e.sent = m.lastSign(e, in), 0
 		e.member.Sheet = max(e.member.Sheet, in.Sheet)
 		if in.Endpoint.Load != (cassiatally.EndpointLoad{}) {
+			e.loadAt = e.grewAt
 			e.member.Endpoint.Load = in.Endpoint.Load
 			e.member.Endpoint.Levels = levelsFrom(in.Endpoint.Levels, len(e.member.Endpoint.Levels))
 		}
--- a/cassiatally/registrar/registrar.go
+++ b/cassiatally/registrar/registrar.go
@@ -104,6 +104,8 @@
 type entry struct {
 	member cassiatally.Member
 	grewAt cassiatally.Instant
+	// loadAt is when the member had the load that is known of it.
+	loadAt cassiatally.Instant
 	// sent counts the beats sent since the heartbeat last grew.
 	sent int
 	// score orders members of other data centres, the lowest being kept.
@@ -269,8 +271,8 @@
 		room = maxLocalBytes
 	}
 	c := composer{room: room, entries: maxEntries, taken: crashBytes(r.crashes)}
-	if local && r.self.Heartbeat%loadEvery != 0 {
-		c.add(beatOf(r.self, true))
+	if local && !r.tellsLoad(r.self.Heartbeat) {
+		c.add(r.beatOf(r.self, true))
 	} else {
 		// A receiver that does not know this node needs the address to answer.
 		c.add(r.self)
@@ -284,7 +286,7 @@
 		if !own && foreign == maxForeignBeats {
 			continue
 		}
-		if !c.add(beatOf(e.member, local && own)) {
+		if !c.add(r.beatOf(e.member, local && own)) {
 			break
 		}
 		e.sent++
@@ -297,6 +299,11 @@
 	return g
 }
 
+// tellsLoad reports whether the message of a heartbeat carries the load.
+func (r *Registrar) tellsLoad(heartbeat uint64) bool {
+	return heartbeat%uint64(1+len(r.table)/membersPerLoad) == 0
+}
+
 func (r *Registrar) freshest(now cassiatally.Instant) []*entry {
 	var fresh []*entry
 	for _, e := range r.table {
--- a/cassiatally/registrar/rumours.go
+++ b/cassiatally/registrar/rumours.go
@@ -58,10 +58,11 @@
 }
 
 const (
-	// loadEvery is the number of heartbeats of which one tells the load. With
-	// each, 132 members would not fit into the messages of a second; answers
-	// carry fresher loads to those who call.
-	loadEvery = 4
+	// membersPerLoad is the number of members for which each heartbeat can tell
+	// the load. With 132 members, loads in each would not fit into the messages of
+	// a second, so one heartbeat of four tells it; answers carry fresher loads to
+	// those who call.
+	membersPerLoad = 40
 
 	// The bytes of a frame and of an entry without its texts, measured with the
 	// codec and rounded up. Decisions import no codec, so they estimate.
@@ -113,9 +114,9 @@
 
 // beatOf returns the entry that tells a heartbeat. Within a data centre it
 // leaves out what the receiver has; others need it to decide whether to ask.
-func beatOf(m cassiatally.Member, within bool) cassiatally.Member {
+func (r *Registrar) beatOf(m cassiatally.Member, within bool) cassiatally.Member {
 	beat := cassiatally.Member{Ref: m.Ref, Heartbeat: m.Heartbeat, Revision: m.Revision}
-	if m.Heartbeat%loadEvery == 0 {
+	if r.tellsLoad(m.Heartbeat) {
 		beat.Sheet = m.Sheet
 		beat.Endpoint.Load = m.Endpoint.Load
 		beat.Endpoint.Load.Node = ""
--- a/cassiatally/registrar/view.go
+++ b/cassiatally/registrar/view.go
@@ -3,17 +3,24 @@
 import (
 	"cmp"
 	"slices"
+	"time"
 
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/cassiatally/cassiatally/cassiatally"
 )
 
-const logReaders = 2
+const (
+	logReaders = 2
+	// suspectPerMember is added to the time of suspicion for each known member.
+	suspectPerMember = 20 * time.Millisecond
+)
 
 // Load is what an endpoint last told about its levels.
 type Load struct {
 	Node cassiatally.NodeID
+	// At is when the endpoint had this load.
+	At   cassiatally.Instant
 	Load cassiatally.ServiceLoad
 }
 
@@ -55,10 +62,12 @@
 func (r *Registrar) View(now cassiatally.Instant) *View {
 	v := &View{addresses: map[cassiatally.NodeID]cassiatally.Address{}}
 	suspects := map[cassiatally.NodeID]bool{}
+	loadAt := map[cassiatally.NodeID]cassiatally.Instant{r.cfg.Self.Node: now}
 	v.Members = append(v.Members, r.self)
 	for id, e := range r.table {
 		v.Members = append(v.Members, e.member)
 		suspects[id] = r.suspected(now, e)
+		loadAt[id] = e.loadAt
 	}
 	slices.SortFunc(v.Members, func(a, b cassiatally.Member) int { return cmp.Compare(a.Ref.Node, b.Ref.Node) })
 	for _, m := range v.Members {
@@ -72,7 +81,7 @@
 		}
 	}
 	v.LogReaders = r.logReaders(v.Local)
-	v.addEndpoints(suspects)
+	v.addEndpoints(suspects, loadAt)
 	return v
 }
 
@@ -92,11 +101,18 @@
 // more seldom than SuspectAfter; their members are suspected at RemoveAfter.
 func (r *Registrar) suspected(now cassiatally.Instant, e *entry) bool {
 	if e.member.DataCentre == r.cfg.DataCentre {
-		return now.Sub(e.grewAt) >= r.cfg.SuspectAfter
+		return now.Sub(e.grewAt) >= r.suspectAfter()
 	}
 	return now.Sub(e.grewAt) >= r.cfg.RemoveAfter
 }
 
+// suspectAfter grows with the number of members, since the beats of more members
+// share the same messages. With 3 s for 132 members, 1 to 2% of them were
+// suspected at any time without a cause.
+func (r *Registrar) suspectAfter() time.Duration {
+	return r.cfg.SuspectAfter + time.Duration(len(r.table))*suspectPerMember
+}
+
 // logReaders returns the two members with the lowest rendezvous hash, which are
 // the same on all nodes that know the same members.
 func (r *Registrar) logReaders(local []cassiatally.NodeRef) []cassiatally.NodeRef {
@@ -110,7 +126,7 @@
 	return readers[:min(logReaders, len(readers))]
 }
 
-func (v *View) addEndpoints(suspects map[cassiatally.NodeID]bool) {
+func (v *View) addEndpoints(suspects map[cassiatally.NodeID]bool, loadAt map[cassiatally.NodeID]cassiatally.Instant) {
 	trusted := map[cassiatally.Service]bool{}
 	for _, m := range v.Members {
 		if m.Endpoint.State == cassiatally.EndpointReady && !m.Leaving && !suspects[m.Ref.Node] {
@@ -131,7 +147,7 @@
 			Connections: e.Connections, State: state, Load: e.Load,
 		})
 		load := cassiatally.ServiceLoad{Service: e.Service, Weight: float64(e.Load.Limit), Levels: e.Levels}
-		v.Loads = append(v.Loads, Load{m.Ref.Node, load})
+		v.Loads = append(v.Loads, Load{m.Ref.Node, loadAt[m.Ref.Node], load})
 		v.summarise(m)
 	}
 }
--- a/cassiatally/runner/runner.go
+++ b/cassiatally/runner/runner.go
@@ -176,6 +176,7 @@
 		Tenant:   c.Tenant,
 		Order:    c.Order,
 		Deadline: rec.deadline,
+		Onward:   c.Depth > 0,
 	})
 	return r.pump(now, r.drop(nil, dropped))
 }
--- a/node/dispatcher/dispatcher.go
+++ b/node/dispatcher/dispatcher.go
@@ -87,6 +87,8 @@
 // EndpointLevels are the levels that gossip reports for one endpoint.
 type EndpointLevels struct {
 	Node cassiatally.NodeID
+	// At is when the endpoint had these levels.
+	At   cassiatally.Instant
 	Load cassiatally.ServiceLoad
 }
 
@@ -194,7 +196,7 @@
 func (e endpointsEvent) apply(d *Dispatcher, now cassiatally.Instant) {
 	d.Balancer.Update(now, e.candidates)
 	for _, l := range e.loads {
-		d.Loads.Observe(now, l.Node, l.Load)
+		d.Loads.Observe(l.At, l.Node, l.Load)
 	}
 }
 
--- a/node/supervisor/routes.go
+++ b/node/supervisor/routes.go
@@ -65,7 +65,7 @@
 func (s *Supervisor) viewChanged(v *registrar.View) {
 	levels := make([]dispatcher.EndpointLevels, 0, len(v.Loads))
 	for _, l := range v.Loads {
-		levels = append(levels, dispatcher.EndpointLevels{Node: l.Node, Load: l.Load})
+		levels = append(levels, dispatcher.EndpointLevels{Node: l.Node, At: l.At, Load: l.Load})
 	}
 	s.dispatcher.Endpoints(v.Candidates, levels)
 	s.claims.Members(v)
