runner: count retries by backend servers in the root's budget

Cause: The scenario `retries` (chain of five services, each application sends a failed onward call again up to twice) showed up to 15 executions of one root request at the deepest service, though `retries.per_root` is 2. Retries by nodes were ruled out: they stayed within the budget. Each repetition of an idempotent onward call by an application was a new call that cost nothing. Change: An idempotent onward call that follows an equal one that failed, or an equal named one still in flight, takes one of the retries left to the run. Without one it is refused as `retry_budget_spent`, `not_run`. `go test ./runner/` passes; TestRetriesByTheBackendServer covers the cases. Applications that give each repetition another name still evade the count, since nothing tells such calls from calls that are meant.

--- a/cassiatally/runner/children.go
+++ b/cassiatally/runner/children.go
@@ -44,11 +44,24 @@
 type childRef struct {
 	parent cassiatally.CallID
 	key    childKey
+	// made is the key of the call as the backend server made it.
+	made childKey
 }
 
+// madeState tells what is known of the latest of several equal onward calls.
+type madeState uint8
+
+const (
+	madeNone madeState = iota
+	madeInFlight
+	madeFailed
+)
+
 // children are the onward calls of one run.
 type children struct {
-	known       map[childKey]*child
+	known map[childKey]*child
+	// made has the idempotent calls that have not succeeded.
+	made        map[childKey]madeState
 	outstanding int
 	since       cassiatally.Instant
 	waited      time.Duration
@@ -101,6 +114,9 @@
 	if known, ok := parent.children.known[key]; ok && !c.Idempotent {
 		return joinChild(known, c.Waiter)
 	}
+	if parent.children.repeats(key, c) && !parent.children.takeRetry() {
+		return deliverRefusal(c.Waiter, cassiatally.KindRetryBudgetSpent, "the application sent the call again, and the root request has no retries left")
+	}
 	return r.submitChild(now, parent, key, c)
 }
 
@@ -128,6 +144,45 @@
 	}
 }
 
+// repeats reports whether an idempotent call is a retry by the backend server.
+// Equal calls without a name may be in flight side by side, but one that follows
+// a failure is a retry.
+func (c *children) repeats(key childKey, call ChildCall) bool {
+	if !call.Idempotent {
+		return false
+	}
+	switch c.made[key] {
+	case madeFailed:
+		return true
+	case madeInFlight:
+		return call.Name != ""
+	default:
+		return false
+	}
+}
+
+// takeRetry spends a retry of the root request. Retries by backend servers
+// multiply along the chain unless they come out of the same budget as those of
+// the nodes.
+func (c *children) takeRetry() bool {
+	if c.left == 0 {
+		return false
+	}
+	c.left--
+	c.spent++
+	return true
+}
+
+func (c *children) settle(made childKey, a cassiatally.Answer) {
+	switch {
+	case c.made[made] == madeNone:
+	case a.Kind == cassiatally.KindNone:
+		delete(c.made, made)
+	default:
+		c.made[made] = madeFailed
+	}
+}
+
 func joinChild(known *child, waiter cassiatally.CallID) []cassiatally.Action {
 	if known.answer != nil {
 		return []cassiatally.Action{cassiatally.Deliver{Call: waiter, Answer: *known.answer}}
@@ -141,14 +196,17 @@
 	granted := parent.children.grant()
 	if parent.children.known == nil {
 		parent.children.known = make(map[childKey]*child)
+		parent.children.made = make(map[childKey]madeState)
 	}
+	made := key
 	if c.Idempotent {
+		parent.children.made[made] = madeInFlight
 		// Each idempotent call is tracked on its own, also when two are equal.
 		key.name = id.String()
 	}
 	parent.children.known[key] = &child{id: id, waiters: []cassiatally.CallID{c.Waiter}, granted: granted}
 	parent.children.begin(now)
-	r.childRuns[id] = childRef{parent: c.Parent, key: key}
+	r.childRuns[id] = childRef{parent: c.Parent, key: key, made: made}
 	deadline := parent.deadline
 	if c.Remaining > 0 && now.Add(c.Remaining).Before(deadline) {
 		deadline = now.Add(c.Remaining)
@@ -186,6 +244,7 @@
 	}
 	known := parent.children.known[ref.key]
 	parent.children.end(now)
+	parent.children.settle(ref.made, a)
 	spent := min(a.RetriesSpent, known.granted)
 	parent.children.left += known.granted - spent
 	parent.children.spent += spent
--- a/cassiatally/runner/runner.go
+++ b/cassiatally/runner/runner.go
@@ -364,7 +364,7 @@
 	rec.ended = now
 	rec.answer = a
 	rec.call.Body = nil
-	rec.children.known = nil
+	rec.children.known, rec.children.made = nil, nil
 	r.keep(rec.call.ID)
 	return append(actions, cassiatally.Send{To: rec.from, Message: a})
 }
--- a/cassiatally/runner/runner_test.go
+++ b/cassiatally/runner/runner_test.go
@@ -231,6 +231,49 @@
 	is.Equal(got[0].RetriesSpent, cassiatally.RetryCount(1))
 }
 
+// Guards against applications whose own retries multiply along the chain: they
+// come out of the retry budget of the root request.
+func TestRetriesByTheBackendServer(t *testing.T) {
+	failed := cassiatally.Answer{Outcome: cassiatally.OutcomeRan, Kind: cassiatally.KindBackendFailed}
+	for _, c := range []struct {
+		name      string
+		callName  string
+		first     *cassiatally.Answer
+		submitted int
+	}{
+		{"after a failure", "1", &failed, 3},
+		{"after a failure, without a name", "", &failed, 3},
+		{"while the first copy is in flight", "1", nil, 2},
+		{"equal calls side by side, without a name", "", nil, 5},
+		{"after a success", "1", &cassiatally.Answer{Outcome: cassiatally.OutcomeRan}, 5},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			h := newHarness(2)
+			parent := call(1, "a")
+			h.HandleCall(start, entry, parent)
+			submitted := 0
+			for waiter := range uint64(5) {
+				child := childOf(parent, waiter, true)
+				child.Name = c.callName
+				switch a := h.BeginChild(start, child)[0].(type) {
+				case cassiatally.Submit:
+					submitted++
+					if c.first != nil {
+						h.ChildAnswered(start, a.Request.ID, *c.first)
+					}
+				case cassiatally.Deliver:
+					is.Equal(a.Answer.Kind, cassiatally.KindRetryBudgetSpent)
+					is.Equal(a.Answer.Outcome, cassiatally.OutcomeNotRun)
+				}
+			}
+			is.Equal(submitted, c.submitted)
+			got := answers(h.Finished(start, parent.ID, runner.Result{Kind: runner.ResultAnswered, Status: 200}))
+			is.True(got[0].RetriesSpent <= parent.Retries)
+		})
+	}
+}
+
 // Guards against onward calls without a parent or with side effects that a retry
 // of the parent would repeat.
 func TestRefusedOnwardCalls(t *testing.T) {
