--- /dev/null
+++ b/scenarios/evidence_test.go
@@ -0,0 +1,152 @@
+package scenarios_test
+
+import (
+	"encoding/json"
+	"fmt"
+	"go/constant"
+	"go/token"
+	"go/types"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/rogpeppe/go-internal/testscript"
+)
+
+// evidenceCommands read counts from recorders, load tables and nodes, and
+// compare them.
+func evidenceCommands() map[string]func(ts *testscript.TestScript, neg bool, args []string) {
+	return map[string]func(ts *testscript.TestScript, neg bool, args []string){
+		"runs":    cmdRuns,
+		"table":   cmdTable,
+		"field":   cmdField,
+		"assert":  cmdAssert,
+		"note":    cmdNote,
+		"watch":   cmdWatch,
+		"watched": cmdWatched,
+		"keep":    cmdKeep,
+		"pause":   cmdPause,
+	}
+}
+
+type recordedRun struct {
+	Root    string `json:"root"`
+	ID      string `json:"id"`
+	Service string `json:"service"`
+	Kind    string `json:"kind"`
+	Backend string `json:"backend"`
+	State   string `json:"state"`
+}
+
+// cmdRuns counts the runs of a service, or of all with *, in a recorder:
+//
+//	runs PREFIX RECORDER SERVICE [ID-PREFIX]
+//
+// It sets PREFIX_total, PREFIX_roots, PREFIX_max_per_root, PREFIX_max_per_id,
+// PREFIX_finished, PREFIX_failed, PREFIX_aborted and PREFIX_started.
+func cmdRuns(ts *testscript.TestScript, neg bool, args []string) {
+	if neg || len(args) < 3 || len(args) > 4 {
+		ts.Fatalf("usage: runs PREFIX RECORDER SERVICE [ID-PREFIX]")
+	}
+	body, err := fetch("http://" + args[1] + "/v1/runs")
+	ts.Check(err)
+	var list struct {
+		Runs []recordedRun `json:"runs"`
+	}
+	ts.Check(json.Unmarshal(body, &list))
+	ids := ""
+	if len(args) == 4 {
+		ids = args[3]
+	}
+	counts := map[string]int{"total": 0, "finished": 0, "failed": 0, "aborted": 0, "started": 0}
+	roots, byID := map[string]int{}, map[string]int{}
+	for _, r := range list.Runs {
+		if args[2] != "*" && r.Service != args[2] || !strings.HasPrefix(r.ID, ids) {
+			continue
+		}
+		counts["total"]++
+		counts[r.State]++
+		roots[r.Root]++
+		byID[r.ID]++
+	}
+	counts["roots"], counts["max_per_root"], counts["max_per_id"] = len(roots), largest(roots), largest(byID)
+	for name, n := range counts {
+		ts.Setenv(args[0]+"_"+name, strconv.Itoa(n))
+	}
+	ts.Logf("%s: %v", args[0], counts)
+}
+
+func largest(counts map[string]int) int {
+	most := 0
+	for _, n := range counts {
+		most = max(most, n)
+	}
+	return most
+}
+
+// cmdTable reads a load table as JSON and sets PREFIX_PHASE_CLASS_FIELD for each
+// of its numbers: table PREFIX FILE.
+func cmdTable(ts *testscript.TestScript, neg bool, args []string) {
+	if neg || len(args) != 2 {
+		ts.Fatalf("usage: table PREFIX FILE")
+	}
+	var table struct {
+		Rows []map[string]any `json:"rows"`
+	}
+	ts.Check(json.Unmarshal([]byte(ts.ReadFile(args[1])), &table))
+	for _, row := range table.Rows {
+		ts.Logf("%s: %v", args[0], row)
+		for field, value := range row {
+			if n, ok := value.(float64); ok {
+				name := fmt.Sprintf("%s_%v_%v_%s", args[0], row["phase"], row["class"], field)
+				ts.Setenv(name, strconv.FormatFloat(n, 'f', -1, 64))
+			}
+		}
+	}
+}
+
+// cmdField sets a variable to what the first group of a pattern matches in the
+// answer of a URL: field VARIABLE URL PATTERN.
+func cmdField(ts *testscript.TestScript, neg bool, args []string) {
+	if neg || len(args) != 3 {
+		ts.Fatalf("usage: field VARIABLE URL PATTERN")
+	}
+	body, err := fetch(args[1])
+	ts.Check(err)
+	m := compile(ts, args[2]).FindSubmatch(body)
+	if len(m) < 2 {
+		ts.Fatalf("%s does not match the answer of %s:\n%s", args[2], args[1], body)
+	}
+	ts.Setenv(args[0], string(m[1]))
+}
+
+// cmdAssert fails unless a constant expression of Go is true: assert $a <= 2*$b.
+func cmdAssert(ts *testscript.TestScript, neg bool, args []string) {
+	text := strings.Join(args, " ")
+	value, err := types.Eval(token.NewFileSet(), nil, token.NoPos, text)
+	if err != nil {
+		ts.Fatalf("assert %s: %v", text, err)
+	}
+	if value.Value == nil || value.Value.Kind() != constant.Bool {
+		ts.Fatalf("assert %s: the expression has no truth value", text)
+	}
+	if constant.BoolVal(value.Value) == neg {
+		ts.Fatalf("assert: %s does not hold", text)
+	}
+}
+
+// cmdNote writes its arguments to the log of the test.
+func cmdNote(ts *testscript.TestScript, _ bool, args []string) {
+	ts.Logf("%s", strings.Join(args, " "))
+}
+
+// cmdPause waits between two events whose distance a scenario needs, such as the
+// length of an outage. It stands for no condition: pause DURATION.
+func cmdPause(ts *testscript.TestScript, neg bool, args []string) {
+	if neg || len(args) != 1 {
+		ts.Fatalf("usage: pause DURATION")
+	}
+	d, err := time.ParseDuration(args[0])
+	ts.Check(err)
+	time.Sleep(d)
+}
--- a/scenarios/fleet_test.go
+++ b/scenarios/fleet_test.go
@@ -32,6 +32,8 @@
 	env       *testscript.Env
 	processes map[string]*process
 	seed      string
+	versions  *versionWatch
+	keepers   map[string]*keeper
 }
 
 type process struct {
@@ -40,12 +42,19 @@
 }
 
 func newFleet(env *testscript.Env) *fleet {
-	return &fleet{env: env, processes: make(map[string]*process)}
+	return &fleet{
+		env: env, processes: make(map[string]*process),
+		versions: newVersionWatch(), keepers: make(map[string]*keeper),
+	}
 }
 
 func fleetOf(ts *testscript.TestScript) *fleet { return ts.Value(fleetKey{}).(*fleet) }
 
 func (f *fleet) killAll() {
+	f.versions.close()
+	for _, k := range f.keepers {
+		k.close()
+	}
 	for _, p := range f.processes {
 		_ = p.cmd.Process.Signal(syscall.SIGCONT)
 		_ = p.cmd.Process.Kill()
--- a/scenarios/scenarios_test.go
+++ b/scenarios/scenarios_test.go
@@ -1,7 +1,9 @@
 package scenarios_test
 
 import (
+	"cmp"
 	"fmt"
+	"maps"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -44,30 +46,41 @@
 // TestScenarios runs the scripts in testdata. Each script states in its first
 // lines which failure it guards against.
 func TestScenarios(t *testing.T) {
+	cmds := map[string]func(ts *testscript.TestScript, neg bool, args []string){
+		"start":  cmdStart,
+		"node":   cmdNode,
+		"signal": cmdSignal,
+		"halt":   cmdHalt,
+		"ended":  cmdEnded,
+		"until":  cmdUntil,
+		"send":   cmdSend,
+		"status": cmdStatus,
+		"mint":   cmdMint,
+	}
+	maps.Copy(cmds, evidenceCommands())
 	testscript.Run(t, testscript.Params{
 		Dir: "testdata",
 		Setup: func(env *testscript.Env) error {
 			env.Setenv("PATH", binaries+string(os.PathListSeparator)+env.Getenv("PATH"))
 			env.Setenv("EXAMPLES", examples())
+			setMechanisms(env)
 			f := newFleet(env)
 			env.Values[fleetKey{}] = f
 			env.Defer(f.killAll)
 			return nil
 		},
-		Cmds: map[string]func(ts *testscript.TestScript, neg bool, args []string){
-			"start":  cmdStart,
-			"node":   cmdNode,
-			"signal": cmdSignal,
-			"halt":   cmdHalt,
-			"ended":  cmdEnded,
-			"until":  cmdUntil,
-			"send":   cmdSend,
-			"status": cmdStatus,
-			"mint":   cmdMint,
-		},
+		Cmds: cmds,
 	})
 }
 
+// setMechanisms sets the variables CONTROL and PER_ROOT, with which scripts
+// configure their nodes. SCENARIO_CONTROL=off and SCENARIO_PER_ROOT=100 switch the
+// mechanisms off, to see that a scenario fails without them.
+func setMechanisms(env *testscript.Env) {
+	env.Setenv("CONTROL", cmp.Or(os.Getenv("SCENARIO_CONTROL"), "adaptive"))
+	env.Setenv("PER_ROOT", cmp.Or(os.Getenv("SCENARIO_PER_ROOT"), "2"))
+}
+
 func examples() string {
 	dir, err := filepath.Abs("../examples")
 	if err != nil {
--- /dev/null
+++ b/scenarios/watch_test.go
@@ -0,0 +1,98 @@
+package scenarios_test
+
+import (
+	"encoding/json"
+	"sync"
+	"time"
+
+	"github.com/rogpeppe/go-internal/testscript"
+)
+
+// versionWatch polls the version of the sheet in force on nodes.
+type versionWatch struct {
+	stop chan struct{}
+	done sync.WaitGroup
+
+	mu        sync.Mutex
+	seen      map[string][]uint64
+	reversals []string
+	polls     int
+}
+
+// cmdWatch polls the sheet version of nodes in the background and remembers each
+// change. More nodes can be added later: watch ADMIN-ADDRESS...
+func cmdWatch(ts *testscript.TestScript, neg bool, args []string) {
+	if neg || len(args) == 0 {
+		ts.Fatalf("usage: watch ADMIN-ADDRESS...")
+	}
+	w := fleetOf(ts).versions
+	for _, address := range args {
+		w.done.Go(func() { w.follow(address) })
+	}
+}
+
+func newVersionWatch() *versionWatch {
+	return &versionWatch{stop: make(chan struct{}), seen: make(map[string][]uint64)}
+}
+
+func (w *versionWatch) follow(address string) {
+	for {
+		if version, ok := sheetVersion(address); ok {
+			w.note(address, version)
+		}
+		select {
+		case <-w.stop:
+			return
+		case <-time.After(pollPause):
+		}
+	}
+}
+
+func sheetVersion(address string) (uint64, bool) {
+	body, err := fetch("http://" + address + "/v1/status")
+	if err != nil {
+		return 0, false
+	}
+	var status struct {
+		Sheet struct {
+			Version uint64 `json:"version"`
+		} `json:"sheet"`
+	}
+	return status.Sheet.Version, json.Unmarshal(body, &status) == nil
+}
+
+func (w *versionWatch) note(address string, version uint64) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.polls++
+	list := w.seen[address]
+	if len(list) > 0 && list[len(list)-1] == version {
+		return
+	}
+	if len(list) > 0 && version < list[len(list)-1] {
+		w.reversals = append(w.reversals, address)
+	}
+	w.seen[address] = append(list, version)
+}
+
+func (w *versionWatch) close() {
+	select {
+	case <-w.stop:
+	default:
+		close(w.stop)
+	}
+	w.done.Wait()
+}
+
+// cmdWatched ends the polling and fails when the version of a node went back.
+func cmdWatched(ts *testscript.TestScript, neg bool, args []string) {
+	if neg || len(args) != 0 {
+		ts.Fatalf("usage: watched")
+	}
+	w := fleetOf(ts).versions
+	w.close()
+	ts.Logf("versions in the order seen, %d polls: %v", w.polls, w.seen)
+	if len(w.reversals) > 0 {
+		ts.Fatalf("the version went back on %v", w.reversals)
+	}
+}
