operator: add status, call, key, settings and completion

Cause: operators could publish sheets but not see the state of the fleet, send a request as a caller, look a key up or check settings. The status of a node left out what is shed and why, the time in the queue, and limits of members. Change: the commands status, call, key mint, key show, settings check, settings show and completion. The runner counts sheds by rank and kind, queue time by rank and late results; the reporter counts what callers were refused; the status shows them with slots, limits and levels by rank.

--- /dev/null
+++ b/cassiatally/runner/counts.go
@@ -0,0 +1,58 @@
+package runner
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/cassiatally/cassiatally/cassiatally"
+)
+
+// Shed counts the calls of one rank that were refused for one reason.
+type Shed struct {
+	Kind  cassiatally.ErrorKind
+	Rank  cassiatally.Rank
+	Count uint64
+}
+
+// Waited adds up the time in the queue of the calls of one rank that were started.
+type Waited struct {
+	Started uint64
+	Time    time.Duration
+}
+
+// Counts are the totals that operators watch.
+type Counts struct {
+	// Sheds is ordered by rank and kind.
+	Sheds  []Shed
+	Waited [cassiatally.MaxRanks]Waited
+	// LateResults arrived for runs that had been answered.
+	LateResults uint64
+}
+
+type shedKey struct {
+	rank cassiatally.Rank
+	kind cassiatally.ErrorKind
+}
+
+// Counts returns a copy of the totals so far.
+func (r *Runner) Counts() Counts {
+	c := Counts{Waited: r.waited, LateResults: r.late}
+	for k, n := range r.sheds {
+		c.Sheds = append(c.Sheds, Shed{Kind: k.kind, Rank: k.rank, Count: n})
+	}
+	slices.SortFunc(c.Sheds, func(a, b Shed) int {
+		return cmp.Or(cmp.Compare(a.Rank, b.Rank), cmp.Compare(a.Kind, b.Kind))
+	})
+	return c
+}
+
+func (r *Runner) countShed(rank cassiatally.Rank, kind cassiatally.ErrorKind) {
+	r.sheds[shedKey{min(rank, cassiatally.MaxRanks-1), kind}]++
+}
+
+func (r *Runner) countStart(now cassiatally.Instant, rec *record) {
+	w := &r.waited[min(rec.call.Rank, cassiatally.MaxRanks-1)]
+	w.Started++
+	w.Time += now.Sub(rec.queued)
+}
--- a/cassiatally/runner/result.go
+++ b/cassiatally/runner/result.go
@@ -44,7 +44,11 @@
 	actions := r.abandonChildren(rec)
 	r.running--
 	r.observe(now, rec, res)
-	actions = r.conclude(actions, now, rec, r.answerTo(rec, res))
+	a := r.answerTo(rec, res)
+	if a.Outcome == cassiatally.OutcomeNotRun {
+		r.countShed(rec.call.Rank, a.Kind)
+	}
+	actions = r.conclude(actions, now, rec, a)
 	return r.pump(now, actions)
 }
 
--- a/cassiatally/runner/runner.go
+++ b/cassiatally/runner/runner.go
@@ -53,6 +53,7 @@
 	phase       phase
 	fingerprint cassiatally.Fingerprint
 	deadline    cassiatally.Instant
+	queued      cassiatally.Instant
 	started     cassiatally.Instant
 	ended       cassiatally.Instant
 	concurrency cassiatally.Concurrency
@@ -80,6 +81,8 @@
 	crashed   bool
 	leaving   bool
 	late      uint64
+	sheds     map[shedKey]uint64
+	waited    [cassiatally.MaxRanks]Waited
 }
 
 // New returns a runner without a backend server. nextID draws ids for onward
@@ -93,6 +96,7 @@
 		nextID:     nextID,
 		records:    make(map[cassiatally.CallID]*record),
 		childRuns:  make(map[cassiatally.CallID]childRef),
+		sheds:      make(map[shedKey]uint64),
 	}
 }
 
@@ -140,9 +144,6 @@
 // Running returns the runs in flight.
 func (r *Runner) Running() int { return r.running }
 
-// LateResults returns how many results arrived for runs that had been answered.
-func (r *Runner) LateResults() uint64 { return r.late }
-
 func (r *Runner) load() cassiatally.EndpointLoad {
 	return cassiatally.EndpointLoad{
 		Node:     r.self.Node,
@@ -159,6 +160,7 @@
 		return r.repeatCall(known, from)
 	}
 	if kind, detail := r.refusal(now, c); kind != cassiatally.KindNone {
+		r.countShed(c.Rank, kind)
 		return r.refuse(nil, from, c.ID, kind, detail)
 	}
 	rec := &record{
@@ -166,6 +168,7 @@
 		from:        from,
 		fingerprint: cassiatally.FingerprintOf(c.Service, c.Work, c.Body),
 		deadline:    now.Add(c.Remaining),
+		queued:      now,
 	}
 	rec.children.left = c.Retries
 	r.records[c.ID] = rec
@@ -306,6 +309,7 @@
 	}
 	rec.phase = phaseRunning
 	rec.started = now
+	r.countStart(now, rec)
 	r.running++
 	rec.concurrency = cassiatally.Concurrency(r.running)
 	call := rec.call
@@ -320,6 +324,7 @@
 			continue
 		}
 		delete(r.records, d.ID)
+		r.countShed(rec.call.Rank, d.Kind)
 		actions = r.refuse(actions, rec.from, d.ID, d.Kind, "refused before the backend server")
 	}
 	return actions
@@ -338,6 +343,7 @@
 			continue
 		}
 		r.admitter.Remove(id)
+		r.countShed(rec.call.Rank, cassiatally.KindDraining)
 		actions = r.conclude(actions, now, rec, notRun(id, cassiatally.KindDraining, "the backend server takes no new work"))
 	}
 	return actions
--- a/cassiatally/runner/runner_test.go
+++ b/cassiatally/runner/runner_test.go
@@ -260,3 +260,28 @@
 	got := answers(h.HandleCancel(start, call(3, "").ID))
 	is.Equal(got[0].Outcome, cassiatally.OutcomeNotRun)
 }
+
+// Guards against sheds and queue time that operators see under the wrong reason
+// or rank, or not at all.
+func TestCountsTellWhatWasShedAndHowLongCallsWaited(t *testing.T) {
+	is := is.New(t)
+	h := newHarness(1)
+	first, second, expired := call(1, "a"), call(2, "b"), call(3, "c")
+	second.Rank, expired.Rank = 2, 3
+	expired.Remaining = 0
+	h.HandleCall(start, entry, first)
+	h.HandleCall(start, entry, second)
+	h.HandleCall(start, entry, expired)
+	h.Finished(start.Add(time.Second/4), first.ID, runner.Result{Kind: runner.ResultAnswered, Status: 200})
+	h.Finished(start.Add(time.Second/2), second.ID, runner.Result{Kind: runner.ResultRefused})
+	h.Finished(start.Add(time.Second/2), second.ID, runner.Result{Kind: runner.ResultRefused})
+
+	c := h.Counts()
+	is.Equal(c.Sheds, []runner.Shed{
+		{Kind: cassiatally.KindOverloaded, Rank: 2, Count: 1},
+		{Kind: cassiatally.KindExpired, Rank: 3, Count: 1},
+	})
+	is.Equal(c.Waited[0], runner.Waited{Started: 1})
+	is.Equal(c.Waited[2], runner.Waited{Started: 1, Time: time.Second / 4})
+	is.Equal(c.LateResults, uint64(1))
+}
--- a/node/adminserver/status.go
+++ b/node/adminserver/status.go
@@ -32,6 +32,10 @@
 	Address    string `json:"address"`
 	Service    string `json:"service"`
 	State      string `json:"state"`
+	Slots      int    `json:"slots"`
+	Limit      int    `json:"limit"`
+	InFlight   int    `json:"in_flight"`
+	Queued     int    `json:"queued"`
 	Sheet      uint64 `json:"sheet"`
 	Suspect    bool   `json:"suspect"`
 	Leaving    bool   `json:"leaving"`
@@ -44,16 +48,40 @@
 	Endpoints  int     `json:"endpoints"`
 	Capacity   int     `json:"capacity"`
 	Level      float64 `json:"level"`
+	// Levels has the admission level of each rank over the endpoints that this
+	// node knows, weighted by their limits; it is empty when none told it.
+	Levels []float64 `json:"levels"`
 }
 
 // LocalStatus is the backend server of the host.
 type LocalStatus struct {
-	Service  string    `json:"service"`
-	State    string    `json:"state"`
-	Limit    int       `json:"limit"`
-	InFlight int       `json:"in_flight"`
-	Queued   int       `json:"queued"`
-	Levels   []float64 `json:"levels"`
+	Service  string `json:"service"`
+	State    string `json:"state"`
+	Slots    int    `json:"slots"`
+	Limit    int    `json:"limit"`
+	InFlight int    `json:"in_flight"`
+	Queued   int    `json:"queued"`
+	// TypicalSeconds is the typical run time without onward calls.
+	TypicalSeconds float64       `json:"typical_seconds"`
+	Levels         []float64     `json:"levels"`
+	Sheds          []ShedStatus  `json:"sheds"`
+	Queue          []QueueStatus `json:"queue"`
+	LateResults    uint64        `json:"late_results"`
+}
+
+// ShedStatus counts what was refused for one reason.
+type ShedStatus struct {
+	Rank  int    `json:"rank"`
+	Kind  string `json:"kind"`
+	Count uint64 `json:"count"`
+}
+
+// QueueStatus adds up the time in the queue of the calls of a rank that were
+// started.
+type QueueStatus struct {
+	Rank        int     `json:"rank"`
+	Started     uint64  `json:"started"`
+	WaitSeconds float64 `json:"wait_seconds"`
 }
 
 // ShardStatus is one shard of idempotency keys of the node's own data centre.
@@ -68,14 +96,16 @@
 
 // RequestStatus counts what became of the calls that this node sent on.
 type RequestStatus struct {
-	InFlight       int    `json:"in_flight"`
-	RefusedAtEntry uint64 `json:"refused_at_entry"`
-	Retries        uint64 `json:"retries"`
-	RetriesDenied  uint64 `json:"retries_denied"`
-	Redirects      uint64 `json:"redirects"`
-	LateAnswers    uint64 `json:"late_answers"`
-	Incomplete     uint64 `json:"incomplete_answers"`
-	Queries        uint64 `json:"outcome_queries"`
+	InFlight int `json:"in_flight"`
+	// Refused counts callers that were told that their request was not run.
+	Refused        []ShedStatus `json:"refused"`
+	RefusedAtEntry uint64       `json:"refused_at_entry"`
+	Retries        uint64       `json:"retries"`
+	RetriesDenied  uint64       `json:"retries_denied"`
+	Redirects      uint64       `json:"redirects"`
+	LateAnswers    uint64       `json:"late_answers"`
+	Incomplete     uint64       `json:"incomplete_answers"`
+	Queries        uint64       `json:"outcome_queries"`
 }
 
 // TrafficStatus counts bytes between nodes.
--- a/node/executor/executor.go
+++ b/node/executor/executor.go
@@ -71,6 +71,7 @@
 	cancel  context.CancelFunc
 	state   cassiatally.EndpointState
 	running atomic.Int64
+	counts  atomic.Pointer[runner.Counts]
 }
 
 type job struct {
@@ -120,6 +121,7 @@
 	x.work = ring.New[job](MaxWorkers, ring.RefuseNewest)
 	x.waits = make(map[cassiatally.CallID]func(cassiatally.Answer))
 	x.cancels = make(map[cassiatally.CallID]context.CancelFunc)
+	x.counts.Store(&runner.Counts{})
 	x.duty = looper.Looper[event]{
 		Clock:  x.Clock,
 		Inbox:  x.inbox,
@@ -141,6 +143,9 @@
 // Running returns the runs in flight as of the last tick.
 func (x *Executor) Running() int { return int(x.running.Load()) }
 
+// Counts returns the totals of the runner as of the last tick.
+func (x *Executor) Counts() runner.Counts { return *x.counts.Load() }
+
 // Call hands over a call from a node. It returns false when the ring is full.
 func (x *Executor) Call(from cassiatally.NodeID, c cassiatally.Call) bool {
 	return x.inbox.Offer(callEvent{from: from, call: c}, resultReserve)
@@ -188,6 +193,8 @@
 func (x *Executor) report(now cassiatally.Instant) {
 	e := x.Runner.Endpoint()
 	x.running.Store(int64(x.Runner.Running()))
+	counts := x.Runner.Counts()
+	x.counts.Store(&counts)
 	if e.State != x.state {
 		x.state = e.State
 		x.Logger.Info("backend server state changed", "service", e.Service, "state", e.State)
--- a/node/reporter/reporter.go
+++ b/node/reporter/reporter.go
@@ -9,9 +9,11 @@
 package reporter
 
 import (
+	"cmp"
 	"fmt"
 	"io"
 	"net/http"
+	"slices"
 	"sync"
 	"time"
 
@@ -43,6 +45,20 @@
 	mu      sync.Mutex
 	tenants map[cassiatally.Tenant]tally.Scope
 	ranks   [cassiatally.MaxRanks]tally.Scope
+	// refusals counts callers that were told that their request was not run.
+	refusals map[refusalKey]uint64
+}
+
+type refusalKey struct {
+	rank cassiatally.Rank
+	kind cassiatally.ErrorKind
+}
+
+// Refusal counts the requests of a rank that were not run for one reason.
+type Refusal struct {
+	Rank  cassiatally.Rank
+	Kind  cassiatally.ErrorKind
+	Count uint64
 }
 
 // New returns a reporter whose metrics carry the name and data centre of the node.
@@ -61,11 +77,12 @@
 		return nil, errors.Wrap(err, "latency buckets")
 	}
 	r := &Reporter{
-		scope:   scope,
-		closer:  closer,
-		handler: prom.HTTPHandler(),
-		latency: latency,
-		tenants: make(map[cassiatally.Tenant]tally.Scope),
+		scope:    scope,
+		closer:   closer,
+		handler:  prom.HTTPHandler(),
+		latency:  latency,
+		tenants:  make(map[cassiatally.Tenant]tally.Scope),
+		refusals: make(map[refusalKey]uint64),
 	}
 	for i := range r.ranks {
 		r.ranks[i] = scope.Tagged(map[string]string{"rank": fmt.Sprint(i)})
@@ -85,6 +102,29 @@
 	rank.Histogram("request_latency", r.latency).RecordDuration(took)
 	rank.Tagged(map[string]string{"outcome": a.Outcome.String(), "kind": a.Kind.String()}).Counter("requests").Inc(1)
 	r.tenant(t).Histogram("tenant_latency", r.latency).RecordDuration(took)
+	if a.Outcome == cassiatally.OutcomeNotRun {
+		r.refused(min(p.Rank, cassiatally.MaxRanks-1), a.Kind)
+	}
+}
+
+func (r *Reporter) refused(rank cassiatally.Rank, kind cassiatally.ErrorKind) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.refusals[refusalKey{rank, kind}]++
+}
+
+// Refusals returns what callers were refused, ordered by rank and kind.
+func (r *Reporter) Refusals() []Refusal {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	out := make([]Refusal, 0, len(r.refusals))
+	for k, n := range r.refusals {
+		out = append(out, Refusal{Rank: k.rank, Kind: k.kind, Count: n})
+	}
+	slices.SortFunc(out, func(a, b Refusal) int {
+		return cmp.Or(cmp.Compare(a.Rank, b.Rank), cmp.Compare(a.Kind, b.Kind))
+	})
+	return out
 }
 
 func (r *Reporter) tenant(t cassiatally.Tenant) tally.Scope {
--- a/node/supervisor/status.go
+++ b/node/supervisor/status.go
@@ -7,7 +7,9 @@
 
 	"github.com/cassiatally/cassiatally/cassiatally"
 	"github.com/cassiatally/cassiatally/cassiatally/registrar"
+	"github.com/cassiatally/cassiatally/cassiatally/runner"
 	"github.com/cassiatally/cassiatally/node/adminserver"
+	"github.com/cassiatally/cassiatally/node/reporter"
 )
 
 // drainPoll is how often Drain looks whether the work in flight has ended.
@@ -58,6 +60,7 @@
 		Shards:      shardStatus(s.claims.Table()),
 		Requests: adminserver.RequestStatus{
 			InFlight:       s.callers.InFlight(),
+			Refused:        refusedStatus(s.reports.Refusals()),
 			RefusedAtEntry: counts.RefusedAtEntry,
 			Retries:        counts.Retries,
 			RetriesDenied:  counts.RetriesDenied,
@@ -99,6 +102,10 @@
 			Address:    string(m.Address),
 			Service:    string(m.Endpoint.Service),
 			State:      m.Endpoint.State.String(),
+			Slots:      int(m.Endpoint.Slots),
+			Limit:      int(m.Endpoint.Load.Limit),
+			InFlight:   int(m.Endpoint.Load.InFlight),
+			Queued:     m.Endpoint.Load.Queued,
 			Sheet:      uint64(m.Sheet),
 			Suspect:    suspects[m.Ref],
 			Leaving:    m.Leaving,
@@ -108,6 +115,7 @@
 }
 
 func serviceStatus(v *registrar.View) []adminserver.ServiceStatus {
+	levels := levelsOf(v)
 	out := make([]adminserver.ServiceStatus, 0, len(v.Summaries))
 	for _, s := range v.Summaries {
 		out = append(out, adminserver.ServiceStatus{
@@ -116,6 +124,7 @@
 			Endpoints:  s.Endpoints,
 			Capacity:   int(s.Capacity),
 			Level:      float64(s.Level),
+			Levels:     levels[serviceKey{s.Service, s.DataCentre}].mean(),
 		})
 	}
 	return out
@@ -136,23 +145,100 @@
 }
 
 func (s *Supervisor) localStatus(v *registrar.View) adminserver.LocalStatus {
+	counts := s.executor.Counts()
+	out := adminserver.LocalStatus{
+		State:       cassiatally.EndpointNone.String(),
+		Sheds:       shedStatus(counts.Sheds),
+		Queue:       queueStatus(counts.Waited),
+		LateResults: counts.LateResults,
+	}
 	for i := range v.Members {
 		if v.Members[i].Ref != s.self {
 			continue
 		}
 		e := v.Members[i].Endpoint
-		levels := make([]float64, 0, len(e.Levels))
 		for _, l := range e.Levels {
-			levels = append(levels, float64(l))
+			out.Levels = append(out.Levels, float64(l))
 		}
-		return adminserver.LocalStatus{
-			Service:  string(e.Service),
-			State:    e.State.String(),
-			Limit:    int(e.Load.Limit),
-			InFlight: int(e.Load.InFlight),
-			Queued:   e.Load.Queued,
-			Levels:   levels,
+		out.Service = string(e.Service)
+		out.State = e.State.String()
+		out.Slots = int(e.Slots)
+		out.Limit = int(e.Load.Limit)
+		out.InFlight = int(e.Load.InFlight)
+		out.Queued = e.Load.Queued
+		out.TypicalSeconds = e.Load.Typical.Seconds()
+	}
+	return out
+}
+
+func shedStatus(sheds []runner.Shed) []adminserver.ShedStatus {
+	out := make([]adminserver.ShedStatus, 0, len(sheds))
+	for _, s := range sheds {
+		out = append(out, adminserver.ShedStatus{Rank: int(s.Rank), Kind: s.Kind.String(), Count: s.Count})
+	}
+	return out
+}
+
+func refusedStatus(refusals []reporter.Refusal) []adminserver.ShedStatus {
+	out := make([]adminserver.ShedStatus, 0, len(refusals))
+	for _, r := range refusals {
+		out = append(out, adminserver.ShedStatus{Rank: int(r.Rank), Kind: r.Kind.String(), Count: r.Count})
+	}
+	return out
+}
+
+func queueStatus(waited [cassiatally.MaxRanks]runner.Waited) []adminserver.QueueStatus {
+	out := []adminserver.QueueStatus{}
+	for r, w := range waited {
+		if w.Started > 0 {
+			out = append(out, adminserver.QueueStatus{Rank: r, Started: w.Started, WaitSeconds: w.Time.Seconds()})
 		}
 	}
-	return adminserver.LocalStatus{State: cassiatally.EndpointNone.String()}
+	return out
+}
+
+type serviceKey struct {
+	service    cassiatally.Service
+	dataCentre cassiatally.DataCentre
+}
+
+// levelSum adds up levels by rank, weighted by the limits of the endpoints.
+type levelSum struct {
+	weight float64
+	levels []float64
+}
+
+func levelsOf(v *registrar.View) map[serviceKey]levelSum {
+	centres := make(map[cassiatally.NodeID]cassiatally.DataCentre, len(v.Members))
+	for i := range v.Members {
+		centres[v.Members[i].Ref.Node] = v.Members[i].DataCentre
+	}
+	sums := map[serviceKey]levelSum{}
+	for _, l := range v.Loads {
+		key := serviceKey{l.Load.Service, centres[l.Node]}
+		sums[key] = sums[key].add(l.Load)
+	}
+	return sums
+}
+
+func (s levelSum) add(l cassiatally.ServiceLoad) levelSum {
+	if s.levels == nil {
+		s.levels = make([]float64, len(l.Levels))
+	}
+	s.weight += l.Weight
+	for r := range min(len(s.levels), len(l.Levels)) {
+		s.levels[r] += l.Weight * float64(l.Levels[r])
+	}
+	return s
+}
+
+func (s levelSum) mean() []float64 {
+	if s.weight <= 0 {
+		return []float64{}
+	}
+	out := make([]float64, len(s.levels))
+	for r := range s.levels {
+		out[r] = s.levels[r] / s.weight
+	}
+	return out
 }
--- a/operator/cli/command.go
+++ b/operator/cli/command.go
@@ -11,8 +11,8 @@
 	"fmt"
 	"strings"
 
-	"github.com/cassiatally/cassiatally/operator/environment"
 	"github.com/cassiatally/cassiatally/cassiatally/flagparser"
+	"github.com/cassiatally/cassiatally/operator/environment"
 )
 
 // Command is one command of the program.
--- a/operator/command/command.go
+++ b/operator/command/command.go
@@ -20,14 +20,23 @@
 
 	"github.com/cassiatally/cassiatally/cassiatally"
 	"github.com/cassiatally/cassiatally/cassiatally/logclient"
+	"github.com/cassiatally/cassiatally/cassiatally/sysclock"
 	"github.com/cassiatally/cassiatally/operator/cli"
+	"github.com/cassiatally/cassiatally/operator/command/call"
+	"github.com/cassiatally/cassiatally/operator/command/completion"
+	"github.com/cassiatally/cassiatally/operator/command/key/mint"
+	keyshow "github.com/cassiatally/cassiatally/operator/command/key/show"
+	settingscheck "github.com/cassiatally/cassiatally/operator/command/settings/check"
+	settingsshow "github.com/cassiatally/cassiatally/operator/command/settings/show"
 	"github.com/cassiatally/cassiatally/operator/command/sheet/check"
 	"github.com/cassiatally/cassiatally/operator/command/sheet/diff"
 	"github.com/cassiatally/cassiatally/operator/command/sheet/history"
 	"github.com/cassiatally/cassiatally/operator/command/sheet/publish"
 	"github.com/cassiatally/cassiatally/operator/command/sheet/show"
+	"github.com/cassiatally/cassiatally/operator/command/status"
 	"github.com/cassiatally/cassiatally/operator/command/version"
 	"github.com/cassiatally/cassiatally/operator/environment"
+	"github.com/cassiatally/cassiatally/operator/nodeclient"
 )
 
 // Main runs the program and returns its exit code.
@@ -42,6 +51,8 @@
 		OpenLog: func(a cassiatally.Address, timeout time.Duration) cassiatally.Log {
 			return &logclient.Client{Address: a, Timeout: timeout}
 		},
+		HTTP:  nodeclient.NewHTTP(),
+		Clock: sysclock.New(),
 	}
 	return Execute(ctx, env, args[1:])
 }
@@ -58,14 +69,21 @@
 }
 
 func commands(env environment.Environment) []cli.Command {
-	return []cli.Command{
+	all := []cli.Command{
+		status.New(env),
 		check.New(env),
 		publish.New(env),
 		show.New(env),
 		history.New(env),
 		diff.New(env),
+		call.New(env),
+		mint.New(env),
+		keyshow.New(env),
+		settingscheck.New(env),
+		settingsshow.New(env),
 		version.New(env),
 	}
+	return append(all, completion.New(env, all))
 }
 
 func dispatch(ctx context.Context, env environment.Environment, args []string) error {
--- a/operator/command/sheet/check/check.go
+++ b/operator/command/sheet/check/check.go
@@ -10,10 +10,10 @@
 	"encoding/json"
 	"fmt"
 
+	"github.com/cassiatally/cassiatally/cassiatally/flagparser"
 	"github.com/cassiatally/cassiatally/cassiatally/sheetparser"
 	"github.com/cassiatally/cassiatally/operator/cli"
 	"github.com/cassiatally/cassiatally/operator/environment"
-	"github.com/cassiatally/cassiatally/cassiatally/flagparser"
 	"github.com/cassiatally/cassiatally/operator/sheetsource"
 )
 
--- a/operator/command/sheet/publish/publish.go
+++ b/operator/command/sheet/publish/publish.go
@@ -14,13 +14,13 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/cassiatally/cassiatally/cassiatally"
+	"github.com/cassiatally/cassiatally/cassiatally/flagparser"
 	"github.com/cassiatally/cassiatally/cassiatally/protocol"
 	"github.com/cassiatally/cassiatally/cassiatally/publisher"
 	"github.com/cassiatally/cassiatally/cassiatally/sheet"
 	"github.com/cassiatally/cassiatally/cassiatally/sheetdiffer"
 	"github.com/cassiatally/cassiatally/operator/cli"
 	"github.com/cassiatally/cassiatally/operator/environment"
-	"github.com/cassiatally/cassiatally/cassiatally/flagparser"
 	"github.com/cassiatally/cassiatally/operator/sheetsource"
 )
 
--- a/operator/command/sheet/show/show.go
+++ b/operator/command/sheet/show/show.go
@@ -12,10 +12,10 @@
 	"time"
 
 	"github.com/cassiatally/cassiatally/cassiatally"
+	"github.com/cassiatally/cassiatally/cassiatally/flagparser"
 	"github.com/cassiatally/cassiatally/cassiatally/sheet"
 	"github.com/cassiatally/cassiatally/operator/cli"
 	"github.com/cassiatally/cassiatally/operator/environment"
-	"github.com/cassiatally/cassiatally/cassiatally/flagparser"
 	"github.com/cassiatally/cassiatally/operator/sheetsource"
 	"github.com/cassiatally/cassiatally/operator/tabler"
 )
--- a/operator/command/version/version.go
+++ b/operator/command/version/version.go
@@ -11,10 +11,10 @@
 	"fmt"
 	"runtime/debug"
 
+	"github.com/cassiatally/cassiatally/cassiatally/flagparser"
 	"github.com/cassiatally/cassiatally/cassiatally/protocol"
 	"github.com/cassiatally/cassiatally/operator/cli"
 	"github.com/cassiatally/cassiatally/operator/environment"
-	"github.com/cassiatally/cassiatally/cassiatally/flagparser"
 )
 
 // Options are the inputs of the command.
--- a/operator/environment/environment.go
+++ b/operator/environment/environment.go
@@ -1,5 +1,6 @@
 // Package environment holds what a command gets from its surroundings: streams,
-// the user's name and the log service. Tests give their own.
+// a clock, the user's name, the log service and an HTTP client. Tests give their
+// own.
 //
 // # Usage
 //
@@ -9,6 +10,7 @@
 
 import (
 	"io"
+	"net/http"
 	"time"
 
 	"github.com/cassiatally/cassiatally/cassiatally"
@@ -24,4 +26,7 @@
 	User string
 	// OpenLog returns the log service at the address.
 	OpenLog func(a cassiatally.Address, timeout time.Duration) cassiatally.Log
+	// HTTP sends requests to nodes. Its timeouts come from the commands.
+	HTTP  *http.Client
+	Clock cassiatally.Clock
 }
--- /dev/null
+++ b/operator/nodeclient/status.go
@@ -0,0 +1,110 @@
+package nodeclient
+
+// Status is the state of a node as it tells operators; node/adminserver/status.go
+// says what the fields mean.
+type Status struct {
+	Node       string    `json:"node"`
+	DataCentre string    `json:"data_centre"`
+	Leaving    bool      `json:"leaving"`
+	Control    string    `json:"control"`
+	Sheet      Sheet     `json:"sheet"`
+	Members    []Member  `json:"members"`
+	Services   []Service `json:"services"`
+	Local      Local     `json:"local"`
+	Shards     []Shard   `json:"shards"`
+	Requests   Requests  `json:"requests"`
+	Traffic    Traffic   `json:"traffic"`
+}
+
+// Sheet tells which sheet is in force.
+type Sheet struct {
+	Version           uint64  `json:"version"`
+	LogContactSeconds float64 `json:"log_contact_seconds"`
+	FollowsLog        bool    `json:"follows_log"`
+}
+
+// Member is a node that the asked node knows.
+type Member struct {
+	Node       string `json:"node"`
+	DataCentre string `json:"data_centre"`
+	Address    string `json:"address"`
+	Service    string `json:"service"`
+	State      string `json:"state"`
+	Slots      int    `json:"slots"`
+	Limit      int    `json:"limit"`
+	InFlight   int    `json:"in_flight"`
+	Queued     int    `json:"queued"`
+	Sheet      uint64 `json:"sheet"`
+	Suspect    bool   `json:"suspect"`
+	Leaving    bool   `json:"leaving"`
+}
+
+// Service adds up the endpoints of a service in a data centre.
+type Service struct {
+	Service    string    `json:"service"`
+	DataCentre string    `json:"data_centre"`
+	Endpoints  int       `json:"endpoints"`
+	Capacity   int       `json:"capacity"`
+	Level      float64   `json:"level"`
+	Levels     []float64 `json:"levels"`
+}
+
+// Local is the backend server of the node's host.
+type Local struct {
+	Service        string    `json:"service"`
+	State          string    `json:"state"`
+	Slots          int       `json:"slots"`
+	Limit          int       `json:"limit"`
+	InFlight       int       `json:"in_flight"`
+	Queued         int       `json:"queued"`
+	TypicalSeconds float64   `json:"typical_seconds"`
+	Levels         []float64 `json:"levels"`
+	Sheds          []Shed    `json:"sheds"`
+	Queue          []Queue   `json:"queue"`
+	LateResults    uint64    `json:"late_results"`
+}
+
+// Shed counts what was refused for one reason.
+type Shed struct {
+	Rank  int    `json:"rank"`
+	Kind  string `json:"kind"`
+	Count uint64 `json:"count"`
+}
+
+// Queue adds up the time in the queue of the calls of a rank.
+type Queue struct {
+	Rank        int     `json:"rank"`
+	Started     uint64  `json:"started"`
+	WaitSeconds float64 `json:"wait_seconds"`
+}
+
+// Shard is one shard of idempotency keys.
+type Shard struct {
+	Shard        int    `json:"shard"`
+	Epoch        uint64 `json:"epoch"`
+	Holder       string `json:"holder"`
+	Standby      string `json:"standby"`
+	CompleteFrom uint64 `json:"complete_from"`
+}
+
+// Requests counts what became of the calls that the node sent on.
+type Requests struct {
+	InFlight       int    `json:"in_flight"`
+	Refused        []Shed `json:"refused"`
+	RefusedAtEntry uint64 `json:"refused_at_entry"`
+	Retries        uint64 `json:"retries"`
+	RetriesDenied  uint64 `json:"retries_denied"`
+	Redirects      uint64 `json:"redirects"`
+	LateAnswers    uint64 `json:"late_answers"`
+	Incomplete     uint64 `json:"incomplete_answers"`
+	Queries        uint64 `json:"outcome_queries"`
+}
+
+// Traffic counts bytes between nodes.
+type Traffic struct {
+	Links           int    `json:"links"`
+	RequestSent     uint64 `json:"request_sent_bytes"`
+	RequestReceived uint64 `json:"request_received_bytes"`
+	ControlSent     uint64 `json:"control_sent_bytes"`
+	ControlReceived uint64 `json:"control_received_bytes"`
+}
