--- a/scenarios/evidence_test.go
+++ b/scenarios/evidence_test.go
@@ -17,15 +17,19 @@
 // compare them.
 func evidenceCommands() map[string]func(ts *testscript.TestScript, neg bool, args []string) {
 	return map[string]func(ts *testscript.TestScript, neg bool, args []string){
-		"runs":    cmdRuns,
-		"table":   cmdTable,
-		"field":   cmdField,
-		"assert":  cmdAssert,
-		"note":    cmdNote,
-		"watch":   cmdWatch,
-		"watched": cmdWatched,
-		"keep":    cmdKeep,
-		"pause":   cmdPause,
+		"runs":       cmdRuns,
+		"table":      cmdTable,
+		"field":      cmdField,
+		"assert":     cmdAssert,
+		"note":       cmdNote,
+		"watch":      cmdWatch,
+		"watched":    cmdWatched,
+		"keep":       cmdKeep,
+		"answered":   cmdAnswered,
+		"fresh":      cmdFresh,
+		"publishers": cmdPublishers,
+		"losers":     cmdLosers,
+		"pause":      cmdPause,
 	}
 }
 
@@ -150,3 +154,27 @@
 	ts.Check(err)
 	time.Sleep(d)
 }
+
+// cmdAnswered waits until the answer of a URL matches: answered URL PATTERN.
+func cmdAnswered(ts *testscript.TestScript, neg bool, args []string) {
+	if neg || len(args) != 2 {
+		ts.Fatalf("usage: answered URL PATTERN")
+	}
+	pattern := compile(ts, args[1])
+	var last []byte
+	for deadline := time.Now().Add(conditionLimit); time.Now().Before(deadline); time.Sleep(pollPause) {
+		body, err := fetch(args[0])
+		if last = body; err == nil && pattern.Match(body) {
+			return
+		}
+	}
+	ts.Fatalf("%s did not come true within %v; last answer:\n%s", args[1], conditionLimit, last)
+}
+
+// cmdFresh makes the next node the first of a fleet without older nodes: fresh.
+func cmdFresh(ts *testscript.TestScript, neg bool, args []string) {
+	if neg || len(args) != 0 {
+		ts.Fatalf("usage: fresh")
+	}
+	fleetOf(ts).seed = ""
+}
