bench: run experiments and compare control modes

Change: The command run starts a fleet for each scenario and control mode, sends the same load with the same seed, and prints one row a measure with target and verdict, as text, CSV and plots.

--- a/bench/command/command.go
+++ b/bench/command/command.go
@@ -16,6 +16,7 @@
 
 	"github.com/cassiatally/cassiatally/bench/cli"
 	"github.com/cassiatally/cassiatally/bench/command/democommand"
+	"github.com/cassiatally/cassiatally/bench/command/runcommand"
 	"github.com/cassiatally/cassiatally/bench/environment"
 	"github.com/cassiatally/cassiatally/cassiatally"
 )
@@ -37,7 +38,7 @@
 }
 
 func commands(env environment.Environment) []cli.Command {
-	return []cli.Command{democommand.New(env)}
+	return []cli.Command{democommand.New(env), runcommand.New(env)}
 }
 
 func dispatch(ctx context.Context, env environment.Environment, args []string) error {
--- /dev/null
+++ b/bench/command/runcommand/runcommand.go
@@ -0,0 +1,219 @@
+// Package runcommand is the command that runs experiments and compares the
+// control modes in one run.
+//
+// # Usage
+//
+//	err := runcommand.New(env).Execute(ctx, env, args)
+package runcommand
+
+import (
+	"context"
+	"fmt"
+	"path/filepath"
+	"slices"
+	"time"
+
+	"github.com/cassiatally/cassiatally/bench/cli"
+	"github.com/cassiatally/cassiatally/bench/deployer"
+	"github.com/cassiatally/cassiatally/bench/deployment"
+	"github.com/cassiatally/cassiatally/bench/environment"
+	"github.com/cassiatally/cassiatally/bench/experimenter"
+	"github.com/cassiatally/cassiatally/bench/observation"
+	"github.com/cassiatally/cassiatally/bench/scenario"
+	"github.com/cassiatally/cassiatally/bench/sheetbook"
+	"github.com/cassiatally/cassiatally/cassiatally"
+	"github.com/cassiatally/cassiatally/cassiatally/flagparser"
+	"github.com/cassiatally/cassiatally/standin/loadplan"
+)
+
+const (
+	defaultScale  = 0.1
+	defaultLength = 5 * time.Second
+	quickLength   = 1500 * time.Millisecond
+	// callerLimit bounds the time that callers wait, so that a trial ends soon
+	// after its load.
+	callerLimit      = 2 * time.Second
+	quickCallerLimit = time.Second
+	// previousMode names the nodes of an earlier commit.
+	previousMode observation.Mode = "previous"
+)
+
+// Options are the inputs of the command.
+type Options struct {
+	Env        environment.Environment
+	Deployment string
+	Scenarios  []string
+	Controls   []string
+	Previous   string
+	Seed       uint64
+	Scale      float64
+	Seconds    int
+	Quick      bool
+	Out        string
+	Root       string
+}
+
+// New returns the command.
+func New(env environment.Environment) cli.Command {
+	o := &Options{
+		Env: env, Deployment: string(deployment.Barrier), Seed: 1, Scale: defaultScale, Out: "docs/results", Root: ".",
+	}
+	p := flagparser.New("cassiatally-bench run")
+	p.Flags.String(&o.Deployment, "", "deployment", "barrier or intake (default: barrier)")
+	p.Flags.StringSlice(&o.Scenarios, "", "scenario", "scenario to run; repeatable (default: all)")
+	p.Flags.StringSlice(&o.Controls, "", "control", "control mode: off, fixed or adaptive; repeatable (default: all)")
+	p.Flags.String(&o.Previous, "", "previous", "folder with the node program of an earlier commit, to compare with")
+	p.Flags.UInt64(&o.Seed, "", "seed", "seed of arrivals and service times")
+	p.Flags.Float64(&o.Scale, "", "scale", "part of the stated rates to run at; service times grow as it shrinks")
+	p.Flags.Int(&o.Seconds, "", "seconds", "length of a phase (default: 5, with --quick 1.5)")
+	p.Flags.Bool(&o.Quick, "", "quick", "short phases, and one fleet for all scenarios of a mode")
+	p.Flags.String(&o.Out, "", "out", "folder for the results")
+	p.Flags.String(&o.Root, "", "root", "folder of the repository, with bin and examples")
+	return cli.Command{
+		Name:    "run",
+		Summary: "Run scenarios with each control mode and compare them with the targets.",
+		Parser:  p,
+		Run:     o.run,
+	}
+}
+
+func (o *Options) run(ctx context.Context) error {
+	e, book, err := o.experiment()
+	if err != nil {
+		return err
+	}
+	started := time.Now()
+	logger := e.Logger
+	logger.Info("experiments", "deployment", e.Deployment.Name, "modes", len(e.Modes), "scenarios", len(e.Scenarios), "seed", o.Seed)
+	observations, err := e.Run(ctx)
+	if err != nil {
+		return err
+	}
+	r := &report{options: o, experimenter: e, book: book, observations: observations, started: started}
+	return r.write(ctx)
+}
+
+// experiment checks the options and sets the experiment up.
+func (o *Options) experiment() (*experimenter.Experimenter, *sheetbook.Book, error) {
+	dep, err := deployment.Named(deployment.Name(o.Deployment), o.Scale)
+	if err != nil {
+		return nil, nil, usage(err)
+	}
+	dep = dep.FullyNarrow(o.callerLimit())
+	book, err := sheetbook.Open(filepath.Join(o.Root, dep.Sheet), dep.DataCentres[0], time.Now())
+	if err != nil {
+		return nil, nil, err
+	}
+	modes, err := o.modes()
+	if err != nil {
+		return nil, nil, err
+	}
+	scenarios, err := o.scenarios(dep, book)
+	if err != nil {
+		return nil, nil, usage(err)
+	}
+	e := &experimenter.Experimenter{
+		Deployment: dep, Modes: modes, Scenarios: scenarios, Root: o.Root, Seed: o.Seed,
+		Length: o.phase(), Shared: o.Quick, Logger: o.Env.Logger(),
+	}
+	return e, book, nil
+}
+
+func (o *Options) phase() time.Duration {
+	switch {
+	case o.Seconds > 0:
+		return time.Duration(o.Seconds) * time.Second
+	case o.Quick:
+		return quickLength
+	}
+	return defaultLength
+}
+
+func (o *Options) callerLimit() time.Duration {
+	if o.Quick {
+		return quickCallerLimit
+	}
+	return callerLimit
+}
+
+func (o *Options) modes() ([]experimenter.Mode, error) {
+	known := []deployer.Control{deployer.ControlOff, deployer.ControlFixed, deployer.ControlAdaptive}
+	var modes []experimenter.Mode
+	for _, c := range known {
+		if len(o.Controls) == 0 || slices.Contains(o.Controls, string(c)) {
+			modes = append(modes, experimenter.Mode{Name: observation.Mode(c), Control: c})
+		}
+	}
+	for _, c := range o.Controls {
+		if !slices.Contains(known, deployer.Control(c)) {
+			return nil, cassiatally.NewError(cassiatally.KindUsage, "%q is no control mode; there are %v", c, known)
+		}
+	}
+	if o.Previous != "" {
+		modes = append(modes, experimenter.Mode{Name: previousMode, Control: deployer.ControlAdaptive, NodeBin: o.Previous})
+	}
+	return modes, nil
+}
+
+func (o *Options) scenarios(dep deployment.Deployment, book *sheetbook.Book) ([]scenario.Scenario, error) {
+	urgent, least := extremes(dep, book)
+	c := scenario.Catalogue{Deployment: dep, Length: o.phase(), Quick: o.Quick, Urgent: urgent, Least: least}
+	names := scenario.Names()
+	if len(o.Scenarios) > 0 {
+		names = nil
+		for _, n := range o.Scenarios {
+			names = append(names, scenario.Name(n))
+		}
+	}
+	var all []scenario.Scenario
+	for _, n := range names {
+		s, err := c.Named(n)
+		if err != nil {
+			return nil, err
+		}
+		all = append(all, s)
+	}
+	slices.SortStableFunc(all, func(x, y scenario.Scenario) int {
+		return slices.Index(scenario.Names(), x.Name) - slices.Index(scenario.Names(), y.Name)
+	})
+	return all, nil
+}
+
+// extremes returns the first class of the most urgent rank and the last one of
+// the least urgent rank.
+func extremes(dep deployment.Deployment, book *sheetbook.Book) (urgent, least loadplan.ClassName) {
+	rank := func(c deployment.Class) cassiatally.Rank { return book.Rank(c.Service, c.Kind) }
+	first, last := dep.Classes[0], dep.Classes[0]
+	for _, c := range dep.Classes {
+		if rank(c) < rank(first) {
+			first = c
+		}
+		if rank(c) >= rank(last) {
+			last = c
+		}
+	}
+	return first.Name, last.Name
+}
+
+func usage(err error) error { return cassiatally.NewError(cassiatally.KindUsage, "%v", err) }
+
+// commandLine returns the command that repeats the run.
+func (o *Options) commandLine() string {
+	line := fmt.Sprintf("cassiatally-bench run --deployment %s --seed %d --scale %g", o.Deployment, o.Seed, o.Scale)
+	if o.Seconds > 0 {
+		line += fmt.Sprintf(" --seconds %d", o.Seconds)
+	}
+	for _, s := range o.Scenarios {
+		line += " --scenario " + s
+	}
+	for _, c := range o.Controls {
+		line += " --control " + c
+	}
+	if o.Quick {
+		line += " --quick"
+	}
+	if o.Previous != "" {
+		line += " --previous DIR"
+	}
+	return line
+}
--- a/bench/deployer/deployer.go
+++ b/bench/deployer/deployer.go
@@ -131,8 +131,10 @@
 // startLinks lays out the endpoints and their link addresses, and puts a proxy
 // before each link when links are delayed.
 func (d *Deployer) startLinks(ctx context.Context, f *Fleet) error {
-	for _, dc := range d.Deployment.DataCentres {
-		for _, s := range d.Deployment.Services {
+	// Neighbours are in different data centres, so that a caller which sends a
+	// request again leaves a lost data centre.
+	for _, s := range d.Deployment.Services {
+		for _, dc := range d.Deployment.DataCentres {
 			id := cassiatally.NodeID(fmt.Sprintf("%s-%s", s.Name, dc))
 			f.Endpoints = append(f.Endpoints, &Endpoint{ID: id, DataCentre: dc, Service: s})
 		}
--- a/bench/deployment/deployment.go
+++ b/bench/deployment/deployment.go
@@ -8,6 +8,7 @@
 package deployment
 
 import (
+	"fmt"
 	"slices"
 	"time"
 
@@ -132,6 +133,31 @@
 	return rates
 }
 
+// FullyNarrow returns the deployment with classes that all call the narrow
+// service, so that a flood of any class reaches it. No caller waits longer than
+// the limit, which bounds the time that a trial takes to end.
+func (d Deployment) FullyNarrow(limit time.Duration) Deployment {
+	d.Services = slices.Clone(d.Services)
+	for i := range d.Services {
+		s := &d.Services[i]
+		s.Work = slices.Clone(s.Work)
+		for j, w := range s.Work {
+			if slices.Contains(d.Elsewhere, loadplan.ClassName(w)) {
+				s.Work[j] = fmt.Sprintf("%s=%s/%s", w, d.Narrow, d.Deep)
+			}
+		}
+	}
+	d.Elsewhere = nil
+	d.Classes = slices.Clone(d.Classes)
+	for i := range d.Classes {
+		c := &d.Classes[i]
+		c.Timeout = min(c.Timeout, limit)
+		c.Target = min(c.Target, limit)
+		c.Lookups = 0
+	}
+	return d
+}
+
 // Plan returns the plan of a load with the phases.
 func (d Deployment) Plan(phases []loadplan.Phase) loadplan.Plan {
 	plan := loadplan.Plan{Phases: phases}
--- /dev/null
+++ b/bench/measurer/measurer_test.go
@@ -0,0 +1,254 @@
+package measurer
+
+import (
+	"math"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/cassiatally/cassiatally/bench/collector"
+	"github.com/cassiatally/cassiatally/bench/deployment"
+	"github.com/cassiatally/cassiatally/bench/observation"
+	"github.com/cassiatally/cassiatally/bench/scenario"
+	"github.com/cassiatally/cassiatally/cassiatally"
+	"github.com/cassiatally/cassiatally/standin/core"
+	"github.com/cassiatally/cassiatally/standin/loadplan"
+)
+
+var epoch = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+// policies is a sheet of three ranks with shares.
+type policies struct{}
+
+func (policies) Rank(s cassiatally.Service, _ cassiatally.WorkKind) cassiatally.Rank {
+	return map[cassiatally.Service]cassiatally.Rank{"urgent": 0, "usual": 1, "least": 2}[s]
+}
+
+func (policies) Share(r cassiatally.Rank) cassiatally.Share {
+	return []cassiatally.Share{0, 0.2, 0.1, 0}[r]
+}
+
+func testDeployment() deployment.Deployment {
+	class := func(name string) deployment.Class {
+		return deployment.Class{Class: loadplan.Class{Name: loadplan.ClassName(name), Service: cassiatally.Service(name), Kind: "do"}}
+	}
+	return deployment.Deployment{
+		Narrow: "narrow", Deep: "deep",
+		Services: []deployment.Service{{Name: "wide", ServiceTime: 10 * time.Millisecond}, {Name: "narrow", ServiceTime: 100 * time.Millisecond}},
+		Classes:  []deployment.Class{class("urgent"), class("usual"), class("least")},
+	}
+}
+
+func result(id, phase, service string, at time.Duration, inTime bool) collector.Result {
+	told := core.Told{ID: core.RequestID(id), Phase: phase, Service: cassiatally.Service(service), Kind: "do", InTime: inTime}
+	if inTime {
+		told.Status = http.StatusOK
+	}
+	return collector.Result{Told: told, At: epoch.Add(at)}
+}
+
+// steady returns a result every 10 ms between two times.
+func steady(phase, service string, from, to time.Duration, inTime bool) []collector.Result {
+	var all []collector.Result
+	for at := from; at < to; at += 10 * time.Millisecond {
+		all = append(all, result("r", phase, service, at, inTime))
+	}
+	return all
+}
+
+func observe(phases []loadplan.Phase, restored time.Duration, told ...[]collector.Result) observation.Observation {
+	o := observation.Observation{Start: epoch, Mode: "adaptive"}
+	o.Scenario = scenario.Scenario{Phases: phases, Restored: restored, Capacity: 100}
+	for _, t := range told {
+		o.Told = append(o.Told, t...)
+	}
+	return o
+}
+
+func phase(name loadplan.PhaseName, seconds int) loadplan.Phase {
+	return loadplan.Phase{Name: name, Duration: time.Duration(seconds) * time.Second}
+}
+
+func near(a, b float64) bool { return math.Abs(a-b) < 1e-6 }
+
+// TestGoodput guards against answers that are late or outside the phase being
+// counted, and against the settling part of a phase weighing in.
+func TestGoodput(t *testing.T) {
+	phases := []loadplan.Phase{phase("warm", 1), phase("x3", 5)}
+	cases := map[string]struct {
+		told []collector.Result
+		want float64
+	}{
+		"a full phase at capacity":         {steady("x3", "usual", time.Second, 6*time.Second, true), 1},
+		"answers that are late":            {steady("x3", "usual", time.Second, 6*time.Second, false), 0},
+		"only the settling part":           {steady("x3", "usual", time.Second, 2*time.Second, true), 0},
+		"only the second half of the rest": {steady("x3", "usual", 4*time.Second, 6*time.Second, true), 0.5},
+		"answers after the phase":          {steady("x3", "usual", 6*time.Second, 7*time.Second, true), 0},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			is.True(near(Goodput(observe(phases, 0, c.told), "x3", 100), c.want))
+		})
+	}
+	t.Run("a phase that was not run has no goodput", func(t *testing.T) {
+		is := is.New(t)
+		is.True(math.IsNaN(Goodput(observe(phases, 0), "x6", 100)))
+	})
+}
+
+// TestBack guards against a recovery that is reported too early, while requests
+// still fail, or is reported although there was none.
+func TestBack(t *testing.T) {
+	phases := []loadplan.Phase{phase(scenario.PhaseBefore, 2), phase(scenario.PhaseDisturbed, 2), phase(scenario.PhaseAfter, 4)}
+	before := steady("before", "usual", 0, 2*time.Second, true)
+	disturbed := steady("disturbed", "usual", 2*time.Second, 4*time.Second, false)
+	after := func(failing time.Duration) []collector.Result {
+		end := 4*time.Second + failing
+		return append(steady("after", "usual", 4*time.Second, end, false), steady("after", "usual", end, 8*time.Second, true)...)
+	}
+	cases := map[string]struct {
+		failing time.Duration
+		want    time.Duration
+	}{
+		"at once":                         {0, 0},
+		"after one second":                {time.Second, time.Second},
+		"never within the time":           {4 * time.Second, 4 * time.Second},
+		"a window with 5% failing counts": {120 * time.Millisecond, 100 * time.Millisecond},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			is.Equal(Back(observe(phases, 4*time.Second, before, disturbed, after(c.failing))), c.want)
+		})
+	}
+}
+
+// TestBackCountsFromWhenRequestsWereDue guards against answers to requests of the
+// disturbed time that pass for a recovery when they arrive after it.
+func TestBackCountsFromWhenRequestsWereDue(t *testing.T) {
+	is := is.New(t)
+	phases := []loadplan.Phase{phase(scenario.PhaseBefore, 2), phase(scenario.PhaseAfter, 2)}
+	o := observe(phases, 2*time.Second, steady("before", "usual", 0, 2*time.Second, true), steady("after", "usual", 2*time.Second, 4*time.Second, true))
+	for i := range o.Told {
+		if o.Told[i].Phase == "after" {
+			o.Told[i].LatencyMS = 2000
+		}
+	}
+	is.Equal(Back(o), 2*time.Second)
+}
+
+func deepRun(id string) core.Run {
+	return core.Run{ID: core.RequestID(id), Service: "narrow", Kind: "deep", Start: epoch, End: epoch.Add(100 * time.Millisecond)}
+}
+
+// TestExecutions guards against copies that callers sent again being counted as
+// requests of their own, which would hide that retries multiply.
+func TestExecutions(t *testing.T) {
+	other := deepRun("c")
+	other.Service = "wide"
+	cases := map[string]struct {
+		runs []core.Run
+		want float64
+	}{
+		"one run each":          {[]core.Run{deepRun("a"), deepRun("b")}, 1},
+		"one request run twice": {[]core.Run{deepRun("a"), deepRun("a"), deepRun("b")}, 1.5},
+		"other services":        {[]core.Run{deepRun("a"), other, other}, 1},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			is.True(near(Executions(c.runs, testDeployment()), c.want))
+		})
+	}
+	t.Run("no runs give no measure", func(t *testing.T) {
+		is := is.New(t)
+		is.True(math.IsNaN(Executions(nil, testDeployment())))
+	})
+}
+
+// TestWaste guards against the time in which a run waits for onward calls being
+// counted as work, and against late answers counting as useful.
+func TestWaste(t *testing.T) {
+	parent := core.Run{ID: "a", Service: "wide", Start: epoch, End: epoch.Add(time.Second)}
+	cases := map[string]struct {
+		told []collector.Result
+		runs []core.Run
+		want float64
+	}{
+		"all useful":                    {[]collector.Result{result("a", "x3", "usual", 0, true)}, []core.Run{deepRun("a"), parent}, 0},
+		"half wasted":                   {[]collector.Result{result("a", "x3", "usual", 0, true), result("b", "x3", "usual", 0, false)}, []core.Run{deepRun("a"), deepRun("b")}, 0.5},
+		"a parent counts with own time": {[]collector.Result{result("a", "x3", "usual", 0, false), result("b", "x3", "usual", 0, true)}, []core.Run{parent, deepRun("b")}, 10.0 / 110},
+		"a run that did not end":        {[]collector.Result{result("a", "x3", "usual", 0, true)}, []core.Run{deepRun("a"), {ID: "b", Service: "narrow", Start: epoch}}, 0},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			m := &Measurer{Deployment: testDeployment(), Policies: policies{}}
+			o := observe(nil, 0, c.told)
+			o.Runs = c.runs
+			is.True(near(m.Waste(o), c.want))
+		})
+	}
+}
+
+// TestUrgent guards against less urgent requests, or phases in which urgent
+// demand alone exceeds capacity, weighing in the part of urgent requests.
+func TestUrgent(t *testing.T) {
+	fits := phase("x1.5", 1)
+	fits.Rates = map[loadplan.ClassName]loadplan.Rate{"urgent": 90}
+	exceeds := phase("x6", 1)
+	exceeds.Rates = map[loadplan.ClassName]loadplan.Rate{"urgent": 110}
+	o := observe([]loadplan.Phase{fits, exceeds}, 0,
+		steady("x1.5", "urgent", 0, 900*time.Millisecond, true), steady("x1.5", "urgent", 0, 100*time.Millisecond, false),
+		steady("x1.5", "usual", 0, time.Second, false), steady("x6", "urgent", time.Second, 2*time.Second, false))
+	is := is.New(t)
+	m := &Measurer{Deployment: testDeployment(), Policies: policies{}}
+	is.True(near(m.urgent(o, "x1.5", "x6"), 0.9))
+}
+
+// TestKept guards against a share that is measured against more than its rank
+// asked for, and against goodput of other ranks counting for it.
+func TestKept(t *testing.T) {
+	flood := phase(scenario.PhaseFloodUrgent, 5)
+	flood.Rates = map[loadplan.ClassName]loadplan.Rate{"urgent": 400, "usual": 40, "least": 5}
+	told := [][]collector.Result{
+		steady("flood_urgent", "urgent", 0, 5*time.Second, true),
+		// 10 a second of rank 1, whose stated share is 20 a second.
+		{},
+	}
+	for at := time.Duration(0); at < 5*time.Second; at += 100 * time.Millisecond {
+		told[1] = append(told[1], result("u", "flood_urgent", "usual", at, true))
+	}
+	o := observe([]loadplan.Phase{flood}, 0, told...)
+	m := &Measurer{Deployment: testDeployment(), Policies: policies{}}
+	is := is.New(t)
+	is.True(near(m.kept(o, 1), 0.5))
+	is.True(near(m.kept(o, 2), 0))
+	is.True(math.IsNaN(m.kept(o, 3)))
+}
+
+// TestMet guards against a verdict on the wrong side of a target and against a
+// missing result that passes.
+func TestMet(t *testing.T) {
+	cases := map[string]struct {
+		bound  Bound
+		number float64
+		want   bool
+	}{
+		"at least, equal":   {AtLeast, 0.95, true},
+		"at least, below":   {AtLeast, 0.94, false},
+		"at most, equal":    {AtMost, 0.95, true},
+		"at most, above":    {AtMost, 0.96, false},
+		"at most, missing":  {AtMost, math.NaN(), false},
+		"at least, missing": {AtLeast, math.NaN(), false},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			is.Equal(Definition{Bound: c.bound, Target: 0.95}.Met(c.number), c.want)
+		})
+	}
+}
--- /dev/null
+++ b/bench/processmeter/processmeter.go
@@ -0,0 +1,97 @@
+// Package processmeter reads the processor time and resident memory of
+// processes from /proc.
+//
+// # Usage
+//
+//	before, err := processmeter.Meter{}.Read(pid)
+//	after, err := processmeter.Meter{}.Read(pid)
+//	part := after.Share(before)
+package processmeter
+
+import (
+	"fmt"
+	"os"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/cassiatally/cassiatally/bench/launcher"
+)
+
+const (
+	// tick is the unit of processor times in /proc; it is 10 ms on all Linux
+	// systems for programs.
+	tick = 10 * time.Millisecond
+	kibi = 1 << 10
+	// userField and systemField count from the field after the command's name.
+	userField   = 11
+	systemField = 12
+	residentTag = "VmRSS:"
+)
+
+// Bytes is a size in memory.
+type Bytes uint64
+
+// Usage is what a process has used until a time.
+type Usage struct {
+	At        time.Time
+	Processor time.Duration
+	Resident  Bytes
+}
+
+// Share returns the part of one core that the process used since an earlier
+// reading.
+func (u Usage) Share(earlier Usage) float64 {
+	elapsed := u.At.Sub(earlier.At)
+	if elapsed <= 0 {
+		return 0
+	}
+	return float64(u.Processor-earlier.Processor) / float64(elapsed)
+}
+
+// Meter reads processes.
+type Meter struct{}
+
+// Read returns what a process has used.
+func (Meter) Read(pid launcher.PID) (Usage, error) {
+	folder := fmt.Sprintf("/proc/%d/", pid)
+	stat, err := os.ReadFile(folder + "stat")
+	if err != nil {
+		return Usage{}, errors.Wrap(err, "reading the processor time of a process")
+	}
+	status, err := os.ReadFile(folder + "status")
+	if err != nil {
+		return Usage{}, errors.Wrap(err, "reading the memory of a process")
+	}
+	u := Usage{At: time.Now()}
+	if u.Processor, err = parseStat(string(stat)); err != nil {
+		return u, err
+	}
+	u.Resident, err = parseStatus(string(status))
+	return u, err
+}
+
+func parseStat(text string) (time.Duration, error) {
+	// The name of the command is in brackets and may hold blanks.
+	fields := strings.Fields(text[strings.LastIndex(text, ")")+1:])
+	if len(fields) <= systemField {
+		return 0, errors.New("the processor times of a process are missing")
+	}
+	user, errUser := strconv.ParseInt(fields[userField], 10, 64)
+	system, errSystem := strconv.ParseInt(fields[systemField], 10, 64)
+	return time.Duration(user+system) * tick, errors.CombineErrors(errUser, errSystem)
+}
+
+func parseStatus(text string) (Bytes, error) {
+	for line := range strings.Lines(text) {
+		rest, ok := strings.CutPrefix(line, residentTag)
+		if !ok {
+			continue
+		}
+		n, err := strconv.ParseUint(strings.Fields(rest)[0], 10, 64)
+		return Bytes(n * kibi), errors.Wrap(err, "reading the memory of a process")
+	}
+	return 0, errors.New("the memory of a process is missing")
+}
