node: expose state as metrics and bound repeated log lines

Cause: the metrics had latency and counts of callers' requests and the sheet version only, and log lines for each refused frame or broken run repeat without bound under overload. Change: the sampler duty copies the status into gauges and counters once a second: limit, levels and sheds by rank, retries spent and denied, late and incomplete answers, crashes, suspect and quarantined requests, shards, members, links, control bytes, age of the log contact. The executor records the queue time of each started call in a histogram by rank. The interface Quarantine has Count; its fake in the runner's tests follows.

--- a/cassiatally/action.go
+++ b/cassiatally/action.go
@@ -1,5 +1,7 @@
 package cassiatally
 
+import "time"
+
 // Action is what a decision asks its owner to do.
 type Action interface{ action() }
 
@@ -16,7 +18,11 @@
 }
 
 // StartRun has the backend server run a call.
-type StartRun struct{ Call Call }
+type StartRun struct {
+	Call Call
+	// Waited is the time that the call spent in the queue.
+	Waited time.Duration
+}
 
 // AbortRun cancels a run at the backend server.
 type AbortRun struct{ Call CallID }
--- a/cassiatally/interfaces.go
+++ b/cassiatally/interfaces.go
@@ -178,6 +178,8 @@
 	Crashed(now Instant, inFlight []Fingerprint)
 	// Completed clears a request.
 	Completed(now Instant, f Fingerprint)
+	// Count returns how many requests are suspects and how many are quarantined.
+	Count(now Instant) (suspects, quarantined int)
 	// Reports returns what to tell other nodes.
 	Reports(now Instant) []CrashReport
 	// Merge records what another node told.
--- a/cassiatally/quarantiner/quarantiner.go
+++ b/cassiatally/quarantiner/quarantiner.go
@@ -154,6 +154,20 @@
 	r.judge(now)
 }
 
+// Count returns how many requests are suspects and how many are quarantined. A
+// quarantined request is no longer counted as a suspect.
+func (q *Quarantiner) Count(now cassiatally.Instant) (suspects, quarantined int) {
+	for f := range q.records {
+		switch {
+		case q.Blocked(now, f):
+			quarantined++
+		case q.Suspect(now, f):
+			suspects++
+		}
+	}
+	return suspects, quarantined
+}
+
 // Reports returns what to tell other nodes: recent changes, those first that
 // were not told for the longest time. The next ones follow after a second.
 func (q *Quarantiner) Reports(now cassiatally.Instant) []cassiatally.CrashReport {
--- a/cassiatally/quarantiner/quarantiner_test.go
+++ b/cassiatally/quarantiner/quarantiner_test.go
@@ -51,6 +51,10 @@
 	for _, q := range all {
 		is.True(q.Blocked(start, poison))
 	}
+	all[0].Crashed(start, []cassiatally.Fingerprint{innocent})
+	suspects, quarantined := all[0].Count(start)
+	is.Equal(suspects, 1) // operators must not see the quarantined one here too
+	is.Equal(quarantined, 1)
 	end := start.Add(10 * time.Minute)
 	is.True(all[3].Blocked(end-1, poison))
 	is.True(!all[3].Blocked(end, poison))
--- a/cassiatally/runner/counts.go
+++ b/cassiatally/runner/counts.go
@@ -28,6 +28,8 @@
 	Waited [cassiatally.MaxRanks]Waited
 	// LateResults arrived for runs that had been answered.
 	LateResults uint64
+	// Crashes counts the times that the backend server broke off runs.
+	Crashes uint64
 }
 
 type shedKey struct {
@@ -37,7 +39,7 @@
 
 // Counts returns a copy of the totals so far.
 func (r *Runner) Counts() Counts {
-	c := Counts{Waited: r.waited, LateResults: r.late}
+	c := Counts{Waited: r.waited, LateResults: r.late, Crashes: r.crashes}
 	for k, n := range r.sheds {
 		c.Sheds = append(c.Sheds, Shed{Kind: k.kind, Rank: k.rank, Count: n})
 	}
--- a/cassiatally/runner/result.go
+++ b/cassiatally/runner/result.go
@@ -77,6 +77,7 @@
 		return
 	}
 	r.crashed = true
+	r.crashes++
 	r.crashedAt = now
 	inFlight := []cassiatally.Fingerprint{broken.fingerprint}
 	for _, rec := range r.records {
--- a/cassiatally/runner/runner.go
+++ b/cassiatally/runner/runner.go
@@ -81,6 +81,7 @@
 	crashed   bool
 	leaving   bool
 	late      uint64
+	crashes   uint64
 	sheds     map[shedKey]uint64
 	waited    [cassiatally.MaxRanks]Waited
 }
@@ -314,7 +315,7 @@
 	rec.concurrency = cassiatally.Concurrency(r.running)
 	call := rec.call
 	call.Remaining = rec.deadline.Sub(now)
-	return append(actions, cassiatally.StartRun{Call: call})
+	return append(actions, cassiatally.StartRun{Call: call, Waited: now.Sub(rec.queued)})
 }
 
 func (r *Runner) drop(actions []cassiatally.Action, dropped []cassiatally.Dropped) []cassiatally.Action {
--- a/cassiatally/runner/runner_test.go
+++ b/cassiatally/runner/runner_test.go
@@ -23,6 +23,7 @@
 	crashes          [][]cassiatally.Fingerprint
 }
 
+func (q *listQuarantine) Count(cassiatally.Instant) (suspects, quarantined int) { return 0, 0 }
 func (q *listQuarantine) Blocked(_ cassiatally.Instant, f cassiatally.Fingerprint) bool {
 	return q.blocked[f]
 }
--- a/node/adminserver/status.go
+++ b/node/adminserver/status.go
@@ -67,6 +67,12 @@
 	Sheds          []ShedStatus  `json:"sheds"`
 	Queue          []QueueStatus `json:"queue"`
 	LateResults    uint64        `json:"late_results"`
+	// Crashes counts the times that the backend server broke off runs.
+	Crashes uint64 `json:"crashes"`
+	// SuspectRequests were in flight in a crash and have not completed since;
+	// QuarantinedRequests are refused because they crashed backend servers.
+	SuspectRequests     int `json:"suspect_requests"`
+	QuarantinedRequests int `json:"quarantined_requests"`
 }
 
 // ShedStatus counts what was refused for one reason.
--- a/node/claimkeeper/claimkeeper.go
+++ b/node/claimkeeper/claimkeeper.go
@@ -16,8 +16,6 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/charmbracelet/log"
-
 	"github.com/cassiatally/cassiatally/cassiatally"
 	"github.com/cassiatally/cassiatally/cassiatally/assigner"
 	"github.com/cassiatally/cassiatally/cassiatally/claimer"
@@ -25,6 +23,7 @@
 	"github.com/cassiatally/cassiatally/cassiatally/protocol"
 	"github.com/cassiatally/cassiatally/cassiatally/registrar"
 	"github.com/cassiatally/cassiatally/cassiatally/ring"
+	"github.com/cassiatally/cassiatally/node/loglimiter"
 )
 
 const (
@@ -59,7 +58,7 @@
 	Requests   Requests
 	Log        cassiatally.Log
 	Codec      *protocol.Codec
-	Logger     *log.Logger
+	Logger     loglimiter.Logger
 	NextID     func() cassiatally.CallID
 	// Retries is the retry budget of a claimed request.
 	Retries cassiatally.RetryCount
--- a/node/executor/executor.go
+++ b/node/executor/executor.go
@@ -15,12 +15,11 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/charmbracelet/log"
-
 	"github.com/cassiatally/cassiatally/cassiatally"
 	"github.com/cassiatally/cassiatally/cassiatally/looper"
 	"github.com/cassiatally/cassiatally/cassiatally/ring"
 	"github.com/cassiatally/cassiatally/cassiatally/runner"
+	"github.com/cassiatally/cassiatally/node/loglimiter"
 )
 
 const (
@@ -29,6 +28,7 @@
 	// the ring.
 	resultReserve = 1024
 	tickEvery     = 20 * time.Millisecond
+	markEvery     = time.Second
 	// MaxWorkers bounds the calls to one backend server.
 	MaxWorkers = 1024
 	// announceTTL is how long an announcement of the backend server holds.
@@ -54,7 +54,10 @@
 	Clock      cassiatally.Clock
 	Transport  cassiatally.Transport
 	Requests   Requests
-	Logger     *log.Logger
+	Logger     loglimiter.Logger
+	// Waits is called with the time that each started call spent in the queue; it
+	// must not block.
+	Waits func(cassiatally.Rank, time.Duration)
 	// Changed is called by the duty when the announced endpoint changes and with
 	// fresh load at every tick; it must not block.
 	Changed func(cassiatally.Endpoint, []cassiatally.CrashReport)
@@ -72,8 +75,14 @@
 	state   cassiatally.EndpointState
 	running atomic.Int64
 	counts  atomic.Pointer[runner.Counts]
+	marked  atomic.Pointer[marked]
+	// markNext is when the suspects are counted next.
+	markNext cassiatally.Instant
 }
 
+// marked counts the requests that crashed the backend server or may have.
+type marked struct{ suspects, quarantined int }
+
 type job struct {
 	ctx  context.Context
 	call cassiatally.Call
@@ -122,6 +131,7 @@
 	x.waits = make(map[cassiatally.CallID]func(cassiatally.Answer))
 	x.cancels = make(map[cassiatally.CallID]context.CancelFunc)
 	x.counts.Store(&runner.Counts{})
+	x.marked.Store(&marked{})
 	x.duty = looper.Looper[event]{
 		Clock:  x.Clock,
 		Inbox:  x.inbox,
@@ -146,6 +156,13 @@
 // Counts returns the totals of the runner as of the last tick.
 func (x *Executor) Counts() runner.Counts { return *x.counts.Load() }
 
+// Suspects returns how many requests are suspected of crashing backend servers and
+// how many are quarantined, as of the last second.
+func (x *Executor) Suspects() (suspects, quarantined int) {
+	m := x.marked.Load()
+	return m.suspects, m.quarantined
+}
+
 // Call hands over a call from a node. It returns false when the ring is full.
 func (x *Executor) Call(from cassiatally.NodeID, c cassiatally.Call) bool {
 	return x.inbox.Offer(callEvent{from: from, call: c}, resultReserve)
@@ -195,6 +212,7 @@
 	x.running.Store(int64(x.Runner.Running()))
 	counts := x.Runner.Counts()
 	x.counts.Store(&counts)
+	x.countMarked(now)
 	if e.State != x.state {
 		x.state = e.State
 		x.Logger.Info("backend server state changed", "service", e.Service, "state", e.State)
@@ -202,6 +220,17 @@
 	x.Changed(e, x.Quarantine.Reports(now))
 }
 
+// countMarked counts once a second, since it looks at every suspect.
+func (x *Executor) countMarked(now cassiatally.Instant) {
+	if !now.Reached(x.markNext) {
+		return
+	}
+	x.markNext = now.Add(markEvery)
+	var m marked
+	m.suspects, m.quarantined = x.Quarantine.Count(now)
+	x.marked.Store(&m)
+}
+
 func (e callEvent) apply(x *Executor, now cassiatally.Instant) {
 	x.carryOut(now, x.Runner.HandleCall(now, e.from, e.call))
 }
@@ -275,6 +304,7 @@
 				x.Logger.Debug("answer not sent", "to", a.To, "error", err)
 			}
 		case cassiatally.StartRun:
+			x.Waits(a.Call.Rank, a.Waited)
 			x.start(now, a.Call)
 		case cassiatally.AbortRun:
 			if cancel, ok := x.cancels[a.Call]; ok {
--- a/node/linker/linker.go
+++ b/node/linker/linker.go
@@ -23,13 +23,13 @@
 	"sync"
 	"time"
 
-	"github.com/charmbracelet/log"
 	"github.com/cockroachdb/errors"
 	"github.com/coder/websocket"
 	"github.com/labstack/echo/v4"
 
 	"github.com/cassiatally/cassiatally/cassiatally"
 	"github.com/cassiatally/cassiatally/cassiatally/protocol"
+	"github.com/cassiatally/cassiatally/node/loglimiter"
 )
 
 const (
@@ -59,7 +59,7 @@
 	Advertise cassiatally.Address
 	Listen    cassiatally.Address
 	Codec     *protocol.Codec
-	Logger    *log.Logger
+	Logger    loglimiter.Logger
 	Heartbeat time.Duration
 	DeadAfter time.Duration
 	// RingSize bounds the messages that wait to be written to one link.
--- a/node/memberkeeper/memberkeeper.go
+++ b/node/memberkeeper/memberkeeper.go
@@ -14,12 +14,11 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/charmbracelet/log"
-
 	"github.com/cassiatally/cassiatally/cassiatally"
 	"github.com/cassiatally/cassiatally/cassiatally/looper"
 	"github.com/cassiatally/cassiatally/cassiatally/registrar"
 	"github.com/cassiatally/cassiatally/cassiatally/ring"
+	"github.com/cassiatally/cassiatally/node/loglimiter"
 )
 
 const (
@@ -38,7 +37,7 @@
 	Registrar *registrar.Registrar
 	Clock     cassiatally.Clock
 	Links     Links
-	Logger    *log.Logger
+	Logger    loglimiter.Logger
 	// OnView is called by the duty with each new view; it must not block.
 	OnView func(*registrar.View)
 	// OnGossip is called by the duty with what gossip carries besides members; it
--- a/node/reporter/reporter.go
+++ b/node/reporter/reporter.go
@@ -144,6 +144,17 @@
 	return s
 }
 
+// Wait records the time that a started call spent in the queue before the
+// backend server.
+func (r *Reporter) Wait(rank cassiatally.Rank, waited time.Duration) {
+	r.ranks[min(rank, cassiatally.MaxRanks-1)].Histogram("queue_wait", r.latency).RecordDuration(waited)
+}
+
+// Count adds to a counter with tags.
+func (r *Reporter) Count(name string, tags map[string]string, delta int64) {
+	r.scope.Tagged(tags).Counter(name).Inc(delta)
+}
+
 // Gauge sets a gauge of the node.
 func (r *Reporter) Gauge(name string, value float64) { r.scope.Gauge(name).Update(value) }
 
--- /dev/null
+++ b/node/sampler/sampler.go
@@ -0,0 +1,153 @@
+// Package sampler is the duty that copies the state of a node into its metrics
+// once a second.
+//
+// # Usage
+//
+//	s := &sampler.Sampler{Clock: clock, Status: node.Status, Metrics: reports, EachTime: logs.Flush}
+//	s.Run()
+//	defer s.Close()
+package sampler
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/cassiatally/cassiatally/cassiatally"
+	"github.com/cassiatally/cassiatally/cassiatally/looper"
+	"github.com/cassiatally/cassiatally/cassiatally/ring"
+	"github.com/cassiatally/cassiatally/node/adminserver"
+)
+
+const every = time.Second
+
+// Metrics takes values; the reporter implements it.
+type Metrics interface {
+	Gauge(name string, value float64)
+	RankGauge(name string, rank cassiatally.Rank, value float64)
+	// Count adds to a counter with tags.
+	Count(name string, tags map[string]string, delta int64)
+}
+
+// Sampler is the duty. Its fields are set before Run.
+type Sampler struct {
+	Clock   cassiatally.Clock
+	Status  func() adminserver.Status
+	Metrics Metrics
+	// EachTime is called after each sample; it must not block.
+	EachTime func()
+
+	duty looper.Looper[struct{}]
+	// totals has the values up to which each counter was advanced.
+	totals map[string]uint64
+}
+
+// Run starts the duty.
+func (s *Sampler) Run() {
+	s.totals = make(map[string]uint64)
+	s.duty = looper.Looper[struct{}]{
+		Clock:  s.Clock,
+		Inbox:  ring.New[struct{}](1, ring.RefuseNewest),
+		Handle: func(cassiatally.Instant, struct{}) {},
+		Tick:   s.tick,
+		Every:  every,
+	}
+	s.duty.Run()
+}
+
+// Close stops the duty and waits for it.
+func (s *Sampler) Close() { s.duty.Close() }
+
+func (s *Sampler) tick(cassiatally.Instant) {
+	st := s.Status()
+	s.fleet(&st)
+	s.local(&st.Local)
+	s.shards(&st)
+	s.requests(&st.Requests)
+	s.traffic(&st.Traffic)
+	s.EachTime()
+}
+
+func (s *Sampler) fleet(st *adminserver.Status) {
+	suspects := 0
+	for i := range st.Members {
+		if st.Members[i].Suspect {
+			suspects++
+		}
+	}
+	s.Metrics.Gauge("members", float64(len(st.Members)))
+	s.Metrics.Gauge("suspects", float64(suspects))
+	s.Metrics.Gauge("sheet_version", float64(st.Sheet.Version))
+	s.Metrics.Gauge("follows_log", truth(st.Sheet.FollowsLog))
+	s.Metrics.Gauge("log_contact_seconds", st.Sheet.LogContactSeconds)
+	s.Metrics.Gauge("leaving", truth(st.Leaving))
+}
+
+func (s *Sampler) local(l *adminserver.LocalStatus) {
+	s.Metrics.Gauge("backend_ready", truth(l.State == cassiatally.EndpointReady.String()))
+	s.Metrics.Gauge("slots", float64(l.Slots))
+	s.Metrics.Gauge("limit", float64(l.Limit))
+	s.Metrics.Gauge("runs_in_flight", float64(l.InFlight))
+	s.Metrics.Gauge("queued", float64(l.Queued))
+	s.Metrics.Gauge("typical_seconds", l.TypicalSeconds)
+	s.Metrics.Gauge("suspect_requests", float64(l.SuspectRequests))
+	s.Metrics.Gauge("quarantined_requests", float64(l.QuarantinedRequests))
+	for r, level := range l.Levels {
+		s.Metrics.RankGauge("level", cassiatally.Rank(r), level)
+	}
+	for _, v := range l.Sheds {
+		s.total("sheds", v.Count, map[string]string{"rank": fmt.Sprint(v.Rank), "kind": v.Kind})
+	}
+	s.total("late_results", l.LateResults, nil)
+	s.total("backend_crashes", l.Crashes, nil)
+}
+
+func (s *Sampler) shards(st *adminserver.Status) {
+	held, standby, alone := 0, 0, 0
+	for _, v := range st.Shards {
+		switch {
+		case v.Holder == st.Node && v.Standby == "":
+			held++
+			alone++
+		case v.Holder == st.Node:
+			held++
+		case v.Standby == st.Node:
+			standby++
+		}
+	}
+	s.Metrics.Gauge("shards_held", float64(held))
+	s.Metrics.Gauge("shards_standby", float64(standby))
+	s.Metrics.Gauge("shards_without_standby", float64(alone))
+}
+
+func (s *Sampler) requests(r *adminserver.RequestStatus) {
+	s.Metrics.Gauge("callers_waiting", float64(r.InFlight))
+	s.total("refused_at_entry", r.RefusedAtEntry, nil)
+	s.total("retries", r.Retries, nil)
+	s.total("retries_denied", r.RetriesDenied, nil)
+	s.total("redirects", r.Redirects, nil)
+	s.total("late_answers", r.LateAnswers, nil)
+	s.total("incomplete_answers", r.Incomplete, nil)
+	s.total("outcome_queries", r.Queries, nil)
+}
+
+func (s *Sampler) traffic(t *adminserver.TrafficStatus) {
+	s.Metrics.Gauge("links", float64(t.Links))
+	s.total("request_sent_bytes", t.RequestSent, nil)
+	s.total("request_received_bytes", t.RequestReceived, nil)
+	s.total("control_sent_bytes", t.ControlSent, nil)
+	s.total("control_received_bytes", t.ControlReceived, nil)
+}
+
+// total advances a counter to a value that only grows.
+func (s *Sampler) total(name string, value uint64, tags map[string]string) {
+	key := fmt.Sprint(name, tags)
+	s.Metrics.Count(name, tags, int64(value-s.totals[key]))
+	s.totals[key] = value
+}
+
+func truth(b bool) float64 {
+	if b {
+		return 1
+	}
+	return 0
+}
--- a/node/sheetkeeper/sheetkeeper.go
+++ b/node/sheetkeeper/sheetkeeper.go
@@ -17,8 +17,6 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/charmbracelet/log"
-
 	"github.com/cassiatally/cassiatally/cassiatally"
 	"github.com/cassiatally/cassiatally/cassiatally/follower"
 	"github.com/cassiatally/cassiatally/cassiatally/looper"
@@ -27,6 +25,7 @@
 	"github.com/cassiatally/cassiatally/cassiatally/registrar"
 	"github.com/cassiatally/cassiatally/cassiatally/ring"
 	"github.com/cassiatally/cassiatally/cassiatally/sheetparser"
+	"github.com/cassiatally/cassiatally/node/loglimiter"
 )
 
 const (
@@ -51,7 +50,7 @@
 	Transport cassiatally.Transport
 	Log       cassiatally.Log
 	Codec     *protocol.Codec
-	Logger    *log.Logger
+	Logger    loglimiter.Logger
 	// OnSheet is called by the duty with each sheet that comes into force; it must
 	// not block.
 	OnSheet func(*ranker.Ranker)
--- a/node/supervisor/routes.go
+++ b/node/supervisor/routes.go
@@ -28,7 +28,7 @@
 		cassiatally.ShardPull, cassiatally.ShardTable:
 		s.claims.Message(from, m)
 	default:
-		s.Logger.Warn("message without a receiver", "from", from)
+		s.logs.Warn("message without a receiver", "from", from)
 	}
 }
 
@@ -57,7 +57,7 @@
 		a.Kind = cassiatally.KindUnavailable
 	}
 	if err := s.links.Send(to.Node, a); err != nil {
-		s.Logger.Debug("refusal not sent", "to", to, "error", err)
+		s.logs.Debug("refusal not sent", "to", to, "error", err)
 	}
 }
 
@@ -96,6 +96,5 @@
 func (s *Supervisor) sheetAdopted(r *ranker.Ranker) {
 	s.executor.SetShares(r.Shares())
 	s.members.Sheet(r.Version())
-	s.reports.Gauge("sheet_version", float64(r.Version()))
-	s.Logger.Info("sheet in force", "version", r.Version())
+	s.logs.Info("sheet in force", "version", r.Version())
 }
--- a/node/supervisor/status.go
+++ b/node/supervisor/status.go
@@ -151,7 +151,9 @@
 		Sheds:       shedStatus(counts.Sheds),
 		Queue:       queueStatus(counts.Waited),
 		LateResults: counts.LateResults,
+		Crashes:     counts.Crashes,
 	}
+	out.SuspectRequests, out.QuarantinedRequests = s.executor.Suspects()
 	for i := range v.Members {
 		if v.Members[i].Ref != s.self {
 			continue
--- a/node/supervisor/supervisor.go
+++ b/node/supervisor/supervisor.go
@@ -35,9 +35,11 @@
 	"github.com/cassiatally/cassiatally/node/dispatcher"
 	"github.com/cassiatally/cassiatally/node/executor"
 	"github.com/cassiatally/cassiatally/node/linker"
+	"github.com/cassiatally/cassiatally/node/loglimiter"
 	"github.com/cassiatally/cassiatally/node/memberkeeper"
 	"github.com/cassiatally/cassiatally/node/reporter"
 	"github.com/cassiatally/cassiatally/node/requestreader"
+	"github.com/cassiatally/cassiatally/node/sampler"
 	"github.com/cassiatally/cassiatally/node/sheetkeeper"
 )
 
@@ -50,6 +52,7 @@
 	Clock    cassiatally.Clock
 	Logger   *log.Logger
 
+	logs    *loglimiter.Limiter
 	self    cassiatally.NodeRef
 	seq     atomic.Uint64
 	leaving atomic.Bool
@@ -66,11 +69,13 @@
 	callers    *callerserver.Server
 	backend    *backendserver.Server
 	admin      *adminserver.Server
+	samples    *sampler.Sampler
 	closers    []func()
 }
 
 // Run starts the node. After an error everything that had started is stopped.
 func (s *Supervisor) Run() error {
+	s.logs = loglimiter.New(s.Logger, s.Clock)
 	s.self = cassiatally.NodeRef{
 		Node: s.Settings.Node.ID,
 		// The time of day makes incarnations of a node grow, which gossip needs to
@@ -130,7 +135,7 @@
 		Advertise:   cfg.Advertise.Links,
 		Listen:      cfg.Listen.Links,
 		Codec:       s.codec,
-		Logger:      s.Logger,
+		Logger:      s.logs,
 		Heartbeat:   cfg.Links.Heartbeat,
 		DeadAfter:   cfg.Links.DeadAfter,
 		RingSize:    outboxSize,
@@ -152,7 +157,7 @@
 	s.members = &memberkeeper.Keeper{
 		Clock:    s.Clock,
 		Links:    s.links,
-		Logger:   s.Logger,
+		Logger:   s.logs,
 		OnView:   s.viewChanged,
 		OnGossip: s.gossiped,
 	}
@@ -189,8 +194,9 @@
 		Clock:      s.Clock,
 		Transport:  s.links,
 		Requests:   requests{s.dispatcher},
-		Logger:     s.Logger,
+		Logger:     s.logs,
 		Changed:    s.members.Endpoint,
+		Waits:      s.reports.Wait,
 	}
 }
 
@@ -204,7 +210,7 @@
 		Transport: s.links,
 		Log:       s.logClient,
 		Codec:     s.codec,
-		Logger:    s.Logger,
+		Logger:    s.logs,
 		OnSheet:   s.sheetAdopted,
 	}
 	s.claims = &claimkeeper.Keeper{
@@ -218,7 +224,7 @@
 		Requests:   requests{s.dispatcher},
 		Log:        s.logClient,
 		Codec:      s.codec,
-		Logger:     s.Logger,
+		Logger:     s.logs,
 		NextID:     s.nextID,
 		OnEpochs:   func(sum cassiatally.Epoch) { s.members.ShardEpochs(sum) },
 	}
@@ -284,6 +290,9 @@
 		}
 		s.onClose(server.Close)
 	}
+	s.samples = &sampler.Sampler{Clock: s.Clock, Status: s.Status, Metrics: s.reports, EachTime: s.logs.Flush}
+	s.samples.Run()
+	s.onClose(s.samples.Close)
 	return nil
 }
 
--- a/operator/command/node_test.go
+++ b/operator/command/node_test.go
@@ -210,7 +210,7 @@
 "members":[{"node":"n1","data_centre":"north","service":"a","state":"ready","limit":4,"slots":8,"sheet":7},
 {"node":"n2","data_centre":"south","service":"b","state":"none","sheet":6,"suspect":true,"leaving":true}],
 "services":[{"service":"a","data_centre":"north","endpoints":1,"capacity":8,"level":0.5,"levels":[1,0.25]}],
-"local":{"service":"a","state":"ready","limit":4,"slots":8,"sheds":[{"rank":1,"kind":"overloaded","count":9}],"queue":[{"rank":0,"started":4,"wait_seconds":0.1}]},
+"local":{"service":"a","state":"ready","limit":4,"slots":8,"crashes":3,"suspect_requests":2,"quarantined_requests":1,"levels":[1,0.25],"sheds":[{"rank":1,"kind":"overloaded","count":9}],"queue":[{"rank":0,"started":4,"wait_seconds":0.1}]},
 "shards":[{"shard":0,"epoch":3,"holder":"n1","standby":"","complete_from":2}],
 "requests":{"refused":[{"rank":1,"kind":"expired","count":2}],"retries":5,"late_answers":6},
 "traffic":{"links":2,"control_sent_bytes":1024}}`
@@ -243,6 +243,7 @@
 		"node\tn1\tnorth\ta\tready\t7\t0\t4\t8\t0\t-",
 		"node\tn2\tsouth\tb\tnone\t6\t0\t0\t0\t0\tsuspect,leaving",
 		"service\ta\tnorth\t1\t8\t1.00 0.25",
+		"backend\tn1\ta\tready\t0\t4\t8\t0\t0s\t0\t3\t2\t1\t1.00 0.25",
 		"shed\tn1\tbackend\t1\toverloaded\t9",
 		"shed\tn1\tcaller\t1\texpired\t2",
 		"queue\tn1\t0\t4\t25ms",
--- a/operator/command/status/sections.go
+++ b/operator/command/status/sections.go
@@ -92,12 +92,12 @@
 func backends(answered []nodeclient.Status) section {
 	s := section{
 		name: "backend", title: "Local backend servers",
-		header: []string{"node", "service", "state", "in flight", "limit", "slots", "queued", "typical time", "late results", "level by rank"},
+		header: []string{"node", "service", "state", "in flight", "limit", "slots", "queued", "typical time", "late results", "crashes", "suspect requests", "quarantined requests", "level by rank"},
 	}
 	for i := range answered {
 		l := answered[i].Local
 		s.add(answered[i].Node, l.Service, l.State, strconv.Itoa(l.InFlight), strconv.Itoa(l.Limit), strconv.Itoa(l.Slots),
-			strconv.Itoa(l.Queued), seconds(l.TypicalSeconds), count(l.LateResults), levels(l.Levels))
+			strconv.Itoa(l.Queued), seconds(l.TypicalSeconds), count(l.LateResults), count(l.Crashes), strconv.Itoa(l.Suspects), strconv.Itoa(l.Quarantined), levels(l.Levels))
 	}
 	return s
 }
--- a/operator/nodeclient/status.go
+++ b/operator/nodeclient/status.go
@@ -62,6 +62,9 @@
 	Sheds          []Shed    `json:"sheds"`
 	Queue          []Queue   `json:"queue"`
 	LateResults    uint64    `json:"late_results"`
+	Crashes        uint64    `json:"crashes"`
+	Suspects       int       `json:"suspect_requests"`
+	Quarantined    int       `json:"quarantined_requests"`
 }
 
 // Shed counts what was refused for one reason.
