admitter, runner: leave runs time to end and judge timeouts by run time

Cause: with exponential run times at the narrow service, calls started with just the typical run time left; a third of them were cut off at the deadline, and each cut-off counted as a failure that lowered the limit (7 of 15 slots). Levels of ranks with few arrivals took the higher of two noisy estimates. Change: a call has to start its typical run time and two mean deviations before its deadline; a run that is cut off counts as failed only after three typical times; for ranks above 0 both estimates count alike; onward calls may borrow from the kept share of the next second. Failed trees of rank 2 remain; the levels of single endpoints are noisy.

--- a/cassiatally/admitter/admitter.go
+++ b/cassiatally/admitter/admitter.go
@@ -34,6 +34,9 @@
 	defaultLeastQueue = 16
 	// typicalWeight is the weight of one run in the typical run time.
 	typicalWeight = 0.1
+	// needSpreads is the number of mean deviations above the typical run time for
+	// which a call is given time to run.
+	needSpreads = 2
 	// typicalDecay lowers the typical run time in a window in which calls were
 	// dropped for it and none ended. Without it, one slow spell could have every
 	// call dropped and the run time never measured again.
@@ -41,6 +44,9 @@
 	// tokenTime is the time for which a rank can save up its kept share. A longer
 	// time would let a rank that was idle hold up urgent work.
 	tokenTime = 250 * time.Millisecond
+	// debtTime is the time for which onward calls of a rank may borrow from its
+	// kept share.
+	debtTime = time.Second
 	// urgentBound multiplies the bound of the queue for the most urgent rank of the
 	// sheet. A limit that is halved for a probe must not cost urgent calls that can
 	// wait; their deadlines still bound the queue.
@@ -80,6 +86,8 @@
 	share   cassiatally.Share
 	tokens  float64
 	typical time.Duration
+	// spread is the mean absolute deviation from typical.
+	spread  time.Duration
 	tenants tenants
 }
 
@@ -102,7 +110,7 @@
 	if old := a.q.byID[e.ID]; old != nil {
 		a.q.remove(old)
 	}
-	a.q.add(e, r, key)
+	a.q.add(e, r, key, a.need(now, e, r))
 	worst := a.worst()
 	if worst == nil {
 		a.meter.queue(now, a.q)
@@ -126,12 +134,12 @@
 	if e.Deadline == 0 {
 		return cassiatally.KindNone
 	}
-	left := e.Deadline.Sub(now) - a.typicalOf(r)
+	left := e.Deadline.Sub(now) - a.need(now, e, r)
 	if left < 0 {
 		a.starved = true
 		return cassiatally.KindExpired
 	}
-	if left < a.predictedWait(r, key) {
+	if left < a.predictedWait(e, r, key) {
 		return cassiatally.KindOverloaded
 	}
 	return cassiatally.KindNone
@@ -139,7 +147,7 @@
 
 // predictedWait returns the time until an entry would start. It is 0 while the
 // capacity is unknown.
-func (a *Admitter) predictedWait(r cassiatally.Rank, key float64) time.Duration {
+func (a *Admitter) predictedWait(e cassiatally.Entry, r cassiatally.Rank, key float64) time.Duration {
 	rate := a.meter.capacity
 	if a.q.len() == 0 || rate <= 0 || a.meter.free() > a.q.len() {
 		return 0
@@ -152,6 +160,9 @@
 	wait := all / rate
 	if share := float64(a.ranks[r].share); share > 0 {
 		wait = min(wait, own/(share*rate))
+		if e.Onward && a.ranks[r].tokens+a.debt(r) > own {
+			wait = min(wait, own/rate)
+		}
 	}
 	return time.Duration(wait * float64(time.Second))
 }
@@ -228,18 +239,18 @@
 	a.prepare(now)
 	dropped = a.dropDue(now)
 	for len(start) < free {
-		it := a.choose(now)
+		it, byShare := a.choose(now)
 		if it == nil {
 			break
 		}
-		e, r := it.entry, it.rank
+		e, r, need := it.entry, it.rank, it.need
 		a.q.remove(it)
-		if e.Deadline != 0 && e.Deadline.Sub(now) < a.typicalOf(r) {
+		if e.Deadline != 0 && e.Deadline.Sub(now) < need {
 			a.starved = true
 			dropped = append(dropped, cassiatally.Dropped{ID: e.ID, Kind: cassiatally.KindExpired})
 			continue
 		}
-		a.ranks[r].tokens = max(a.ranks[r].tokens-1, 0)
+		a.ranks[r].spend(byShare)
 		start = append(start, e.ID)
 	}
 	a.meter.queue(now, a.q)
@@ -251,7 +262,7 @@
 	for r := range a.q.due {
 		for {
 			it := a.q.due[r].top()
-			if it == nil || it.entry.Deadline.Sub(now) >= a.typicalOf(it.rank) {
+			if it == nil || it.entry.Deadline.Sub(now) >= it.need {
 				break
 			}
 			a.starved = true
@@ -262,23 +273,53 @@
 	return dropped
 }
 
-// choose returns the entry to start next: of the most urgent rank that is below
-// its kept share, else of the most urgent rank.
-func (a *Admitter) choose(now cassiatally.Instant) *item {
+// spend takes a token for a call that starts. A call that starts by precedence
+// costs the rank nothing that it does not have.
+func (s *rankState) spend(byShare bool) {
+	if byShare {
+		s.tokens--
+		return
+	}
+	s.tokens = max(s.tokens-1, min(s.tokens, 0))
+}
+
+// covers reports whether the kept share of a rank pays for a call. Onward calls
+// may borrow from the share of the next debtTime, so that a call tree that was
+// admitted in a burst still finishes. Over a longer time the rank gets its share.
+func (a *Admitter) covers(r cassiatally.Rank, e cassiatally.Entry) bool {
+	s := &a.ranks[r]
+	if s.share <= 0 {
+		return false
+	}
+	least := 1.0
+	if e.Onward {
+		least -= a.debt(r)
+	}
+	return s.tokens >= least
+}
+
+func (a *Admitter) debt(r cassiatally.Rank) float64 {
+	return max(float64(a.ranks[r].share)*a.meter.capacity*debtTime.Seconds(), leastTokens)
+}
+
+// choose returns the entry to start next: of the most urgent rank whose kept share
+// pays for it, else of the most urgent rank. It tells which of both it was.
+func (a *Admitter) choose(now cassiatally.Instant) (next *item, byShare bool) {
 	var first *item
 	for i := range a.q.first {
 		r := cassiatally.Rank(i)
 		if a.q.rankLen(r) == 0 {
 			continue
 		}
-		if a.ranks[r].tokens >= 1 {
-			return a.firstOf(now, r)
+		it := a.firstOf(now, r)
+		if a.covers(r, it.entry) {
+			return it, true
 		}
 		if first == nil {
-			first = a.firstOf(now, r)
+			first = it
 		}
 	}
-	return first
+	return first, false
 }
 
 // firstOf returns the entry of the rank with the lowest key. While no call of the
@@ -286,7 +327,7 @@
 // the rank fits, so none of its calls has to be lost.
 func (a *Admitter) firstOf(now cassiatally.Instant, r cassiatally.Rank) *item {
 	due := a.q.due[r].top()
-	if due != nil && a.meter.levels[r] >= 1 && due.entry.Deadline.Sub(now) < a.typicalOf(r)+rescueTime {
+	if due != nil && a.meter.levels[r] >= 1 && due.entry.Deadline.Sub(now) < due.need+rescueTime {
 		return due
 	}
 	return a.q.first[r].top()
@@ -312,7 +353,11 @@
 	r = min(r, cassiatally.MaxRanks-1)
 	a.meter.ended(now)
 	a.typical = smooth(a.typical, busy)
-	a.ranks[r].typical = smooth(a.ranks[r].typical, busy)
+	s := &a.ranks[r]
+	if s.typical > 0 {
+		s.spread = smooth(s.spread, max(busy-s.typical, s.typical-busy))
+	}
+	s.typical = smooth(s.typical, busy)
 	for i := range a.ranks {
 		s := &a.ranks[i]
 		if s.share > 0 {
@@ -349,6 +394,7 @@
 	a.typical = time.Duration(float64(a.typical) * typicalDecay)
 	for r := range a.ranks {
 		a.ranks[r].typical = time.Duration(float64(a.ranks[r].typical) * typicalDecay)
+		a.ranks[r].spread = time.Duration(float64(a.ranks[r].spread) * typicalDecay)
 	}
 }
 
@@ -363,6 +409,19 @@
 	return a.q.len()
 }
 
+// need returns the time before its deadline by which a call has to start. Run
+// times vary, and a run that is cut off at its deadline has cost as much as one
+// that ends. Calls whose callers allow little time are given at least half of it
+// to wait.
+func (a *Admitter) need(now cassiatally.Instant, e cassiatally.Entry, r cassiatally.Rank) time.Duration {
+	if e.Deadline == 0 {
+		return 0
+	}
+	typical := a.typicalOf(r)
+	most := max(typical, e.Deadline.Sub(now)/2)
+	return min(typical+needSpreads*a.ranks[r].spread, most)
+}
+
 // typicalOf returns the typical run time of a rank, or that of all ranks while
 // the rank has had no run.
 func (a *Admitter) typicalOf(r cassiatally.Rank) time.Duration {
--- a/cassiatally/admitter/meter.go
+++ b/cassiatally/admitter/meter.go
@@ -196,7 +196,7 @@
 	for r, l := range m.levels {
 		level := float64(l)
 		backlog += float64(m.queued[r]) / float64(bound)
-		next := max(targets[r], longTargets[r]) * pull(r, backlog)
+		next := target(r, targets[r], longTargets[r]) * pull(r, backlog)
 		if sum.arrivals[r] == 0 {
 			next = level
 			if available[r] > spareCapacity*m.capacity {
@@ -214,6 +214,16 @@
 	return available
 }
 
+// target joins the targets of the short and the long windows. For the most urgent
+// rank the higher one counts, so that chance sheds nothing. For the others that
+// would let in about twice what fits, since both are noisy where few calls arrive.
+func target(r int, short, long float64) float64 {
+	if r == 0 {
+		return max(short, long)
+	}
+	return (short + long) / 2
+}
+
 // targets returns the capacity available to each rank, and the level at which its
 // demand just fits that.
 func (m *meter) targets(sum sample, capacity float64, shares perRank) (available, levels perRank) {
--- a/cassiatally/admitter/queue.go
+++ b/cassiatally/admitter/queue.go
@@ -2,6 +2,7 @@
 
 import (
 	"container/heap"
+	"time"
 
 	"github.com/cassiatally/cassiatally/cassiatally"
 )
@@ -11,7 +12,9 @@
 	entry cassiatally.Entry
 	rank  cassiatally.Rank
 	// key is the order value scaled by the tenant's use; the lowest goes first.
-	key    float64
+	key float64
+	// need is the time before the deadline by which the entry has to start.
+	need   time.Duration
 	seq    uint64
 	places [placeCount]int
 }
@@ -117,10 +120,10 @@
 
 func dueBefore(a, b *item) bool { return a.entry.Deadline < b.entry.Deadline }
 
-func (q *queue) add(e cassiatally.Entry, r cassiatally.Rank, key float64) {
+func (q *queue) add(e cassiatally.Entry, r cassiatally.Rank, key float64, need time.Duration) {
 	it := q.take()
 	q.seq++
-	*it = item{entry: e, rank: r, key: key, seq: q.seq, places: [placeCount]int{absent, absent, absent}}
+	*it = item{entry: e, rank: r, key: key, need: need, seq: q.seq, places: [placeCount]int{absent, absent, absent}}
 	q.byID[e.ID] = it
 	q.first[r].add(it)
 	q.last[r].add(it)
--- a/cassiatally/runner/result.go
+++ b/cassiatally/runner/result.go
@@ -1,6 +1,8 @@
 package runner
 
 import (
+	"time"
+
 	"github.com/cassiatally/cassiatally/cassiatally"
 )
 
@@ -54,8 +56,8 @@
 
 func (r *Runner) observe(now cassiatally.Instant, rec *record, res Result) {
 	self := rec.children.selfTime(rec.started, now)
-	failed := res.Kind != ResultAnswered && res.Kind != ResultAborted
-	if res.Kind != ResultAborted {
+	failed := res.Kind != ResultAnswered
+	if r.tells(res, self) {
 		r.limiter.Observe(now, cassiatally.RunSample{Self: self, InFlight: rec.concurrency, Failed: failed})
 	}
 	r.admitter.Done(now, rec.call.Rank, now.Sub(rec.started))
@@ -70,6 +72,23 @@
 	}
 }
 
+// stalledFactor is the number of typical self times after which a run that was cut
+// off at its deadline speaks against the backend server. A run that started with
+// little time left says nothing about it.
+const stalledFactor = 3
+
+// tells reports whether the end of a run says anything about the backend server.
+func (r *Runner) tells(res Result, self time.Duration) bool {
+	switch res.Kind {
+	case ResultAborted:
+		return false
+	case ResultTimedOut:
+		return self >= stalledFactor*r.limiter.Typical()
+	default:
+		return true
+	}
+}
+
 // recordCrash counts one crash for all connections that break together.
 func (r *Runner) recordCrash(now cassiatally.Instant, broken *record) {
 	first := !r.crashed || now.Sub(r.crashedAt) > crashWindow
