loadtracker: take the geometric mean of levels

Endpoints of a narrow service see few calls of a rank, so their levels are noisy (0.04 to 0.64 at one time), and the arithmetic mean of noisy ratios is too high. Change: levels of endpoints and of successive answers are averaged as logarithms; an answer has the weight 0.18 instead of 0.3, which keeps the bound of TestAnswersAreSmoothed.

--- a/cassiatally/loadtracker/loadtracker.go
+++ b/cassiatally/loadtracker/loadtracker.go
@@ -14,6 +14,7 @@
 package loadtracker
 
 import (
+	"math"
 	"time"
 
 	"github.com/cassiatally/cassiatally/cassiatally"
@@ -31,10 +32,12 @@
 	sweepPeriod = time.Second
 	// learnedWeight smooths levels from answers, which come from one endpoint at
 	// a time.
-	learnedWeight = 0.3
+	learnedWeight = 0.18
 	// answersWeight is the number of endpoints that the smoothed levels from answers
 	// stand for. They are many endpoints' levels, though each answer has one.
 	answersWeight = 4
+	// leastLevel is the lowest level that endpoints report.
+	leastLevel = 0.01
 	// halfAge is the age at which a report counts half as much as a fresh one.
 	// Gossip repeats every second, answers are fresh.
 	halfAge = 250 * time.Millisecond
@@ -144,8 +147,10 @@
 	return true, ""
 }
 
-// Level returns the level of a service for a rank, weighted over the endpoints
-// that are known. A service without recent reports has level 1.
+// Level returns the level of a service for a rank, as the weighted geometric mean
+// over the endpoints that are known. An endpoint that saw few calls by chance
+// reports too high a level, and one that saw many too low a one; the arithmetic
+// mean of both is above the level that fits. A service without recent reports has level 1.
 func (t *Tracker) Level(now cassiatally.Instant, s cassiatally.Service, r cassiatally.Rank) cassiatally.Level {
 	v := t.services[s]
 	if v == nil || r >= cassiatally.MaxRanks {
@@ -162,7 +167,7 @@
 	if weight <= 0 {
 		return 1
 	}
-	return cassiatally.Level(min(sum/weight, 1))
+	return cassiatally.Level(min(math.Exp(sum/weight), 1))
 }
 
 // aged returns the weighted level and the weight of a report. Newer reports count
@@ -183,7 +188,7 @@
 	}
 	ratio := float64(age) / float64(halfAge)
 	weight = r.weight / (1 + ratio*ratio)
-	return level * weight, weight
+	return math.Log(max(level, leastLevel)) * weight, weight
 }
 
 func (r *report) set(now cassiatally.Instant, load cassiatally.ServiceLoad) {
@@ -202,7 +207,8 @@
 	r.at = now
 	r.weight += learnedWeight * (max(load.Weight, 1) - r.weight)
 	for i := range r.levels {
-		r.levels[i] += learnedWeight * (levelAt(load.Levels, i) - r.levels[i])
+		from, to := max(r.levels[i], leastLevel), max(levelAt(load.Levels, i), leastLevel)
+		r.levels[i] = from * cassiatally.Level(math.Pow(float64(to/from), learnedWeight))
 	}
 }
 
