flagparser: use one wrapper of flaggy in all programs

Cause: node and standin wrapped flaggy by themselves, each in another way.

Change: All programs parse flags with the library's flagparser, which also serialises access to flaggy's package state.

Measured: go test ./standin/command/... ./operator/... ./cassiatally/flagparser/... passes; the tests of command lines are unchanged.

--- a/bench/command/runcommand/report.go
+++ b/bench/command/runcommand/report.go
@@ -1,11 +1,11 @@
 package runcommand
 
 import (
-	"context"
 	"fmt"
 	"io"
 	"os"
 	"path/filepath"
+	"strings"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -33,17 +33,18 @@
 	book         *sheetbook.Book
 	observations []observation.Observation
 	started      time.Time
+	commit       string
 }
 
-func (r *report) write(ctx context.Context) error {
+func (r *report) write() error {
 	card := r.card()
-	if err := r.text(ctx, r.options.Env.Stdout, card); err != nil {
+	if err := r.text(r.options.Env.Stdout, card); err != nil {
 		return err
 	}
 	if err := os.MkdirAll(r.options.Out, folderPermissions); err != nil {
 		return errors.Wrap(err, "making the folder for results")
 	}
-	if err := r.file(".txt", func(w io.Writer) error { return r.text(ctx, w, card) }); err != nil {
+	if err := r.file(".txt", func(w io.Writer) error { return r.text(w, card) }); err != nil {
 		return err
 	}
 	if err := r.file(".csv", card.CSV); err != nil {
@@ -93,11 +94,11 @@
 	return most
 }
 
-func (r *report) text(ctx context.Context, w io.Writer, card *scorecard.Card) error {
+func (r *report) text(w io.Writer, card *scorecard.Card) error {
 	o, dep := r.options, r.experimenter.Deployment
 	narrow := dep.NarrowService()
 	fmt.Fprintf(w, "command:  %s\n", o.commandLine())
-	fmt.Fprintf(w, "commit:   %s\n", machine.Machine{}.Commit(ctx, o.Root))
+	fmt.Fprintf(w, "commit:   %s\n", r.commit)
 	fmt.Fprintf(w, "time:     %s, %v\n", r.started.UTC().Format(time.RFC3339), time.Since(r.started).Round(time.Second))
 	fmt.Fprintf(w, "seed:     %d\n", o.Seed)
 	fmt.Fprintf(w, "scale:    %g of the stated rates; %s takes %v a request, so that the shared machine is not the bottleneck\n", o.Scale, narrow.Name, narrow.ServiceTime)
@@ -112,7 +113,22 @@
 	if _, err := fmt.Fprintln(w); err != nil {
 		return errors.Wrap(err, "writing the results")
 	}
-	return card.Text(w)
+	if err := card.Text(w); err != nil {
+		return err
+	}
+	_, err := fmt.Fprint(w, r.notes())
+	return errors.Wrap(err, "writing the results")
+}
+
+// notes says how to read the table.
+func (r *report) notes() string {
+	var b strings.Builder
+	for _, s := range r.experimenter.Scenarios {
+		if from, to := s.Offset(scenario.PhaseAfter); to > from {
+			fmt.Fprintf(&b, "A time back of %v after the scenario %s means that there was no return while it was observed.\n", (to - from).Seconds(), s.Name)
+		}
+	}
+	return b.String()
 }
 
 func (r *report) links() string {
--- a/bench/command/runcommand/runcommand.go
+++ b/bench/command/runcommand/runcommand.go
@@ -18,6 +18,7 @@
 	"github.com/cassiatally/cassiatally/bench/deployment"
 	"github.com/cassiatally/cassiatally/bench/environment"
 	"github.com/cassiatally/cassiatally/bench/experimenter"
+	"github.com/cassiatally/cassiatally/bench/machine"
 	"github.com/cassiatally/cassiatally/bench/observation"
 	"github.com/cassiatally/cassiatally/bench/scenario"
 	"github.com/cassiatally/cassiatally/bench/sheetbook"
@@ -83,14 +84,16 @@
 		return err
 	}
 	started := time.Now()
+	// The commit is read before the run, which takes minutes.
+	commit := machine.Machine{}.Commit(ctx, o.Root)
 	logger := e.Logger
 	logger.Info("experiments", "deployment", e.Deployment.Name, "modes", len(e.Modes), "scenarios", len(e.Scenarios), "seed", o.Seed)
 	observations, err := e.Run(ctx)
 	if err != nil {
 		return err
 	}
-	r := &report{options: o, experimenter: e, book: book, observations: observations, started: started}
-	return r.write(ctx)
+	r := &report{options: o, experimenter: e, book: book, observations: observations, started: started, commit: commit}
+	return r.write()
 }
 
 // experiment checks the options and sets the experiment up.
--- a/cassiatally/flagparser/parser.go
+++ b/cassiatally/flagparser/parser.go
@@ -17,6 +17,7 @@
 import (
 	"fmt"
 	"strings"
+	"sync"
 	"text/template"
 
 	"github.com/integrii/flaggy"
@@ -29,6 +30,9 @@
 	flaggy.PanicInsteadOfExit = true
 }
 
+// parsing guards the state that flaggy keeps in its package.
+var parsing sync.Mutex
+
 // Parser parses the arguments of one command once.
 type Parser struct {
 	// Flags takes the flags of the command.
@@ -68,6 +72,8 @@
 
 // Parse sets the flags and reports whether help was asked for.
 func (p *Parser) Parse(args []string) (help bool, err error) {
+	parsing.Lock()
+	defer parsing.Unlock()
 	defer func() {
 		if r := recover(); r != nil {
 			help, err = false, p.usage(fmt.Sprint(r))
--- a/node/command/command.go
+++ b/node/command/command.go
@@ -16,9 +16,9 @@
 
 	"github.com/charmbracelet/log"
 	"github.com/cockroachdb/errors"
-	"github.com/integrii/flaggy"
 
 	"github.com/cassiatally/cassiatally/cassiatally"
+	"github.com/cassiatally/cassiatally/cassiatally/flagparser"
 	"github.com/cassiatally/cassiatally/cassiatally/settingsloader"
 	"github.com/cassiatally/cassiatally/cassiatally/sysclock"
 	"github.com/cassiatally/cassiatally/node/supervisor"
@@ -29,8 +29,10 @@
 // options has everything that the program needs.
 type options struct {
 	settings string
-	stdout   io.Writer
-	stderr   io.Writer
+	// help is set when it was asked for.
+	help   string
+	stdout io.Writer
+	stderr io.Writer
 	// stop ends when the node is told to stop.
 	stop context.Context
 }
@@ -47,12 +49,15 @@
 }
 
 func (o *options) parse(args []string) error {
-	p := flaggy.NewParser(name)
-	p.Description = "runs beside a backend server and controls its load"
-	p.ShowVersionWithVersionFlag = false
-	p.String(&o.settings, "s", "settings", "file with the settings of the node, in YAML")
-	if err := p.ParseArgs(args); err != nil {
-		return cassiatally.NewError(cassiatally.KindUsage, "%v; run %s --help", err, name)
+	p := flagparser.New(name)
+	p.Flags.String(&o.settings, "s", "settings", "file with the settings of the node, in YAML")
+	help, err := p.Parse(args)
+	if err != nil {
+		return err
+	}
+	if help {
+		o.help = fmt.Sprintf("Runs beside a backend server and controls its load.\n\nFlags:\n%s", p.Describe())
+		return nil
 	}
 	if o.settings == "" {
 		return cassiatally.NewError(cassiatally.KindUsage, "name a settings file with --settings; examples/ has annotated ones")
@@ -61,6 +66,10 @@
 }
 
 func (o *options) run() error {
+	if o.help != "" {
+		_, err := fmt.Fprint(o.stdout, o.help)
+		return err
+	}
 	data, err := os.ReadFile(o.settings)
 	if err != nil {
 		return cassiatally.NewError(cassiatally.KindInvalidSettings, "%v", err)
--- a/standin/command/backendcommand/backendcommand.go
+++ b/standin/command/backendcommand/backendcommand.go
@@ -3,8 +3,8 @@
 // # Usage
 //
 //	cmd := backendcommand.New()
-//	parser.AttachSubcommand(cmd.Subcommand, 1)
-//	err := cmd.Run(ctx, env)
+//	help, err := cmd.Parser.Parse(args)
+//	err = cmd.Run(ctx, env)
 package backendcommand
 
 import (
@@ -14,9 +14,8 @@
 	"strings"
 	"time"
 
-	"github.com/integrii/flaggy"
-
 	"github.com/cassiatally/cassiatally/cassiatally"
+	"github.com/cassiatally/cassiatally/cassiatally/flagparser"
 	"github.com/cassiatally/cassiatally/standin/backendserver"
 	"github.com/cassiatally/cassiatally/standin/childcaller"
 	"github.com/cassiatally/cassiatally/standin/command/environment"
@@ -61,19 +60,19 @@
 
 // Command is the backend command.
 type Command struct {
-	Subcommand *flaggy.Subcommand
-	Options    Options
+	Parser  *flagparser.Parser
+	Options Options
 }
 
 // New returns the command with its flags attached.
 func New() *Command {
-	c := &Command{Subcommand: flaggy.NewSubcommand("backend")}
+	c := &Command{Parser: flagparser.New("cassiatally-standin backend")}
 	o := &c.Options
 	*o = Options{
 		Listen: "127.0.0.1:0", Slots: defaultSlots, Connections: defaultConnections,
 		ServiceTime: defaultServiceTime, Distribution: sampler.Fixed, Seed: 1,
 	}
-	s := c.Subcommand
+	s := c.Parser.Flags
 	s.Description = "Serve the requests of one service"
 	s.String(&o.Listen, "", "listen", "address to listen on")
 	s.String(&o.Service, "", "service", "name of the service")
--- a/standin/command/command.go
+++ b/standin/command/command.go
@@ -11,13 +11,12 @@
 	"io"
 	"os/signal"
 	"strings"
-	"sync"
 	"syscall"
 
 	"github.com/cockroachdb/errors"
-	"github.com/integrii/flaggy"
 
 	"github.com/cassiatally/cassiatally/cassiatally"
+	"github.com/cassiatally/cassiatally/cassiatally/flagparser"
 	"github.com/cassiatally/cassiatally/standin/command/backendcommand"
 	"github.com/cassiatally/cassiatally/standin/command/environment"
 	"github.com/cassiatally/cassiatally/standin/command/faultscommand"
@@ -28,17 +27,13 @@
 	"github.com/cassiatally/cassiatally/standin/systemclock"
 )
 
-// flaggyPanic is the text with which flaggy panics in place of an exit, followed
-// by the exit code.
-const flaggyPanic = "Panic instead of exit with code: "
-
-// parsing guards the state that flaggy keeps in its package.
-var parsing sync.Mutex
+const name = "cassiatally-standin"
 
 // subcommand is one command of the program.
 type subcommand struct {
-	flags *flaggy.Subcommand
-	run   func(context.Context, *environment.Environment) error
+	name   string
+	parser *flagparser.Parser
+	run    func(context.Context, *environment.Environment) error
 }
 
 func subcommands() []subcommand {
@@ -49,12 +44,12 @@
 	reconcile := reconcilecommand.New()
 	load := loadcommand.New()
 	return []subcommand{
-		{logs.Subcommand, logs.Run},
-		{backend.Subcommand, backend.Run},
-		{records.Subcommand, records.Run},
-		{faults.Subcommand, faults.Run},
-		{load.Subcommand, load.Run},
-		{reconcile.Subcommand, reconcile.Run},
+		{"log", logs.Parser, logs.Run},
+		{"backend", backend.Parser, backend.Run},
+		{"recorder", records.Parser, records.Run},
+		{"faults", faults.Parser, faults.Run},
+		{"load", load.Parser, load.Run},
+		{"reconcile", reconcile.Parser, reconcile.Run},
 	}
 }
 
@@ -70,52 +65,40 @@
 // Run runs one command in the environment until it ends or ctx ends.
 func Run(ctx context.Context, args []string, env *environment.Environment) cassiatally.ExitCode {
 	commands := subcommands()
-	if code, done := parse(args, commands, env.Stderr); done {
-		return code
+	if len(args) < 2 {
+		return report(environment.Usage("a command is needed; see %s --help", name), env.Stderr)
+	}
+	if args[1] == "--help" || args[1] == "-h" {
+		return report(printOverview(env.Stdout, commands), env.Stderr)
 	}
 	for _, c := range commands {
-		if c.flags.Used {
-			return report(c.run(ctx, env), env.Stderr)
+		if c.name == args[1] {
+			return report(c.execute(ctx, env, args[2:]), env.Stderr)
 		}
 	}
-	return report(environment.Usage("a command is needed; see %s --help", args[0]), env.Stderr)
+	return report(environment.Usage("%q is not a command; see %s --help", args[1], name), env.Stderr)
 }
 
-// parse reads the command line. flaggy ends the process by itself unless it is
-// told to panic; the panic becomes an exit code here.
-func parse(args []string, commands []subcommand, stderr io.Writer) (code cassiatally.ExitCode, done bool) {
-	parser := flaggy.NewParser("cassiatally-standin")
-	parser.Description = "Stand-ins for the systems around cassiatally"
-	parser.ShowVersionWithVersionFlag = false
-	for _, c := range commands {
-		parser.AttachSubcommand(c.flags, 1)
+func (c subcommand) execute(ctx context.Context, env *environment.Environment, args []string) error {
+	help, err := c.parser.Parse(args)
+	if err != nil {
+		return environment.Usage("%v", err)
 	}
-	parsing.Lock()
-	defer parsing.Unlock()
-	flaggy.PanicInsteadOfExit = true
-	defer func() {
-		if p := recover(); p != nil {
-			code, done = exitOfPanic(p), true
-		}
-	}()
-	if err := parser.ParseArgs(args[1:]); err != nil {
-		fmt.Fprintf(stderr, "%s: %v\n", args[0], err)
-		return cassiatally.ExitUsage, true
+	if help {
+		_, err := fmt.Fprintf(env.Stdout, "%s\n\nFlags:\n%s", c.parser.Flags.Description, c.parser.Describe())
+		return errors.Wrap(err, "printing the help")
 	}
-	return cassiatally.ExitSuccess, false
+	return c.run(ctx, env)
 }
 
-// exitOfPanic reads the exit code from the text that flaggy panics with. Only
-// help ends with 0; all else is an error in the command line.
-func exitOfPanic(p any) cassiatally.ExitCode {
-	text, ok := p.(string)
-	if !ok || !strings.HasPrefix(text, flaggyPanic) {
-		panic(p)
-	}
-	if text == flaggyPanic+"0" {
-		return cassiatally.ExitSuccess
+func printOverview(w io.Writer, commands []subcommand) error {
+	var b strings.Builder
+	b.WriteString("Stand-ins for the systems around cassiatally.\n\nCommands:\n")
+	for _, c := range commands {
+		fmt.Fprintf(&b, "  %-10s %s\n", c.name, c.parser.Flags.Description)
 	}
-	return cassiatally.ExitUsage
+	_, err := io.WriteString(w, b.String())
+	return errors.Wrap(err, "printing the help")
 }
 
 func report(err error, stderr io.Writer) cassiatally.ExitCode {
--- a/standin/command/faultscommand/faultscommand.go
+++ b/standin/command/faultscommand/faultscommand.go
@@ -3,8 +3,8 @@
 // # Usage
 //
 //	cmd := faultscommand.New()
-//	parser.AttachSubcommand(cmd.Subcommand, 1)
-//	err := cmd.Run(ctx, env)
+//	help, err := cmd.Parser.Parse(args)
+//	err = cmd.Run(ctx, env)
 package faultscommand
 
 import (
@@ -13,9 +13,9 @@
 	"strings"
 
 	"github.com/cockroachdb/errors"
-	"github.com/integrii/flaggy"
 
 	"github.com/cassiatally/cassiatally/cassiatally"
+	"github.com/cassiatally/cassiatally/cassiatally/flagparser"
 	"github.com/cassiatally/cassiatally/standin/command/environment"
 	"github.com/cassiatally/cassiatally/standin/faultserver"
 	"github.com/cassiatally/cassiatally/standin/httpserver"
@@ -29,17 +29,17 @@
 
 // Command is the faults command.
 type Command struct {
-	Subcommand *flaggy.Subcommand
-	Options    Options
+	Parser  *flagparser.Parser
+	Options Options
 }
 
 // New returns the command with its flags attached.
 func New() *Command {
-	c := &Command{Subcommand: flaggy.NewSubcommand("faults")}
+	c := &Command{Parser: flagparser.New("cassiatally-standin faults")}
 	c.Options = Options{Listen: "127.0.0.1:0"}
-	c.Subcommand.Description = "Pass TCP connections on and bring about faults of the network"
-	c.Subcommand.String(&c.Options.Listen, "", "listen", "address of the control interface")
-	c.Subcommand.StringSlice(&c.Options.Routes, "", "route", "route to pass on, NAME=LISTEN,TARGET; repeatable")
+	c.Parser.Flags.Description = "Pass TCP connections on and bring about faults of the network"
+	c.Parser.Flags.String(&c.Options.Listen, "", "listen", "address of the control interface")
+	c.Parser.Flags.StringSlice(&c.Options.Routes, "", "route", "route to pass on, NAME=LISTEN,TARGET; repeatable")
 	return c
 }
 
--- a/standin/command/loadcommand/loadcommand.go
+++ b/standin/command/loadcommand/loadcommand.go
@@ -3,8 +3,8 @@
 // # Usage
 //
 //	cmd := loadcommand.New()
-//	parser.AttachSubcommand(cmd.Subcommand, 1)
-//	err := cmd.Run(ctx, env)
+//	help, err := cmd.Parser.Parse(args)
+//	err = cmd.Run(ctx, env)
 package loadcommand
 
 import (
@@ -16,8 +16,8 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
-	"github.com/integrii/flaggy"
 
+	"github.com/cassiatally/cassiatally/cassiatally/flagparser"
 	"github.com/cassiatally/cassiatally/standin/caller"
 	"github.com/cassiatally/cassiatally/standin/command/environment"
 	"github.com/cassiatally/cassiatally/standin/core"
@@ -46,16 +46,16 @@
 
 // Command is the load command.
 type Command struct {
-	Subcommand *flaggy.Subcommand
-	Options    Options
+	Parser  *flagparser.Parser
+	Options Options
 }
 
 // New returns the command with its flags attached.
 func New() *Command {
-	c := &Command{Subcommand: flaggy.NewSubcommand("load")}
+	c := &Command{Parser: flagparser.New("cassiatally-standin load")}
 	o := &c.Options
 	*o = Options{Name: "load", Seed: 1, Connections: defaultConnections}
-	s := c.Subcommand
+	s := c.Parser.Flags
 	s.Description = "Send the requests of callers to nodes"
 	s.StringSlice(&o.Nodes, "", "node", "URL of a node; repeatable")
 	s.String(&o.Plan, "", "plan", "file with the plan, in YAML")
--- a/standin/command/logcommand/logcommand.go
+++ b/standin/command/logcommand/logcommand.go
@@ -4,16 +4,15 @@
 // # Usage
 //
 //	cmd := logcommand.New()
-//	parser.AttachSubcommand(cmd.Subcommand, 1)
-//	err := cmd.Run(ctx, env)
+//	help, err := cmd.Parser.Parse(args)
+//	err = cmd.Run(ctx, env)
 package logcommand
 
 import (
 	"context"
 	"time"
 
-	"github.com/integrii/flaggy"
-
+	"github.com/cassiatally/cassiatally/cassiatally/flagparser"
 	"github.com/cassiatally/cassiatally/standin/command/environment"
 	"github.com/cassiatally/cassiatally/standin/httpserver"
 	"github.com/cassiatally/cassiatally/standin/logserver"
@@ -36,18 +35,18 @@
 
 // Command is the log command.
 type Command struct {
-	Subcommand *flaggy.Subcommand
-	Options    Options
+	Parser  *flagparser.Parser
+	Options Options
 }
 
 // New returns the command with its flags attached.
 func New() *Command {
-	c := &Command{Subcommand: flaggy.NewSubcommand("log")}
+	c := &Command{Parser: flagparser.New("cassiatally-standin log")}
 	c.Options = Options{Listen: "127.0.0.1:0", AppendsPerSecond: defaultAppendsPerSecond, Retention: defaultRetention}
-	c.Subcommand.Description = "Serve the HTTP interface of the log service"
-	c.Subcommand.String(&c.Options.Listen, "", "listen", "address to listen on")
-	c.Subcommand.Int(&c.Options.AppendsPerSecond, "", "appends-per-second", "appends accepted a second")
-	c.Subcommand.Duration(&c.Options.Retention, "", "retention", "time after which a record is dropped")
+	c.Parser.Flags.Description = "Serve the HTTP interface of the log service"
+	c.Parser.Flags.String(&c.Options.Listen, "", "listen", "address to listen on")
+	c.Parser.Flags.Int(&c.Options.AppendsPerSecond, "", "appends-per-second", "appends accepted a second")
+	c.Parser.Flags.Duration(&c.Options.Retention, "", "retention", "time after which a record is dropped")
 	return c
 }
 
--- a/standin/command/reconcilecommand/reconcilecommand.go
+++ b/standin/command/reconcilecommand/reconcilecommand.go
@@ -4,8 +4,8 @@
 // # Usage
 //
 //	cmd := reconcilecommand.New()
-//	parser.AttachSubcommand(cmd.Subcommand, 1)
-//	err := cmd.Run(ctx, env)
+//	help, err := cmd.Parser.Parse(args)
+//	err = cmd.Run(ctx, env)
 package reconcilecommand
 
 import (
@@ -19,9 +19,9 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
-	"github.com/integrii/flaggy"
 
 	"github.com/cassiatally/cassiatally/cassiatally"
+	"github.com/cassiatally/cassiatally/cassiatally/flagparser"
 	"github.com/cassiatally/cassiatally/standin/command/environment"
 	"github.com/cassiatally/cassiatally/standin/core"
 	"github.com/cassiatally/cassiatally/standin/reconciler"
@@ -42,8 +42,8 @@
 
 // Command is the reconcile command.
 type Command struct {
-	Subcommand *flaggy.Subcommand
-	Options    Options
+	Parser  *flagparser.Parser
+	Options Options
 }
 
 type reportBody struct {
@@ -66,10 +66,10 @@
 
 // New returns the command with its flags attached.
 func New() *Command {
-	c := &Command{Subcommand: flaggy.NewSubcommand("reconcile")}
-	c.Subcommand.Description = "Compare what callers were told with what backend servers ran"
-	c.Subcommand.String(&c.Options.Recorder, "", "recorder", "URL of the recorder")
-	c.Subcommand.Bool(&c.Options.JSON, "", "json", "print JSON")
+	c := &Command{Parser: flagparser.New("cassiatally-standin reconcile")}
+	c.Parser.Flags.Description = "Compare what callers were told with what backend servers ran"
+	c.Parser.Flags.String(&c.Options.Recorder, "", "recorder", "URL of the recorder")
+	c.Parser.Flags.Bool(&c.Options.JSON, "", "json", "print JSON")
 	return c
 }
 
--- a/standin/command/recordercommand/recordercommand.go
+++ b/standin/command/recordercommand/recordercommand.go
@@ -3,15 +3,14 @@
 // # Usage
 //
 //	cmd := recordercommand.New()
-//	parser.AttachSubcommand(cmd.Subcommand, 1)
-//	err := cmd.Run(ctx, env)
+//	help, err := cmd.Parser.Parse(args)
+//	err = cmd.Run(ctx, env)
 package recordercommand
 
 import (
 	"context"
 
-	"github.com/integrii/flaggy"
-
+	"github.com/cassiatally/cassiatally/cassiatally/flagparser"
 	"github.com/cassiatally/cassiatally/standin/command/environment"
 	"github.com/cassiatally/cassiatally/standin/httpserver"
 	"github.com/cassiatally/cassiatally/standin/recordbook"
@@ -26,17 +25,17 @@
 
 // Command is the recorder command.
 type Command struct {
-	Subcommand *flaggy.Subcommand
-	Options    Options
+	Parser  *flagparser.Parser
+	Options Options
 }
 
 // New returns the command with its flags attached.
 func New() *Command {
-	c := &Command{Subcommand: flaggy.NewSubcommand("recorder")}
+	c := &Command{Parser: flagparser.New("cassiatally-standin recorder")}
 	c.Options = Options{Listen: "127.0.0.1:0", Capacity: recordbook.DefaultCapacity}
-	c.Subcommand.Description = "Keep the runs of backend servers and what callers were told"
-	c.Subcommand.String(&c.Options.Listen, "", "listen", "address to listen on")
-	c.Subcommand.Int(&c.Options.Capacity, "", "capacity", "runs and results that are kept; more are refused with 507")
+	c.Parser.Flags.Description = "Keep the runs of backend servers and what callers were told"
+	c.Parser.Flags.String(&c.Options.Listen, "", "listen", "address to listen on")
+	c.Parser.Flags.Int(&c.Options.Capacity, "", "capacity", "runs and results that are kept; more are refused with 507")
 	return c
 }
 
