--- a/cassiatally/runner/runner.go
+++ b/cassiatally/runner/runner.go
@@ -180,6 +180,7 @@
 		Tenant:   c.Tenant,
 		Order:    c.Order,
 		Deadline: rec.deadline,
+		Onward:   c.Depth > 0,
 	})
 	return r.pump(now, r.drop(nil, dropped))
 }
@@ -371,7 +372,7 @@
 	rec.ended = now
 	rec.answer = a
 	rec.call.Body = nil
-	rec.children.known = nil
+	rec.children.known, rec.children.made = nil, nil
 	r.keep(rec.call.ID)
 	return append(actions, cassiatally.Send{To: rec.from, Message: a})
 }
