bench: measure nodes at rest in fleets of several sizes

Change: the command capacity starts fleets of nodes in one data centre and prints processor time, memory, control traffic and appends per node.

--- a/bench/command/command.go
+++ b/bench/command/command.go
@@ -15,6 +15,7 @@
 	"syscall"
 
 	"github.com/cassiatally/cassiatally/bench/cli"
+	"github.com/cassiatally/cassiatally/bench/command/capacitycommand"
 	"github.com/cassiatally/cassiatally/bench/command/democommand"
 	"github.com/cassiatally/cassiatally/bench/command/runcommand"
 	"github.com/cassiatally/cassiatally/bench/environment"
@@ -38,7 +39,7 @@
 }
 
 func commands(env environment.Environment) []cli.Command {
-	return []cli.Command{democommand.New(env), runcommand.New(env)}
+	return []cli.Command{democommand.New(env), runcommand.New(env), capacitycommand.New(env)}
 }
 
 func dispatch(ctx context.Context, env environment.Environment, args []string) error {
@@ -59,7 +60,7 @@
 	var b strings.Builder
 	b.WriteString("Drive a fleet of real processes on loopback.\n\nCommands:\n")
 	for _, c := range all {
-		fmt.Fprintf(&b, "  %-6s %s\n", c.Name, c.Summary)
+		fmt.Fprintf(&b, "  %-9s %s\n", c.Name, c.Summary)
 	}
 	return b.String()
 }
