standin: let faults hit the links between two data centres only

Cause: All test nodes are on loopback, so a fault proxy cannot tell by address which data centre a link comes from, and a cut of a node's route also cut it off from its own data centre. A node that learns its port at its start needs a route whose target is set later. Change: The node that opens a link names its data centre in an HTTP header. A fault can apply to the connections whose first data contains a text. The target of a route can be changed.

--- a/node/linker/linker.go
+++ b/node/linker/linker.go
@@ -47,6 +47,9 @@
 	controlIdle = 3 * time.Second
 	// linkPath is where nodes accept links.
 	linkPath = "/v1/link"
+	// dataCentreHeader names the data centre of the node that opens a link, so that
+	// what stands between two nodes can tell which data centres a link joins.
+	dataCentreHeader = "Cassiatally-Data-Centre"
 	// shutdownGrace bounds the closing of the HTTP server.
 	shutdownGrace = 2 * time.Second
 )
@@ -213,6 +216,7 @@
 	ctx, cancel := context.WithTimeout(l.ctx, dialTimeout)
 	conn, resp, err := websocket.Dial(ctx, "ws://"+string(k.addr)+linkPath, &websocket.DialOptions{
 		CompressionMode: websocket.CompressionDisabled,
+		HTTPHeader:      http.Header{dataCentreHeader: {string(l.DataCentre)}},
 	})
 	if resp != nil && resp.Body != nil {
 		_ = resp.Body.Close()
--- a/standin/faultproxy/faultproxy.go
+++ b/standin/faultproxy/faultproxy.go
@@ -16,6 +16,7 @@
 package faultproxy
 
 import (
+	"bytes"
 	"context"
 	"net"
 	"sync"
@@ -70,6 +71,11 @@
 	Mode Mode
 	// Delay is the new delay of each direction; nil keeps the one in force.
 	Delay *time.Duration
+	// Matching applies the mode to the connections whose first data contains this
+	// text, open and new. It stays until another change of the same text.
+	Matching string
+	// Target is where new connections go from now on; empty keeps the target.
+	Target cassiatally.Address
 	// ExistingOnly applies the mode to the connections that are open now, for
 	// good, and leaves the mode of new connections as it is.
 	ExistingOnly bool
@@ -77,6 +83,7 @@
 
 // Status is the state of a proxy.
 type Status struct {
+	Target      cassiatally.Address
 	Mode        Mode
 	Delay       time.Duration
 	Connections int
@@ -89,6 +96,7 @@
 // Proxy passes the connections of one address on to one target.
 type Proxy struct {
 	Listen string
+	// Target is where connections go at first.
 	Target cassiatally.Address
 
 	listener  net.Listener
@@ -104,11 +112,24 @@
 // state is owned by the duty of the proxy.
 type state struct {
 	mode     Mode
+	target   cassiatally.Address
+	matching map[string]Mode
 	links    map[*link]struct{}
 	accepted uint64
 	refused  uint64
 }
 
+// modeOf returns the mode of a connection: that of a text in its first data, or
+// else the one of the proxy.
+func (s *state) modeOf(l *link) Mode {
+	for text, mode := range s.matching {
+		if bytes.Contains(l.head, []byte(text)) {
+			return mode
+		}
+	}
+	return s.mode
+}
+
 // Start listens and accepts until Close.
 func (p *Proxy) Start(ctx context.Context) error {
 	var lc net.ListenConfig
@@ -118,7 +139,9 @@
 	}
 	p.listener = l
 	p.ctx, p.cancel = context.WithCancel(context.WithoutCancel(ctx))
-	p.owner = owner.New(&state{mode: ModePass, links: make(map[*link]struct{})}, inboxCapacity)
+	p.owner = owner.New(&state{
+		mode: ModePass, target: p.Target, matching: make(map[string]Mode), links: make(map[*link]struct{}),
+	}, inboxCapacity)
 	p.wg.Go(p.accept)
 	return nil
 }
@@ -141,24 +164,34 @@
 	if c.Delay != nil {
 		p.delay.Store(int64(*c.Delay))
 	}
-	if c.Mode == "" {
-		return nil
+	return p.owner.Do(ctx, func(s *state) { s.apply(c) })
+}
+
+func (s *state) apply(c Change) {
+	if c.Target != "" {
+		s.target = c.Target
 	}
-	return p.owner.Do(ctx, func(s *state) {
-		if !c.ExistingOnly {
-			s.mode = c.Mode
-		}
-		for l := range s.links {
+	switch {
+	case c.Mode == "":
+		return
+	case c.ExistingOnly:
+	case c.Matching != "":
+		s.matching[c.Matching] = c.Mode
+	default:
+		s.mode = c.Mode
+	}
+	for l := range s.links {
+		if bytes.Contains(l.head, []byte(c.Matching)) {
 			l.apply(c.Mode, c.ExistingOnly)
 		}
-	})
+	}
 }
 
 // Status returns the state of the proxy.
 func (p *Proxy) Status(ctx context.Context) (Status, error) {
 	status := Status{Delay: time.Duration(p.delay.Load()), BytesUp: p.bytesUp.Load(), BytesDown: p.bytesDown.Load()}
 	err := p.owner.Do(ctx, func(s *state) {
-		status.Mode, status.Connections = s.mode, len(s.links)
+		status.Target, status.Mode, status.Connections = s.target, s.mode, len(s.links)
 		status.Accepted, status.Refused = s.accepted, s.refused
 	})
 	return status, err
@@ -177,12 +210,13 @@
 func (p *Proxy) serve(conn net.Conn) {
 	l := newLink(p.ctx, conn)
 	defer l.close()
-	if !p.admit(l) {
+	to, ok := p.admit(l)
+	if !ok {
 		return
 	}
 	defer p.forget(l)
 	d := net.Dialer{Timeout: dialTimeout}
-	target, err := d.DialContext(l.ctx, "tcp", string(p.Target))
+	target, err := d.DialContext(l.ctx, "tcp", string(to))
 	if err != nil {
 		reset(conn)
 		return
@@ -192,8 +226,9 @@
 
 // admit has the duty take the connection in, so that a later change of the mode
 // reaches it.
-func (p *Proxy) admit(l *link) bool {
+func (p *Proxy) admit(l *link) (cassiatally.Address, bool) {
 	var refused bool
+	var target cassiatally.Address
 	err := p.owner.Do(p.ctx, func(s *state) {
 		refused = s.mode.refuses()
 		if refused {
@@ -201,14 +236,23 @@
 			return
 		}
 		s.accepted++
+		target = s.target
 		s.links[l] = struct{}{}
 		l.apply(s.mode, false)
 	})
 	if err != nil || refused {
 		reset(l.near)
-		return false
+		return "", false
 	}
-	return true
+	return target, true
+}
+
+// identify keeps the first data of a connection and applies the mode for it.
+func (p *Proxy) identify(l *link, head []byte) {
+	_ = p.owner.Do(p.ctx, func(s *state) {
+		l.head = head
+		l.apply(s.modeOf(l), false)
+	})
 }
 
 func (p *Proxy) forget(l *link) {
--- a/standin/faultproxy/faultproxy_test.go
+++ b/standin/faultproxy/faultproxy_test.go
@@ -197,3 +197,43 @@
 	_, err = near.Read(make([]byte, 1))
 	is.True(err != nil)
 }
+
+// Guards against a fault between two data centres that hits other connections,
+// or that new connections escape.
+func TestMatching(t *testing.T) {
+	is := is.New(t)
+	p, conns := startProxy(t)
+	greet := func(text string) (near, far net.Conn) {
+		near, far = connect(t, p, conns)
+		_, err := near.Write([]byte(text))
+		is.NoErr(err)
+		return near, far
+	}
+	read := func(far net.Conn, n int) error {
+		_ = far.SetReadDeadline(time.Now().Add(generous))
+		_, err := io.ReadFull(far, make([]byte, n))
+		return err
+	}
+	_, south := greet("from south")
+	near, north := greet("from north")
+	is.NoErr(read(south, len("from south")))
+	is.NoErr(read(north, len("from north")))
+	is.NoErr(p.Apply(t.Context(), faultproxy.Change{Mode: faultproxy.ModeCut, Matching: "south"}))
+	is.True(read(south, 1) != nil)
+	is.True(passes(t, near, north, generous))
+	_, south = greet("from south")
+	is.True(read(south, 1) != nil)
+	is.NoErr(p.Apply(t.Context(), faultproxy.Change{Mode: faultproxy.ModePass, Matching: "south"}))
+	_, south = greet("from south")
+	is.NoErr(read(south, len("from south")))
+}
+
+// Guards against new connections that go to the old target.
+func TestNewTarget(t *testing.T) {
+	is := is.New(t)
+	p, _ := startProxy(t)
+	address, conns := target(t)
+	is.NoErr(p.Apply(t.Context(), faultproxy.Change{Target: address}))
+	near, far := connect(t, p, conns)
+	is.True(passes(t, near, far, generous))
+}
--- a/standin/faultproxy/link.go
+++ b/standin/faultproxy/link.go
@@ -28,6 +28,8 @@
 	near   net.Conn
 	up     *gate.Gate
 	down   *gate.Gate
+	// head is the first data towards the target; only the proxy's duty uses it.
+	head []byte
 	// frozen is set once a fault holds for good; only the proxy's duty uses it.
 	frozen bool
 }
@@ -45,6 +47,8 @@
 	gate     *gate.Gate
 	bytes    *atomic.Uint64
 	ring     *ring.Ring[chunk]
+	// first, if set, is called with the first data before it is passed on.
+	first func(data []byte)
 }
 
 func newLink(ctx context.Context, near net.Conn) *link {
@@ -78,6 +82,7 @@
 	defer stop()
 	defer far.Close()
 	up := &pipe{from: l.near, to: far, gate: l.up, bytes: &p.bytesUp, ring: ring.New[chunk](ringCapacity, ring.Wait)}
+	up.first = func(data []byte) { p.identify(l, data) }
 	down := &pipe{from: far, to: l.near, gate: l.down, bytes: &p.bytesDown, ring: ring.New[chunk](ringCapacity, ring.Wait)}
 	var wg sync.WaitGroup
 	for _, d := range []*pipe{up, down} {
@@ -97,6 +102,10 @@
 	for {
 		n, err := d.from.Read(buf)
 		c := chunk{due: time.Now().Add(time.Duration(delay.Load())), data: append([]byte(nil), buf[:n]...), err: err}
+		if d.first != nil && n > 0 {
+			d.first(c.data)
+			d.first = nil
+		}
 		if !d.ring.Push(ctx, c) || err != nil {
 			return
 		}
--- a/standin/faultserver/faultserver.go
+++ b/standin/faultserver/faultserver.go
@@ -56,6 +56,9 @@
 	Mode         faultproxy.Mode `json:"mode"`
 	Delay        *string         `json:"delay"`
 	ExistingOnly bool            `json:"existing_only"`
+	// Matching and Target are those of faultproxy.Change.
+	Matching string              `json:"matching"`
+	Target   cassiatally.Address `json:"target"`
 }
 
 type routeBody struct {
@@ -229,7 +232,7 @@
 }
 
 func (b changeBody) decode() (faultproxy.Change, error) {
-	change := faultproxy.Change{Mode: b.Mode, ExistingOnly: b.ExistingOnly}
+	change := faultproxy.Change{Mode: b.Mode, ExistingOnly: b.ExistingOnly, Matching: b.Matching, Target: b.Target}
 	if b.Mode != "" && !b.Mode.Valid() {
 		return change, errors.New("mode is not one of pass, cut, silent, one_way_up, one_way_down, refuse")
 	}
@@ -246,7 +249,7 @@
 func describe(ctx context.Context, name RouteName, p *faultproxy.Proxy) (routeBody, error) {
 	status, err := p.Status(ctx)
 	return routeBody{
-		Name: name, Listen: p.Address(), Target: p.Target, Mode: status.Mode, Delay: status.Delay.String(),
+		Name: name, Listen: p.Address(), Target: status.Target, Mode: status.Mode, Delay: status.Delay.String(),
 		Connections: status.Connections, Accepted: status.Accepted, Refused: status.Refused,
 		BytesUp: status.BytesUp, BytesDown: status.BytesDown,
 	}, err
