faultswitch: switch off single mechanisms in builds for tests

Cause: A scenario proves a mechanism only when it fails without it, and the programs had no way to run without one. Change: Package faultswitch, with switches only under the build tag faultinjection. The scenarios build with the tag when CASSIATALLY_SWITCH_OFF is set. The harness gets commands to send requests in the background, to wait for a shard, to count runs of a request, and routes of the fault proxy for nodes.

--- a/cassiatally/assigner/assigner.go
+++ b/cassiatally/assigner/assigner.go
@@ -43,6 +43,7 @@
 	"time"
 
 	"github.com/cassiatally/cassiatally/cassiatally"
+	"github.com/cassiatally/cassiatally/cassiatally/faultswitch"
 )
 
 const (
@@ -124,7 +125,7 @@
 	if a.started && first <= a.next {
 		return
 	}
-	a.complete = !a.started && first == 0
+	a.complete = !a.started && (first == 0 || faultswitch.Off(faultswitch.LogBase))
 	a.caughtUp = false
 	for i := range a.shards {
 		s := &a.shards[i]
--- a/cassiatally/claimer/claimer.go
+++ b/cassiatally/claimer/claimer.go
@@ -33,6 +33,7 @@
 	"time"
 
 	"github.com/cassiatally/cassiatally/cassiatally"
+	"github.com/cassiatally/cassiatally/cassiatally/faultswitch"
 )
 
 const (
@@ -90,6 +91,7 @@
 		runs:    make(map[cassiatally.CallID]*claim),
 		waiting: make(map[waiter]*claim),
 		seq:     submitSeqBase,
+		faults:  faults{skipAck: faultswitch.Off(faultswitch.ClaimAck)},
 	}
 	for i := range count {
 		c.shards = append(c.shards, newShard(cassiatally.ShardRef{DataCentre: dc, Shard: cassiatally.ShardID(i)}))
--- a/cassiatally/claimer/holder.go
+++ b/cassiatally/claimer/holder.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/cassiatally/cassiatally/cassiatally"
+	"github.com/cassiatally/cassiatally/cassiatally/faultswitch"
 )
 
 const (
@@ -193,7 +194,7 @@
 		a := unavailable()
 		return nil, parts, &a
 	}
-	if parts.Epoch < s.completeFrom {
+	if parts.Epoch < s.completeFrom && !faultswitch.Off(faultswitch.CompleteFrom) {
 		a := failure(cassiatally.KindKeyExpired, cassiatally.OutcomeUnknown, "the claims of the key's epoch are no longer known")
 		return nil, parts, &a
 	}
--- a/cassiatally/claimer/standby.go
+++ b/cassiatally/claimer/standby.go
@@ -1,6 +1,9 @@
 package claimer
 
-import "github.com/cassiatally/cassiatally/cassiatally"
+import (
+	"github.com/cassiatally/cassiatally/cassiatally"
+	"github.com/cassiatally/cassiatally/cassiatally/faultswitch"
+)
 
 // HandleClaimUpdate records a claim as the standby.
 func (c *Claimer) HandleClaimUpdate(now cassiatally.Instant, from cassiatally.NodeID, m cassiatally.ClaimUpdate) []cassiatally.Action {
@@ -57,7 +60,7 @@
 
 func (c *Claimer) apply(now cassiatally.Instant, s *shard, m cassiatally.Claim) {
 	parts, err := cassiatally.ParseKey(m.Key)
-	if err != nil || parts.Epoch < s.completeFrom {
+	if err != nil || parts.Epoch < s.completeFrom || faultswitch.Off(faultswitch.StandbyRecord) {
 		return
 	}
 	cl := s.claims[m.Key]
--- /dev/null
+++ b/cassiatally/faultswitch/faultswitch.go
@@ -0,0 +1,39 @@
+// Package faultswitch switches off single mechanisms, so that scenarios can be
+// seen to fail without them. Only builds with the tag faultinjection have the
+// switches; in other builds Off is a constant and the compiler drops its branches.
+//
+// # Usage
+//
+//	if faultswitch.Off(faultswitch.ClaimAck) {
+//		return true
+//	}
+//
+// A build with the tag reads the mechanisms to switch off, separated by commas,
+// from the environment:
+//
+//	CASSIATALLY_SWITCH_OFF=claim_ack go test -count=1 ./scenarios/...
+package faultswitch
+
+// Mechanism names what can be switched off.
+type Mechanism string
+
+const (
+	// Claims sends requests with a key to backend servers without a claim.
+	Claims Mechanism = "claims"
+	// ClaimAck runs a claimed request before the standby has recorded the claim.
+	ClaimAck Mechanism = "claim_ack"
+	// StandbyRecord acknowledges claims at the standby without recording them.
+	StandbyRecord Mechanism = "standby_record"
+	// CompleteFrom runs keys of epochs whose claims are not all known.
+	CompleteFrom Mechanism = "complete_from"
+	// ClaimUnresolved tells not_run for a re-sent key whose holder is out of reach.
+	ClaimUnresolved Mechanism = "claim_unresolved"
+	// LogBase judges a log whose beginning was dropped as if it were whole.
+	LogBase Mechanism = "log_base"
+	// LinkSilence leaves links open on which nothing arrives.
+	LinkSilence Mechanism = "link_silence"
+	// RunQuery takes a call on a lost link as not run.
+	RunQuery Mechanism = "run_query"
+	// AnswerLength takes an answer of a backend server that ends early as whole.
+	AnswerLength Mechanism = "answer_length"
+)
--- a/cassiatally/router/answer.go
+++ b/cassiatally/router/answer.go
@@ -2,6 +2,7 @@
 
 import (
 	"github.com/cassiatally/cassiatally/cassiatally"
+	"github.com/cassiatally/cassiatally/cassiatally/faultswitch"
 )
 
 // HandleAnswer takes an answer from a node.
@@ -168,6 +169,9 @@
 		a := unresolved(cassiatally.KindOutcomeUnknown, "the connection to the backend server's node was lost")
 		a.Endpoint.Node = target
 		return r.afterFailure(now, p, a)
+	case faultswitch.Off(faultswitch.RunQuery):
+		r.finishAttempt(now, p, cassiatally.CallResult{Took: now.Sub(p.sentAt), Failed: true})
+		return r.deliver(p, refusal(cassiatally.KindUnreachable, "the connection to the node was lost"))
 	default:
 		p.querying = true
 		p.lostAt = peer.Incarnation
--- a/cassiatally/router/router.go
+++ b/cassiatally/router/router.go
@@ -24,6 +24,7 @@
 	"time"
 
 	"github.com/cassiatally/cassiatally/cassiatally"
+	"github.com/cassiatally/cassiatally/cassiatally/faultswitch"
 )
 
 const (
@@ -105,7 +106,7 @@
 
 // Submit takes a request of a caller, of a backend server, or of a claimed key.
 func (r *Router) Submit(now cassiatally.Instant, req cassiatally.Request) []cassiatally.Action {
-	p := &pending{req: req, left: req.Retries, claim: req.Key != ""}
+	p := &pending{req: req, left: req.Retries, claim: req.Key != "" && !faultswitch.Off(faultswitch.Claims)}
 	if now.Reached(req.Deadline) {
 		return r.deliverUnsent(p, refusal(cassiatally.KindExpired, "the deadline has passed"))
 	}
@@ -287,7 +288,7 @@
 // expiry is the answer when the deadline passes without one.
 func (p *pending) expiry() cassiatally.Answer {
 	switch {
-	case p.target == "" && p.claim && p.req.Attempt != 1:
+	case p.target == "" && p.claim && p.req.Attempt != 1 && !faultswitch.Off(faultswitch.ClaimUnresolved):
 		return unresolved(cassiatally.KindUnavailable, "no holder of the key's shard is in reach; look the key up later")
 	case p.target == "" && p.claim:
 		return refusal(cassiatally.KindUnavailable, "no holder of the key's shard is in reach; send again later")
--- a/node/executor/client.go
+++ b/node/executor/client.go
@@ -12,6 +12,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/cassiatally/cassiatally/cassiatally"
+	"github.com/cassiatally/cassiatally/cassiatally/faultswitch"
 	"github.com/cassiatally/cassiatally/cassiatally/headers"
 	"github.com/cassiatally/cassiatally/cassiatally/runner"
 )
@@ -65,7 +66,7 @@
 	}
 	defer resp.Body.Close()
 	data, err := io.ReadAll(io.LimitReader(resp.Body, cassiatally.MaxBody+1))
-	if err != nil {
+	if err != nil && !faultswitch.Off(faultswitch.AnswerLength) {
 		return failure(ctx, err)
 	}
 	return resultOf(resp, data)
--- a/node/linker/link.go
+++ b/node/linker/link.go
@@ -9,6 +9,7 @@
 	"github.com/coder/websocket"
 
 	"github.com/cassiatally/cassiatally/cassiatally"
+	"github.com/cassiatally/cassiatally/cassiatally/faultswitch"
 	"github.com/cassiatally/cassiatally/cassiatally/protocol"
 	"github.com/cassiatally/cassiatally/cassiatally/ring"
 )
@@ -186,6 +187,9 @@
 	defer k.end("reader ended")
 	watchdog := time.AfterFunc(k.owner.DeadAfter, func() { k.end("silent") })
 	defer watchdog.Stop()
+	if faultswitch.Off(faultswitch.LinkSilence) {
+		watchdog.Stop()
+	}
 	for {
 		m, err := k.readFrame(k.ctx)
 		if err != nil {
@@ -195,7 +199,9 @@
 			}
 			return
 		}
-		watchdog.Reset(k.owner.DeadAfter)
+		if !faultswitch.Off(faultswitch.LinkSilence) {
+			watchdog.Reset(k.owner.DeadAfter)
+		}
 		k.handle(m)
 	}
 }
--- a/scenarios/fleet_test.go
+++ b/scenarios/fleet_test.go
@@ -2,13 +2,15 @@
 
 import (
 	"bufio"
-	"bytes"
 	"fmt"
 	"io"
+	"maps"
 	"net/http"
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
+	"strconv"
 	"strings"
 	"sync"
 	"syscall"
@@ -31,7 +33,10 @@
 type fleet struct {
 	env       *testscript.Env
 	processes map[string]*process
-	seed      string
+	// links has the address of each node that was started, by name.
+	links map[string]string
+	// sendings has the requests that a script does not wait for yet.
+	sendings map[string]chan sent
 }
 
 type process struct {
@@ -40,7 +45,10 @@
 }
 
 func newFleet(env *testscript.Env) *fleet {
-	return &fleet{env: env, processes: make(map[string]*process)}
+	return &fleet{
+		env: env, processes: make(map[string]*process),
+		links: make(map[string]string), sendings: make(map[string]chan sent),
+	}
 }
 
 func fleetOf(ts *testscript.TestScript) *fleet { return ts.Value(fleetKey{}).(*fleet) }
@@ -127,14 +135,19 @@
 //	node NAME DATA_CENTRE [YAML-LINE...]
 //
 // Further lines are added to the settings. The variable LOG has the address of
-// the log service. The first node is the seed of the others; with a variable
-// NAME_advertise the node tells others that address.
+// the log service. The nodes that were started before are the seeds; with a
+// variable NAME_advertise the node tells others that address. With a variable
+// FAULTS, the address of a fault proxy, links to the node go through its route NAME.
 func cmdNode(ts *testscript.TestScript, neg bool, args []string) {
 	if neg || len(args) < 2 {
 		ts.Fatalf("usage: node NAME DATA_CENTRE [YAML-LINE...]")
 	}
 	f := fleetOf(ts)
 	name := args[0]
+	faults := ts.Getenv("FAULTS")
+	if faults != "" && ts.Getenv(name+"_advertise") == "" {
+		ts.Setenv(name+"_advertise", addRoute(ts, faults, name))
+	}
 	var b strings.Builder
 	fmt.Fprintf(&b, "node: {id: %s, data_centre: %s}\n", name, args[1])
 	links := "127.0.0.1:0"
@@ -146,8 +159,8 @@
 		fmt.Fprintf(&b, "advertise: {links: %q}\n", addr)
 	}
 	fmt.Fprintf(&b, "log: {address: %q, timeout: 5s}\n", "http://"+ts.Getenv("LOG"))
-	if f.seed != "" {
-		fmt.Fprintf(&b, "seeds: [%q]\n", f.seed)
+	if seeds := f.seedsOf(name); len(seeds) > 0 {
+		fmt.Fprintf(&b, "seeds: [%s]\n", strings.Join(seeds, ", "))
 	}
 	for _, line := range args[2:] {
 		fmt.Fprintln(&b, line)
@@ -155,12 +168,24 @@
 	file := ts.MkAbs(name + ".yaml")
 	ts.Check(os.WriteFile(file, []byte(b.String()), 0o600))
 	at := f.start(ts, name, "cassiatally-node", []string{"--settings", file})
-	if f.seed == "" {
-		f.seed = at["links"]
-		if addr := ts.Getenv(name + "_advertise"); addr != "" {
-			f.seed = addr
+	if faults != "" {
+		changeRoute(ts, faults, name, at["links"])
+	}
+	f.links[name] = at["links"]
+	if addr := ts.Getenv(name + "_advertise"); addr != "" {
+		f.links[name] = addr
+	}
+}
+
+// seedsOf returns the quoted addresses of the other nodes in a fixed order.
+func (f *fleet) seedsOf(name string) []string {
+	var seeds []string
+	for _, other := range slices.Sorted(maps.Keys(f.links)) {
+		if other != name {
+			seeds = append(seeds, strconv.Quote(f.links[other]))
 		}
 	}
+	return seeds
 }
 
 var signals = map[string]syscall.Signal{
@@ -298,50 +323,3 @@
 	}
 	return program
 }
-
-// cmdSend sends an HTTP request and prints status, headers and body:
-//
-//	[!] send METHOD URL [NAME:VALUE...] [@FILE|=BODY]
-//
-// It fails when no answer comes; with ! when one does.
-func cmdSend(ts *testscript.TestScript, neg bool, args []string) {
-	if len(args) < 2 {
-		ts.Fatalf("usage: send METHOD URL [NAME:VALUE...] [@FILE|=BODY]")
-	}
-	var body []byte
-	header := http.Header{}
-	for _, a := range args[2:] {
-		switch {
-		case strings.HasPrefix(a, "="):
-			body = []byte(a[1:])
-		case strings.HasPrefix(a, "@"):
-			body = []byte(ts.ReadFile(a[1:]))
-		default:
-			name, value, _ := strings.Cut(a, ":")
-			header.Set(name, value)
-		}
-	}
-	req, err := http.NewRequest(args[0], args[1], bytes.NewReader(body))
-	ts.Check(err)
-	req.Header = header
-	if len(body) > 0 && header.Get("Content-Type") == "" {
-		req.Header.Set("Content-Type", "application/json")
-	}
-	client := http.Client{Timeout: conditionLimit}
-	resp, err := client.Do(req)
-	if err != nil {
-		if !neg {
-			ts.Fatalf("%s %s: %v", args[0], args[1], err)
-		}
-		return
-	}
-	defer resp.Body.Close()
-	data, err := io.ReadAll(resp.Body)
-	ts.Check(err)
-	if neg {
-		ts.Fatalf("%s %s was answered with %s", args[0], args[1], resp.Status)
-	}
-	fmt.Fprintln(ts.Stdout(), resp.Status)
-	_ = resp.Header.Write(ts.Stdout())
-	fmt.Fprintf(ts.Stdout(), "\n%s\n", data)
-}
--- /dev/null
+++ b/scenarios/route_test.go
@@ -0,0 +1,44 @@
+package scenarios_test
+
+import (
+	"bytes"
+	"encoding/json"
+	"net/http"
+
+	"github.com/rogpeppe/go-internal/testscript"
+)
+
+// unusedTarget is the target of a route until the node behind it has its port.
+const unusedTarget = "127.0.0.1:1"
+
+type routeBody struct {
+	Name   string `json:"name,omitempty"`
+	Listen string `json:"listen,omitempty"`
+	Target string `json:"target"`
+}
+
+// addRoute adds a route for a node that is about to start and returns its address.
+func addRoute(ts *testscript.TestScript, faults, name string) string {
+	return putRoute(ts, http.MethodPost, "http://"+faults+"/v1/routes", routeBody{Name: name, Target: unusedTarget}).Listen
+}
+
+func changeRoute(ts *testscript.TestScript, faults, name, target string) {
+	putRoute(ts, http.MethodPut, "http://"+faults+"/v1/routes/"+name, routeBody{Target: target})
+}
+
+func putRoute(ts *testscript.TestScript, method, url string, body routeBody) routeBody {
+	data, err := json.Marshal(body)
+	ts.Check(err)
+	req, err := http.NewRequest(method, url, bytes.NewReader(data))
+	ts.Check(err)
+	req.Header.Set("Content-Type", "application/json")
+	resp, err := http.DefaultClient.Do(req)
+	ts.Check(err)
+	defer resp.Body.Close()
+	if resp.StatusCode >= http.StatusBadRequest {
+		ts.Fatalf("%s %s: %s", method, url, resp.Status)
+	}
+	var answer routeBody
+	ts.Check(json.NewDecoder(resp.Body).Decode(&answer))
+	return answer
+}
--- a/scenarios/scenarios_test.go
+++ b/scenarios/scenarios_test.go
@@ -33,7 +33,11 @@
 func build(dir string) error {
 	programs := map[string]string{"cassiatally-node": "node", "cassiatally": "operator", "cassiatally-standin": "standin"}
 	for program, module := range programs {
-		out, err := exec.Command("go", "build", "-o", filepath.Join(dir, program), "../"+module).CombinedOutput()
+		args := []string{"build", "-o", filepath.Join(dir, program)}
+		if os.Getenv(switchVariable) != "" {
+			args = append(args, "-tags", "faultinjection")
+		}
+		out, err := exec.Command("go", append(args, "../"+module)...).CombinedOutput()
 		if err != nil {
 			return fmt.Errorf("build %s: %w\n%s", program, err, out)
 		}
@@ -55,15 +59,20 @@
 			return nil
 		},
 		Cmds: map[string]func(ts *testscript.TestScript, neg bool, args []string){
-			"start":  cmdStart,
-			"node":   cmdNode,
-			"signal": cmdSignal,
-			"halt":   cmdHalt,
-			"ended":  cmdEnded,
-			"until":  cmdUntil,
-			"send":   cmdSend,
-			"status": cmdStatus,
-			"mint":   cmdMint,
+			"start":    cmdStart,
+			"node":     cmdNode,
+			"signal":   cmdSignal,
+			"halt":     cmdHalt,
+			"ended":    cmdEnded,
+			"until":    cmdUntil,
+			"send":     cmdSend,
+			"status":   cmdStatus,
+			"mint":     cmdMint,
+			"sending":  cmdSending,
+			"answered": cmdAnswered,
+			"await":    cmdAwait,
+			"shard":    cmdShard,
+			"runs":     cmdRuns,
 		},
 	})
 }
--- /dev/null
+++ b/scenarios/switch_test.go
@@ -0,0 +1,26 @@
+package scenarios_test
+
+import (
+	"bytes"
+	"os"
+	"path/filepath"
+	"testing"
+
+	"github.com/matryer/is"
+)
+
+// switchVariable names the mechanisms that a run of the scenarios switches off.
+const switchVariable = "CASSIATALLY_SWITCH_OFF"
+
+// Guards against a normal build in which a mechanism can be switched off.
+func TestNormalBuildHasNoSwitches(t *testing.T) {
+	if os.Getenv(switchVariable) != "" {
+		t.Skip("the programs are built with the switches")
+	}
+	for _, program := range []string{"cassiatally-node", "cassiatally", "cassiatally-standin"} {
+		is := is.New(t)
+		data, err := os.ReadFile(filepath.Join(binaries, program))
+		is.NoErr(err)
+		is.True(!bytes.Contains(data, []byte(switchVariable)))
+	}
+}
