callerserver, router: tell unknown for a re-sent key that is refused at the entry

The entry refuses without asking the holder, so for any copy but the first an earlier one may have run. The same held for too many requests in flight, an unknown kind, and a claim that arrives after its deadline. Change: Such refusals say not_run only for Cassiatally-Attempt 1 or without a valid key, and unknown otherwise.

--- a/cassiatally/router/router.go
+++ b/cassiatally/router/router.go
@@ -108,7 +108,7 @@
 func (r *Router) Submit(now cassiatally.Instant, req cassiatally.Request) []cassiatally.Action {
 	p := &pending{req: req, left: req.Retries, claim: req.Key != "" && !faultswitch.Off(faultswitch.Claims)}
 	if now.Reached(req.Deadline) {
-		return r.deliverUnsent(p, refusal(cassiatally.KindExpired, "the deadline has passed"))
+		return r.deliverUnsent(p, p.tooLate())
 	}
 	if a, refused := r.refuseAtEntry(now, p); refused {
 		return r.deliverUnsent(p, a)
@@ -121,6 +121,16 @@
 	return r.sendRun(now, p)
 }
 
+// tooLate is the answer to a request that arrives after its deadline. Earlier
+// copies of a re-sent claim may have run.
+func (p *pending) tooLate() cassiatally.Answer {
+	const detail = "the deadline has passed"
+	if p.claim && p.req.Attempt != 1 {
+		return unresolved(cassiatally.KindExpired, detail)
+	}
+	return refusal(cassiatally.KindExpired, detail)
+}
+
 // refuseAtEntry refuses a root request that its call chain cannot finish. A
 // re-sent claim is passed on, since only the holder knows about earlier copies.
 func (r *Router) refuseAtEntry(now cassiatally.Instant, p *pending) (cassiatally.Answer, bool) {
--- a/cassiatally/router/router_test.go
+++ b/cassiatally/router/router_test.go
@@ -304,3 +304,25 @@
 		})
 	}
 }
+
+// Guards against not_run for a re-sent key that arrives after its deadline, when
+// an earlier copy may have run.
+func TestClaimAfterItsDeadline(t *testing.T) {
+	cases := []struct {
+		attempt uint16
+		want    cassiatally.Outcome
+	}{
+		{1, cassiatally.OutcomeNotRun},
+		{2, cassiatally.OutcomeUnknown},
+		{0, cassiatally.OutcomeUnknown},
+	}
+	for _, c := range cases {
+		is := is.New(t)
+		h := newHarness(nil, openBudget{}, fixedLoads{})
+		req := request(false)
+		req.Key, req.Attempt = "north.0.1.38519750480300e0", c.attempt
+		actions := h.Submit(req.Deadline, req)
+		is.Equal(len(actions), 1)
+		is.Equal(actions[0].(cassiatally.Deliver).Answer.Outcome, c.want)
+	}
+}
--- a/node/callerserver/server.go
+++ b/node/callerserver/server.go
@@ -21,6 +21,7 @@
 	"github.com/labstack/echo/v4"
 
 	"github.com/cassiatally/cassiatally/cassiatally"
+	"github.com/cassiatally/cassiatally/cassiatally/headers"
 	"github.com/cassiatally/cassiatally/node/requestreader"
 	"github.com/cassiatally/cassiatally/node/responder"
 	"github.com/cassiatally/cassiatally/node/waiter"
@@ -36,6 +37,8 @@
 	// request. The router answers at the deadline; this only guards against a lost
 	// reply.
 	replyGrace = 500 * time.Millisecond
+	// firstAttempt is the attempt number that rules out earlier copies of a key.
+	firstAttempt = "1"
 )
 
 // Requests takes requests; the dispatcher implements it.
@@ -118,26 +121,37 @@
 	arrived := s.Clock.Now()
 	if s.inFlight.Add(1) > int64(s.MaxInFlight) {
 		s.inFlight.Add(-1)
-		return responder.Responder{}.WriteError(c, cassiatally.NewError(cassiatally.KindOverloaded, "the node has too many requests in flight; send again later"))
+		return refuse(c, cassiatally.NewError(cassiatally.KindOverloaded, "the node has too many requests in flight; send again later"))
 	}
 	defer s.inFlight.Add(-1)
 	parts, failure := s.Reader.Read(c)
 	if failure != nil {
-		return responder.Responder{}.WriteError(c, failure)
+		return refuse(c, failure)
 	}
 	policy, failure := s.policyOf(parts)
 	if failure != nil {
-		return responder.Responder{}.WriteError(c, failure)
+		return refuse(c, failure)
 	}
 	req, failure := s.request(parts, policy, arrived)
 	if failure != nil {
-		return responder.Responder{}.WriteError(c, failure)
+		return refuse(c, failure)
 	}
 	a := s.await(c.Request().Context(), req, parts.Timeout)
 	s.Observer.Request(policy, parts.Tenant, a, s.Clock.Now().Sub(arrived))
 	return responder.Responder{Root: req.Root}.Write(c, a)
 }
 
+// refuse answers a request that this node does not pass on. Earlier copies of its
+// key may have run, so only a first copy is certainly not run.
+func refuse(c echo.Context, failure *cassiatally.Error) error {
+	a := cassiatally.Answer{Outcome: failure.Outcome, Kind: failure.Kind, Detail: failure.Detail}
+	h := c.Request().Header
+	if _, err := cassiatally.ParseKey(cassiatally.Key(h.Get(headers.Key))); err == nil && h.Get(headers.Attempt) != firstAttempt {
+		a.Outcome = cassiatally.OutcomeUnknown
+	}
+	return responder.Responder{}.Write(c, a)
+}
+
 func (s *Server) policyOf(parts requestreader.Parts) (cassiatally.Policy, *cassiatally.Error) {
 	policies, ok := s.Policies()
 	if !ok {
