--- a/cassiatally/router/router.go
+++ b/cassiatally/router/router.go
@@ -24,6 +24,7 @@
 	"time"
 
 	"github.com/cassiatally/cassiatally/cassiatally"
+	"github.com/cassiatally/cassiatally/cassiatally/faultswitch"
 )
 
 const (
@@ -105,9 +106,9 @@
 
 // Submit takes a request of a caller, of a backend server, or of a claimed key.
 func (r *Router) Submit(now cassiatally.Instant, req cassiatally.Request) []cassiatally.Action {
-	p := &pending{req: req, left: req.Retries, claim: req.Key != ""}
+	p := &pending{req: req, left: req.Retries, claim: req.Key != "" && !faultswitch.Off(faultswitch.Claims)}
 	if now.Reached(req.Deadline) {
-		return r.deliverUnsent(p, refusal(cassiatally.KindExpired, "the deadline has passed"))
+		return r.deliverUnsent(p, p.tooLate())
 	}
 	if a, refused := r.refuseAtEntry(now, p); refused {
 		return r.deliverUnsent(p, a)
@@ -120,6 +121,16 @@
 	return r.sendRun(now, p)
 }
 
+// tooLate is the answer to a request that arrives after its deadline. Earlier
+// copies of a re-sent claim may have run.
+func (p *pending) tooLate() cassiatally.Answer {
+	const detail = "the deadline has passed"
+	if p.claim && p.req.Attempt != 1 {
+		return unresolved(cassiatally.KindExpired, detail)
+	}
+	return refusal(cassiatally.KindExpired, detail)
+}
+
 // refuseAtEntry refuses a root request that its call chain cannot finish. A
 // re-sent claim is passed on, since only the holder knows about earlier copies.
 func (r *Router) refuseAtEntry(now cassiatally.Instant, p *pending) (cassiatally.Answer, bool) {
@@ -287,7 +298,7 @@
 // expiry is the answer when the deadline passes without one.
 func (p *pending) expiry() cassiatally.Answer {
 	switch {
-	case p.target == "" && p.claim && p.req.Attempt != 1:
+	case p.target == "" && p.claim && p.req.Attempt != 1 && !faultswitch.Off(faultswitch.ClaimUnresolved):
 		return unresolved(cassiatally.KindUnavailable, "no holder of the key's shard is in reach; look the key up later")
 	case p.target == "" && p.claim:
 		return refusal(cassiatally.KindUnavailable, "no holder of the key's shard is in reach; send again later")
--- a/scenarios/evidence_test.go
+++ b/scenarios/evidence_test.go
@@ -25,7 +25,7 @@
 		"watch":      cmdWatch,
 		"watched":    cmdWatched,
 		"keep":       cmdKeep,
-		"answered":   cmdAnswered,
+		"fetched":    cmdFetched,
 		"fresh":      cmdFresh,
 		"publishers": cmdPublishers,
 		"losers":     cmdLosers,
@@ -155,10 +155,10 @@
 	time.Sleep(d)
 }
 
-// cmdAnswered waits until the answer of a URL matches: answered URL PATTERN.
-func cmdAnswered(ts *testscript.TestScript, neg bool, args []string) {
+// cmdFetched waits until the answer of a URL matches: fetched URL PATTERN.
+func cmdFetched(ts *testscript.TestScript, neg bool, args []string) {
 	if neg || len(args) != 2 {
-		ts.Fatalf("usage: answered URL PATTERN")
+		ts.Fatalf("usage: fetched URL PATTERN")
 	}
 	pattern := compile(ts, args[1])
 	var last []byte
@@ -176,5 +176,5 @@
 	if neg || len(args) != 0 {
 		ts.Fatalf("usage: fresh")
 	}
-	fleetOf(ts).seed = ""
+	clear(fleetOf(ts).links)
 }
--- a/scenarios/scenarios_test.go
+++ b/scenarios/scenarios_test.go
@@ -35,7 +35,11 @@
 func build(dir string) error {
 	programs := map[string]string{"cassiatally-node": "node", "cassiatally": "operator", "cassiatally-standin": "standin"}
 	for program, module := range programs {
-		out, err := exec.Command("go", "build", "-o", filepath.Join(dir, program), "../"+module).CombinedOutput()
+		args := []string{"build", "-o", filepath.Join(dir, program)}
+		if os.Getenv(switchVariable) != "" {
+			args = append(args, "-tags", "faultinjection")
+		}
+		out, err := exec.Command("go", append(args, "../"+module)...).CombinedOutput()
 		if err != nil {
 			return fmt.Errorf("build %s: %w\n%s", program, err, out)
 		}
@@ -56,6 +60,12 @@
 		"send":   cmdSend,
 		"status": cmdStatus,
 		"mint":   cmdMint,
+
+		"sending":  cmdSending,
+		"answered": cmdAnswered,
+		"await":    cmdAwait,
+		"shard":    cmdShard,
+		"ran":      cmdRan,
 	}
 	maps.Copy(cmds, evidenceCommands())
 	testscript.Run(t, testscript.Params{
