balancer: leave refusals under load to the queue of the endpoint

Cause: In the scenario `shedding` a flood of the least urgent work made booking confirmations fail, while the queue of the narrow service refused none of them (counted by rank in a scratch copy). Their onward calls were refused `no_backend`: the balancer chose no endpoint once a node had calls in flight for a quarter of the endpoint's connections, whatever their rank. The bound kept no connections: calls share a link, and only the node on the endpoint's host connects to the backend server, with MaxConnsPerHost. Change: The bound is a preference. When all endpoints are at it, the choice is made among all, and the admission queue refuses the least urgent call.

--- a/cassiatally/balancer/balancer.go
+++ b/cassiatally/balancer/balancer.go
@@ -63,8 +63,8 @@
 	Margin time.Duration
 	// RelativeMargin is added to Margin as a fraction of the far wait; 0 means 0.5.
 	RelativeMargin float64
-	// ConnectionShare is the share of an endpoint's connections that this node
-	// may use; 0 means 0.25. One call is always allowed.
+	// ConnectionShare is the share of an endpoint's connections up to which this
+	// node prefers it; 0 means 0.25.
 	ConnectionShare float64
 	// SlowStart is the time in which a new incarnation reaches full weight; 0
 	// means 5 s.
@@ -141,16 +141,11 @@
 
 // Choose returns an endpoint of the service that is not in avoid.
 func (b *Balancer) Choose(now cassiatally.Instant, s cassiatally.Service, avoid []cassiatally.NodeID) (cassiatally.NodeID, bool) {
-	b.near, b.far = b.near[:0], b.far[:0]
-	for _, e := range b.services[s] {
-		if !b.eligible(now, e) || slices.Contains(avoid, e.candidate.Ref.Node) {
-			continue
-		}
-		if e.candidate.DataCentre == b.DataCentre {
-			b.near = append(b.near, e)
-		} else {
-			b.far = append(b.far, e)
-		}
+	b.collect(now, s, avoid, false)
+	if len(b.near)+len(b.far) == 0 {
+		// A refusal here would hit every rank alike; the queue of the endpoint
+		// refuses the least urgent call instead.
+		b.collect(now, s, avoid, true)
 	}
 	near, nearWait := b.betterOfTwo(now, b.near)
 	far, farWait := b.betterOfTwo(now, b.far)
@@ -165,6 +160,22 @@
 	return near.candidate.Ref.Node, true
 }
 
+// collect lists the endpoints that may be chosen, those that are full included
+// on request.
+func (b *Balancer) collect(now cassiatally.Instant, s cassiatally.Service, avoid []cassiatally.NodeID, full bool) {
+	b.near, b.far = b.near[:0], b.far[:0]
+	for _, e := range b.services[s] {
+		if !eligible(now, e) || !full && b.full(e) || slices.Contains(avoid, e.candidate.Ref.Node) {
+			continue
+		}
+		if e.candidate.DataCentre == b.DataCentre {
+			b.near = append(b.near, e)
+		} else {
+			b.far = append(b.far, e)
+		}
+	}
+}
+
 // threshold returns the near wait above which a far endpoint is better.
 func (b *Balancer) threshold(farWait float64) float64 {
 	margin := b.Margin
@@ -174,16 +185,19 @@
 	return farWait*(1+positive(b.RelativeMargin, defaultRelativeMargin)) + float64(margin)
 }
 
-func (b *Balancer) eligible(now cassiatally.Instant, e *endpoint) bool {
-	if e.candidate.State != cassiatally.EndpointReady || now.Before(e.excluded) {
-		return false
-	}
+func eligible(now cassiatally.Instant, e *endpoint) bool {
+	return e.candidate.State == cassiatally.EndpointReady && !now.Before(e.excluded)
+}
+
+// full reports whether this node has its share of the endpoint's connections
+// worth of calls there. The node on the endpoint's host keeps to the connections
+// themselves.
+func (b *Balancer) full(e *endpoint) bool {
 	if e.candidate.Connections <= 0 {
-		return true
+		return false
 	}
 	share := positive(b.ConnectionShare, defaultConnectionShare)
-	bound := max(int(share*float64(e.candidate.Connections)), 1)
-	return e.inFlight < bound
+	return e.inFlight >= max(int(share*float64(e.candidate.Connections)), 1)
 }
 
 func (b *Balancer) betterOfTwo(now cassiatally.Instant, from []*endpoint) (*endpoint, float64) {
