scenarios: prove that leaving servers cut off no work

Change: Scenario `leaving`: a backend server announces its drain; announcements are cut until they lapse; a node is told to stop while all links are delayed, so that peers go on sending to it; a backend server and then its node are told to stop. `proxied` puts the links of nodes behind a fault proxy. A backend server that is killed is a crash; see the scenario on crashes.

--- a/scenarios/evidence_test.go
+++ b/scenarios/evidence_test.go
@@ -25,6 +25,8 @@
 		"watch":      cmdWatch,
 		"watched":    cmdWatched,
 		"keep":       cmdKeep,
+		"proxied":    cmdProxied,
+		"leaving":    cmdLeaving,
 		"answered":   cmdAnswered,
 		"fresh":      cmdFresh,
 		"publishers": cmdPublishers,
--- a/scenarios/scenarios_test.go
+++ b/scenarios/scenarios_test.go
@@ -73,12 +73,14 @@
 	})
 }
 
-// setMechanisms sets the variables CONTROL and PER_ROOT, with which scripts
-// configure their nodes. SCENARIO_CONTROL=off and SCENARIO_PER_ROOT=100 switch the
-// mechanisms off, to see that a scenario fails without them.
+// setMechanisms sets the variables CONTROL, PER_ROOT and DRAIN, with which scripts
+// configure their nodes. SCENARIO_CONTROL=off, SCENARIO_PER_ROOT=16 and
+// SCENARIO_DRAIN=1ms switch the mechanisms off, to see that a scenario fails
+// without them.
 func setMechanisms(env *testscript.Env) {
 	env.Setenv("CONTROL", cmp.Or(os.Getenv("SCENARIO_CONTROL"), "adaptive"))
 	env.Setenv("PER_ROOT", cmp.Or(os.Getenv("SCENARIO_PER_ROOT"), "2"))
+	env.Setenv("DRAIN", cmp.Or(os.Getenv("SCENARIO_DRAIN"), "30s"))
 }
 
 func examples() string {
