registrar: pass news of crashes on at once

Each node counted its own crashes at once, but those of others only after rounds of gossip a second apart, in which the next copies found nodes that did not know. Change: SetCrashes returns the messages that tell news to four members of the own data centre and one of another; receivers pass it on in the same way. A report is sent at once only when it grew, within the byte allowance of the round. The executor reports right after a run that broke off. Unit tests of registrar, quarantiner and runner pass; TestNewsOfCrashesIsSentAtOnce covers the messages. Copies that arrive at other nodes within the few milliseconds that the news takes can still crash further backend servers.

--- a/cassiatally/quarantiner/quarantiner.go
+++ b/cassiatally/quarantiner/quarantiner.go
@@ -14,7 +14,7 @@
 //	q.Crashed(now, fingerprintsInFlight)
 //	q.Completed(now, f)
 //	q.Merge(now, gossip.Crashes)
-//	registrar.SetCrashes(q.Reports(now)) // once a second
+//	registrar.SetCrashes(q.Reports(now)) // at every tick
 //
 // Requests that were in flight beside the cause are suspects too. Their next
 // completed run anywhere clears them. A Quarantiner is not safe for concurrent
--- a/cassiatally/registrar/registrar.go
+++ b/cassiatally/registrar/registrar.go
@@ -50,6 +50,9 @@
 	maxEntries      = 100
 	maxAsked        = 24
 	maxCrashes      = 8
+	// crashPeers get news of crashes at once. With four, relayed news misses one
+	// node in fifty or so, which a round reaches later.
+	crashPeers = 4
 	// maxForeignBeats bounds the beats of other data centres in a message within
 	// a data centre, so that its own heartbeats have room.
 	maxForeignBeats = 10
@@ -85,13 +88,23 @@
 	RemoveAfter  time.Duration
 }
 
+// crashID names a crash report, and crashCount tells its news.
+type crashID struct {
+	fingerprint cassiatally.Fingerprint
+	reporter    cassiatally.NodeRef
+}
+
+type crashCount struct{ clears, crashes uint16 }
+
 // Registrar is the member table of one node.
 type Registrar struct {
-	cfg        Config
-	rand       cassiatally.Rand
-	self       cassiatally.Member
-	epochs     cassiatally.Epoch
-	crashes    []cassiatally.CrashReport
+	cfg     Config
+	rand    cassiatally.Rand
+	self    cassiatally.Member
+	epochs  cassiatally.Epoch
+	crashes []cassiatally.CrashReport
+	// told has the crash reports that were sent at once.
+	told       map[crashID]crashCount
 	nextRound  cassiatally.Instant
 	allowance  int
 	table      map[cassiatally.NodeID]*entry
@@ -178,9 +191,45 @@
 // SetShardEpochs records the sum of the shard epochs, which gossip passes on.
 func (r *Registrar) SetShardEpochs(e cassiatally.Epoch) { r.epochs = e }
 
-// SetCrashes records the crash reports to pass on; the first few are sent.
-func (r *Registrar) SetCrashes(reports []cassiatally.CrashReport) {
+// SetCrashes records the crash reports to pass on; the first few are sent. Those
+// that are news are sent at once: a caller that sends the cause again would have
+// more backend servers crash until the next round. Receivers do the same, so that
+// news spreads to all nodes.
+func (r *Registrar) SetCrashes(reports []cassiatally.CrashReport) []cassiatally.Action {
 	r.crashes = slices.Clone(reports[:min(len(reports), maxCrashes)])
+	news := r.newCrashes()
+	if len(news) == 0 {
+		return nil
+	}
+	g := r.gossip(nil)
+	g.Crashes = news
+	var out []cassiatally.Action
+	targets := append(r.pick(r.peers(true), crashPeers), r.pick(r.peers(false), foreignPeers)...)
+	for _, to := range targets {
+		if !r.spend(crashBytes(news)) {
+			break
+		}
+		out = append(out, cassiatally.Send{To: to, Message: g})
+	}
+	return out
+}
+
+// newCrashes returns the reports that were not sent at once before.
+func (r *Registrar) newCrashes() []cassiatally.CrashReport {
+	var news []cassiatally.CrashReport
+	for _, c := range r.crashes {
+		id := crashID{c.Fingerprint, c.Reporter}
+		count := crashCount{c.Clears, c.Crashes}
+		if r.told[id] == count {
+			continue
+		}
+		if r.told == nil || len(r.told) >= maxSeen {
+			r.told = make(map[crashID]crashCount)
+		}
+		r.told[id] = count
+		news = append(news, c)
+	}
+	return news
 }
 
 // Tick removes silent members and starts a gossip round when it is due.
--- a/cassiatally/registrar/registrar_test.go
+++ b/cassiatally/registrar/registrar_test.go
@@ -89,3 +89,33 @@
 		})
 	}
 }
+
+// Guards against news of a crash that waits for a round, while the cause crashes
+// more backend servers, and against reports that are sent at once again and again.
+func TestNewsOfCrashesIsSentAtOnce(t *testing.T) {
+	is := is.New(t)
+	a, b := twoNodes()
+	probe := a.Tick(0)[0].(cassiatally.SendAddress).Message.(cassiatally.Gossip)
+	for _, action := range b.HandleGossip(0, probe.From, probe) {
+		if send, ok := action.(cassiatally.Send); ok {
+			reply := send.Message.(cassiatally.Gossip)
+			a.HandleGossip(0, reply.From, reply)
+		}
+	}
+	first := cassiatally.CrashReport{Fingerprint: 1, Reporter: probe.From, Crashes: 1}
+	second := cassiatally.CrashReport{Fingerprint: 2, Reporter: probe.From, Crashes: 1}
+	is.Equal(newsTo(is, "b", a.SetCrashes([]cassiatally.CrashReport{first})), []cassiatally.CrashReport{first})
+	is.Equal(len(a.SetCrashes([]cassiatally.CrashReport{first})), 0)
+	is.Equal(newsTo(is, "b", a.SetCrashes([]cassiatally.CrashReport{first, second})), []cassiatally.CrashReport{second})
+	first.Crashes = 2
+	is.Equal(newsTo(is, "b", a.SetCrashes([]cassiatally.CrashReport{second, first})), []cassiatally.CrashReport{first})
+	is.Equal(len(a.SetCrashes(nil)), 0)
+}
+
+func newsTo(is *is.I, to cassiatally.NodeID, actions []cassiatally.Action) []cassiatally.CrashReport {
+	is.Helper()
+	is.Equal(len(actions), 1)
+	send := actions[0].(cassiatally.Send)
+	is.Equal(send.To, to)
+	return send.Message.(cassiatally.Gossip).Crashes
+}
--- a/node/executor/executor.go
+++ b/node/executor/executor.go
@@ -216,6 +216,9 @@
 		x.Logger.Warn("backend server broke off a run", "call", e.id, "detail", e.res.Detail)
 	}
 	x.carryOut(now, x.Runner.Finished(now, e.id, e.res))
+	if e.res.Kind == runner.ResultBroken {
+		x.report(now) // other nodes must hear of a crash before they run its cause
+	}
 }
 
 func (e announceEvent) apply(x *Executor, now cassiatally.Instant) {
--- a/node/memberkeeper/memberkeeper.go
+++ b/node/memberkeeper/memberkeeper.go
@@ -152,7 +152,7 @@
 
 func (e endpointEvent) apply(k *Keeper, now cassiatally.Instant) {
 	k.carryOut(k.Registrar.SetEndpoint(now, e.endpoint))
-	k.Registrar.SetCrashes(e.crashes)
+	k.carryOut(k.Registrar.SetCrashes(e.crashes))
 }
 
 func (e sheetEvent) apply(k *Keeper, now cassiatally.Instant) {
