scenarios: prove that a request that crashes servers is stopped

Cause: The quarantine had no proof with real processes. Change: Scenario `crashes`: five nodes behind a fault proxy whose backend servers are started again by a loop, one caller that sends the cause to all of them, and innocent requests beside it. That innocent requests are not condemned has not been seen failing.

--- a/scenarios/evidence_test.go
+++ b/scenarios/evidence_test.go
@@ -25,6 +25,7 @@
 		"watch":      cmdWatch,
 		"watched":    cmdWatched,
 		"keep":       cmdKeep,
+		"insist":     cmdInsist,
 		"proxied":    cmdProxied,
 		"leaving":    cmdLeaving,
 		"answered":   cmdAnswered,
--- a/scenarios/fleet_test.go
+++ b/scenarios/fleet_test.go
@@ -29,11 +29,12 @@
 
 // fleet holds the processes of one script.
 type fleet struct {
-	env       *testscript.Env
-	processes map[string]*process
-	seed      string
-	versions  *versionWatch
-	keepers   map[string]*keeper
+	env         *testscript.Env
+	processes   map[string]*process
+	seed        string
+	versions    *versionWatch
+	keepers     map[string]*keeper
+	insistences map[string]*insistence
 }
 
 type process struct {
@@ -45,6 +46,7 @@
 	return &fleet{
 		env: env, processes: make(map[string]*process),
 		versions: newVersionWatch(), keepers: make(map[string]*keeper),
+		insistences: make(map[string]*insistence),
 	}
 }
 
