--- a/scenarios/fleet_test.go
+++ b/scenarios/fleet_test.go
@@ -38,7 +38,8 @@
 	// links has the address of each node that was started, by name.
 	links map[string]string
 	// sendings has the requests that a script does not wait for yet.
-	sendings map[string]chan sent
+	sendings    map[string]chan sent
+	insistences map[string]*insistence
 }
 
 type process struct {
@@ -51,6 +52,7 @@
 		env: env, processes: make(map[string]*process),
 		versions: newVersionWatch(), keepers: make(map[string]*keeper),
 		links: make(map[string]string), sendings: make(map[string]chan sent),
+		insistences: make(map[string]*insistence),
 	}
 }
 
