router: tell unknown when a refusal follows an attempt that may have run

Change: A request that was tried again after an outcome other than not_run is answered as unknown when a later attempt is refused. Measured: TestRefusalAfterAnUncertainAttempt fails without the change (not_run != unknown) and passes with it.

--- a/cassiatally/router/answer.go
+++ b/cassiatally/router/answer.go
@@ -86,6 +86,7 @@
 }
 
 func (r *Router) afterFailure(now cassiatally.Instant, p *pending, a cassiatally.Answer) []cassiatally.Action {
+	p.mayHaveRun = p.mayHaveRun || a.Outcome != cassiatally.OutcomeNotRun
 	if !r.mayRepeat(p, a) || now.Reached(p.req.Deadline) {
 		return r.deliver(p, a)
 	}
--- a/cassiatally/router/router.go
+++ b/cassiatally/router/router.go
@@ -73,20 +73,23 @@
 }
 
 type pending struct {
-	req       cassiatally.Request
-	attempt   cassiatally.CallID
-	target    cassiatally.NodeID
-	lostAt    cassiatally.Incarnation
-	claim     bool
-	querying  bool
-	waiting   bool
-	done      bool
-	sentAt    cassiatally.Instant
-	given     cassiatally.RetryCount
-	left      cassiatally.RetryCount
-	spent     cassiatally.RetryCount
-	redirects int
-	avoid     []cassiatally.NodeID
+	req      cassiatally.Request
+	attempt  cassiatally.CallID
+	target   cassiatally.NodeID
+	lostAt   cassiatally.Incarnation
+	claim    bool
+	querying bool
+	waiting  bool
+	// mayHaveRun tells that an earlier attempt may have been run, so that a refusal
+	// of a later one does not prove that the request was not.
+	mayHaveRun bool
+	done       bool
+	sentAt     cassiatally.Instant
+	given      cassiatally.RetryCount
+	left       cassiatally.RetryCount
+	spent      cassiatally.RetryCount
+	redirects  int
+	avoid      []cassiatally.NodeID
 }
 
 // New returns a router without calls.
@@ -325,6 +328,9 @@
 
 func (r *Router) deliver(p *pending, a cassiatally.Answer) []cassiatally.Action {
 	r.remove(p)
+	if p.mayHaveRun && a.Outcome == cassiatally.OutcomeNotRun {
+		a.Outcome = cassiatally.OutcomeUnknown
+	}
 	return r.deliverUnsent(p, a)
 }
 
--- a/cassiatally/router/router_test.go
+++ b/cassiatally/router/router_test.go
@@ -326,3 +326,28 @@
 		is.Equal(actions[0].(cassiatally.Deliver).Answer.Outcome, c.want)
 	}
 }
+
+// Guards against not_run for a request whose first attempt may have been run,
+// because a later attempt was refused.
+func TestRefusalAfterAnUncertainAttempt(t *testing.T) {
+	cases := []struct {
+		name  string
+		first cassiatally.Outcome
+		kind  cassiatally.ErrorKind
+		want  cassiatally.Outcome
+	}{
+		{"broken off, then refused", cassiatally.OutcomeUnknown, cassiatally.KindOutcomeUnknown, cassiatally.OutcomeUnknown},
+		{"refused twice", cassiatally.OutcomeNotRun, cassiatally.KindOverloaded, cassiatally.OutcomeNotRun},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			h := newHarness([]cassiatally.NodeID{"a", "b"}, openBudget{}, fixedLoads{})
+			to, call := sent(t, h.Submit(start, request(true)))
+			first := cassiatally.Answer{ID: call.ID, Outcome: c.first, Kind: c.kind, Endpoint: cassiatally.EndpointLoad{Node: to}}
+			to, call = sent(t, h.HandleAnswer(start, to, first))
+			refused := cassiatally.Answer{ID: call.ID, Outcome: cassiatally.OutcomeNotRun, Kind: cassiatally.KindQuarantined, Endpoint: cassiatally.EndpointLoad{Node: to}}
+			is.Equal(delivered(t, h.HandleAnswer(start, to, refused)).Outcome, c.want)
+		})
+	}
+}
