node: show messages that found a full inbox

Change: status and metrics have the refused messages of each duty, and the status command prints them.

--- a/node/adminserver/status.go
+++ b/node/adminserver/status.go
@@ -14,6 +14,8 @@
 	Shards      []ShardStatus   `json:"shards"`
 	Requests    RequestStatus   `json:"requests"`
 	Traffic     TrafficStatus   `json:"traffic"`
+	// Refused counts the messages that found no room in the inbox of each duty.
+	Refused map[string]uint64 `json:"refused_by_duty"`
 }
 
 // SheetStatus tells which sheet is in force.
--- a/node/claimkeeper/claimkeeper.go
+++ b/node/claimkeeper/claimkeeper.go
@@ -102,6 +102,12 @@
 	k.helpers.Go(k.serveAppends)
 }
 
+// Refused returns how many messages found no room in the inbox.
+func (k *Keeper) Refused() uint64 {
+	refused, _ := k.inbox.Lost()
+	return refused
+}
+
 // Close stops the duty and its helpers and waits for them.
 func (k *Keeper) Close() {
 	k.cancel()
--- a/node/dispatcher/dispatcher.go
+++ b/node/dispatcher/dispatcher.go
@@ -109,6 +109,12 @@
 	d.duty.Run()
 }
 
+// Refused returns how many messages found no room in the inbox.
+func (d *Dispatcher) Refused() uint64 {
+	refused, _ := d.inbox.Lost()
+	return refused
+}
+
 // Close stops the duty and waits for it.
 func (d *Dispatcher) Close() { d.duty.Close() }
 
--- a/node/executor/executor.go
+++ b/node/executor/executor.go
@@ -142,6 +142,12 @@
 	x.duty.Run()
 }
 
+// Refused returns how many messages found no room in the inbox.
+func (x *Executor) Refused() uint64 {
+	refused, _ := x.inbox.Lost()
+	return refused
+}
+
 // Close stops the workers and the duty and waits for them.
 func (x *Executor) Close() {
 	x.cancel()
--- a/node/memberkeeper/memberkeeper.go
+++ b/node/memberkeeper/memberkeeper.go
@@ -83,6 +83,12 @@
 	k.duty.Run()
 }
 
+// Refused returns how many messages found no room in the inbox.
+func (k *Keeper) Refused() uint64 {
+	refused, _ := k.inbox.Lost()
+	return refused
+}
+
 // Close stops the duty and waits for it.
 func (k *Keeper) Close() { k.duty.Close() }
 
--- a/node/sampler/sampler.go
+++ b/node/sampler/sampler.go
@@ -64,6 +64,9 @@
 	s.shards(&st)
 	s.requests(&st.Requests)
 	s.traffic(&st.Traffic)
+	for duty, n := range st.Refused {
+		s.total("inbox_refused", n, map[string]string{"duty": duty})
+	}
 	s.EachTime()
 }
 
--- a/node/sampler/sampler_test.go
+++ b/node/sampler/sampler_test.go
@@ -38,7 +38,7 @@
 }
 
 func (f *fakeMetrics) Count(name string, tags map[string]string, delta int64) {
-	f.values[name+tags["rank"]+tags["kind"]] += float64(delta)
+	f.values[name+tags["rank"]+tags["kind"]+tags["duty"]] += float64(delta)
 }
 
 // Guards against counters that count totals again with each sample, and against
@@ -63,6 +63,7 @@
 				},
 				Shards:   []adminserver.ShardStatus{{Holder: "n1", Standby: "n2"}, {Holder: "n1"}, {Holder: "n2", Standby: "n1"}},
 				Requests: adminserver.RequestStatus{Retries: 5},
+				Refused:  map[string]uint64{"executor": 6},
 			}
 		},
 		EachTime: func() {
@@ -78,7 +79,7 @@
 	want := map[string]float64{
 		"members": 2, "suspects": 1, "sheet_version": 7, "follows_log": 1, "log_contact_seconds": 3,
 		"backend_ready": 1, "limit": 4, "level/0": 1, "level/1": 0.5,
-		"sheds1overloaded": 30, "retries": 5,
+		"sheds1overloaded": 30, "retries": 5, "inbox_refusedexecutor": 6,
 		"shards_held": 2, "shards_standby": 1, "shards_without_standby": 1,
 	}
 	for name, v := range want {
--- a/node/supervisor/status.go
+++ b/node/supervisor/status.go
@@ -69,6 +69,13 @@
 			Incomplete:     counts.Incomplete,
 			Queries:        counts.Queries,
 		},
+		Refused: map[string]uint64{
+			"dispatcher":   s.dispatcher.Refused(),
+			"executor":     s.executor.Refused(),
+			"claimkeeper":  s.claims.Refused(),
+			"sheetkeeper":  s.sheets.Refused(),
+			"memberkeeper": s.members.Refused(),
+		},
 		Traffic: adminserver.TrafficStatus{
 			Links:           s.links.Links(),
 			RequestSent:     traffic.RequestSent,
--- a/operator/command/node_test.go
+++ b/operator/command/node_test.go
@@ -213,7 +213,7 @@
 "local":{"service":"a","state":"ready","limit":4,"slots":8,"crashes":3,"suspect_requests":2,"quarantined_requests":1,"levels":[1,0.25],"sheds":[{"rank":1,"kind":"overloaded","count":9}],"queue":[{"rank":0,"started":4,"wait_seconds":0.1}]},
 "shards":[{"shard":0,"epoch":3,"holder":"n1","standby":"","complete_from":2}],
 "requests":{"refused":[{"rank":1,"kind":"expired","count":2}],"retries":5,"late_answers":6},
-"traffic":{"links":2,"control_sent_bytes":1024}}`
+"traffic":{"links":2,"control_sent_bytes":1024},"refused_by_duty":{"executor":8,"claimkeeper":0}}`
 }
 
 func serveStatus(t *testing.T, node string) string {
@@ -249,7 +249,7 @@
 		"queue\tn1\t0\t4\t25ms",
 		"request\tn1\t0\t0\t5\t0\t0\t6\t0\t0",
 		"shard\tnorth\t0\t3\tn1\t-\t2",
-		"link\tn1\tadaptive\t7\tyes\t500ms ago\t2\t1024 B\t0 B\t0 B\t0 B",
+		"link\tn1\tadaptive\t7\tyes\t500ms ago\t2\t1024 B\t0 B\t0 B\t0 B\texecutor:8",
 	} {
 		is.True(strings.Contains(stdout, line+"\n"))
 	}
--- a/operator/command/status/sections.go
+++ b/operator/command/status/sections.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"maps"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -170,12 +172,12 @@
 func links(answered []nodeclient.Status) section {
 	s := section{
 		name: "link", title: "Log and links",
-		header: []string{"node", "control", "sheet", "follows log", "log contact", "links", "control sent", "control received", "request sent", "request received"},
+		header: []string{"node", "control", "sheet", "follows log", "log contact", "links", "control sent", "control received", "request sent", "request received", "inbox refused"},
 	}
 	for i := range answered {
 		n := answered[i]
 		s.add(n.Node, n.Control, count(n.Sheet.Version), yes(n.Sheet.FollowsLog), contact(n.Sheet), strconv.Itoa(n.Traffic.Links),
-			bytes(n.Traffic.ControlSent), bytes(n.Traffic.ControlReceived), bytes(n.Traffic.RequestSent), bytes(n.Traffic.RequestReceived))
+			bytes(n.Traffic.ControlSent), bytes(n.Traffic.ControlReceived), bytes(n.Traffic.RequestSent), bytes(n.Traffic.RequestReceived), refused(n.Refused))
 	}
 	return s
 }
@@ -187,6 +189,17 @@
 	return seconds(s.LogContactSeconds) + " ago"
 }
 
+// refused has the duties that refused messages, with their numbers.
+func refused(byDuty map[string]uint64) string {
+	var out []string
+	for _, duty := range slices.Sorted(maps.Keys(byDuty)) {
+		if n := byDuty[duty]; n > 0 {
+			out = append(out, duty+":"+count(n))
+		}
+	}
+	return strings.Join(out, " ")
+}
+
 func levels(ls []float64) string {
 	out := make([]string, 0, len(ls))
 	for _, l := range ls {
--- a/operator/nodeclient/status.go
+++ b/operator/nodeclient/status.go
@@ -14,6 +14,8 @@
 	Shards     []Shard   `json:"shards"`
 	Requests   Requests  `json:"requests"`
 	Traffic    Traffic   `json:"traffic"`
+	// Refused counts the messages that found no room in the inbox of each duty.
+	Refused map[string]uint64 `json:"refused_by_duty"`
 }
 
 // Sheet tells which sheet is in force.
