node: tick idle duties less often

Four duties ticked 10 to 50 times a second and each tick of the executor passed the endpoint on to membership, which rebuilt its view.

--- a/cassiatally/runner/runner.go
+++ b/cassiatally/runner/runner.go
@@ -142,6 +142,9 @@
 // Idle reports whether no run is in flight.
 func (r *Runner) Idle() bool { return r.running == 0 }
 
+// Queued returns the calls in the queue.
+func (r *Runner) Queued() int { return r.admitter.Len() }
+
 // Running returns the runs in flight.
 func (r *Runner) Running() int { return r.running }
 
--- a/node/claimkeeper/claimkeeper.go
+++ b/node/claimkeeper/claimkeeper.go
@@ -30,7 +30,7 @@
 	inboxSize = 4096
 	// resultReserve keeps places for the results of runs.
 	resultReserve = 1024
-	tickEvery     = 50 * time.Millisecond
+	tickEvery     = 100 * time.Millisecond
 	appendRing    = 64
 	// pullPause bounds how often a table is asked for.
 	pullPause = 500 * time.Millisecond
--- a/node/dispatcher/dispatcher.go
+++ b/node/dispatcher/dispatcher.go
@@ -27,7 +27,8 @@
 	// answerReserve keeps places for answers, which complete work, when requests
 	// fill the ring.
 	answerReserve = 1024
-	tickEvery     = 20 * time.Millisecond
+	// tickEvery bounds what the router's own wake times do not: counts and queries.
+	tickEvery = 100 * time.Millisecond
 )
 
 // Reply takes the answer to a submitted request.
--- a/node/executor/executor.go
+++ b/node/executor/executor.go
@@ -27,8 +27,12 @@
 	// resultReserve keeps places for results, which complete work, when calls fill
 	// the ring.
 	resultReserve = 1024
-	tickEvery     = 20 * time.Millisecond
-	markEvery     = time.Second
+	// tickEvery updates levels and reports; queueTick applies while calls are
+	// queued, so that they are dropped soon after they have become hopeless. A
+	// node at rest would spend most of its processor time on ticks otherwise.
+	tickEvery = 100 * time.Millisecond
+	queueTick = 20 * time.Millisecond
+	markEvery = time.Second
 	// MaxWorkers bounds the calls to one backend server.
 	MaxWorkers = 1024
 	// announceTTL is how long an announcement of the backend server holds.
@@ -73,9 +77,11 @@
 	ctx     context.Context
 	cancel  context.CancelFunc
 	state   cassiatally.EndpointState
-	running atomic.Int64
-	counts  atomic.Pointer[runner.Counts]
-	marked  atomic.Pointer[marked]
+	// ticked and reported are when the last tick and the last report were.
+	ticked, reported cassiatally.Instant
+	running          atomic.Int64
+	counts           atomic.Pointer[runner.Counts]
+	marked           atomic.Pointer[marked]
 	// markNext is when the suspects are counted next.
 	markNext cassiatally.Instant
 }
@@ -138,6 +144,9 @@
 		Handle: func(now cassiatally.Instant, e event) { e.apply(x, now) },
 		Tick:   x.tick,
 		Every:  tickEvery,
+		NextWake: func() (cassiatally.Instant, bool) {
+			return x.ticked.Add(queueTick), x.Runner.Queued() > 0
+		},
 	}
 	x.duty.Run()
 }
@@ -209,11 +218,15 @@
 }
 
 func (x *Executor) tick(now cassiatally.Instant) {
+	x.ticked = now
 	x.carryOut(now, x.Runner.Tick(now))
-	x.report(now)
+	if now.Sub(x.reported) >= tickEvery {
+		x.report(now)
+	}
 }
 
 func (x *Executor) report(now cassiatally.Instant) {
+	x.reported = now
 	e := x.Runner.Endpoint()
 	x.running.Store(int64(x.Runner.Running()))
 	counts := x.Runner.Counts()
