linker: send heartbeats without answers and close idle links sooner

Cause: a profile of a node at rest among 32 showed most of its processor time in reading and writing heartbeats. Each end sent a ping twice a second and answered each ping, on about 24 open links. Change: each end's own heartbeats prove that it is alive, so pings are no longer answered; links that carried only control messages close after 1 s.

--- a/cassiatally/message.go
+++ b/cassiatally/message.go
@@ -12,12 +12,9 @@
 	Address    Address
 }
 
-// Ping asks the other end of a link for a Pong.
+// Ping is the heartbeat that an end of a link sends when it has sent nothing else.
 type Ping struct{ Seq uint64 }
 
-// Pong answers a Ping.
-type Pong struct{ Seq uint64 }
-
 // Stage tells what a Call asks of the node that receives it.
 type Stage uint8
 
@@ -274,7 +271,6 @@
 
 func (Hello) message()       {}
 func (Ping) message()        {}
-func (Pong) message()        {}
 func (Call) message()        {}
 func (Answer) message()      {}
 func (Cancel) message()      {}
--- a/cassiatally/protocol/types.go
+++ b/cassiatally/protocol/types.go
@@ -13,7 +13,7 @@
 	typeNone messageType = iota
 	typeHello
 	typePing
-	typePong
+	_ // 3 was an answer to typePing
 	typeCall
 	typeAnswer
 	typeCancel
@@ -35,8 +35,6 @@
 		return typeHello, toHello(m)
 	case cassiatally.Ping:
 		return typePing, toPing(m)
-	case cassiatally.Pong:
-		return typePong, toPong(m)
 	case cassiatally.Call:
 		return typeCall, toCall(m)
 	case cassiatally.Answer:
@@ -73,7 +71,6 @@
 var decoders = map[messageType]decoder{
 	typeHello:       decodeWith(fromHello),
 	typePing:        decodeWith(fromPing),
-	typePong:        decodeWith(fromPong),
 	typeCall:        decodeWith(fromCall),
 	typeAnswer:      decodeWith(fromAnswer),
 	typeCancel:      decodeWith(fromCancel),
--- a/cassiatally/protocol/wire.go
+++ b/cassiatally/protocol/wire.go
@@ -257,14 +257,6 @@
 
 func fromPing(w wirePing) cassiatally.Ping { return cassiatally.Ping(w) }
 
-type wirePong struct {
-	Seq uint64 `cbor:"1,keyasint,omitempty"`
-}
-
-func toPong(m cassiatally.Pong) wirePong { return wirePong(m) }
-
-func fromPong(w wirePong) cassiatally.Pong { return cassiatally.Pong(w) }
-
 type wireCall struct {
 	ID         wireCallID             `cbor:"1,keyasint,omitempty"`
 	Stage      cassiatally.Stage      `cbor:"2,keyasint,omitempty"`
--- a/node/linker/link.go
+++ b/node/linker/link.go
@@ -29,7 +29,6 @@
 	// lastRequest and lastControl are when a message of a request, or any other but
 	// a heartbeat, was last sent or received.
 	lastRequest, lastControl atomic.Int64
-	pong                     chan uint64
 
 	mu   sync.Mutex
 	conn *websocket.Conn
@@ -45,7 +44,6 @@
 		outbox:   ring.New[cassiatally.Message](l.RingSize, ring.RefuseNewest),
 		ctx:      ctx,
 		cancel:   cancel,
-		pong:     make(chan uint64, 1),
 	}
 	k.lastControl.Store(time.Now().UnixNano())
 	return k
@@ -114,10 +112,6 @@
 				return
 			}
 			wrote = true
-		case n := <-k.pong:
-			if k.writeFrame(k.ctx, cassiatally.Pong{Seq: n}) != nil {
-				return
-			}
 		case <-beat.C:
 			if k.idle() {
 				k.end("idle")
@@ -221,12 +215,7 @@
 
 func (k *link) handle(m cassiatally.Message) {
 	switch m := m.(type) {
-	case cassiatally.Ping:
-		select {
-		case k.pong <- m.Seq:
-		default:
-		}
-	case cassiatally.Pong, cassiatally.Hello:
+	case cassiatally.Ping, cassiatally.Hello:
 	default:
 		k.touch(m)
 		k.owner.Inbound(k.peer, m)
--- a/node/linker/linker.go
+++ b/node/linker/linker.go
@@ -44,7 +44,7 @@
 	// flight. controlIdle is short, since gossip picks other nodes each round and
 	// each open link costs heartbeats.
 	requestIdle = time.Minute
-	controlIdle = 3 * time.Second
+	controlIdle = time.Second
 	// linkPath is where nodes accept links.
 	linkPath = "/v1/link"
 	// dataCentreHeader names the data centre of the node that opens a link, so that
