standin: cut connections in an answer, announce the address of a proxy

Cause: No fault cut the connection between node and backend server in the middle of an answer. Change: A route of the fault proxy can cut its connections after a number of bytes from the target. A backend server can announce another address than its own.

--- a/scenarios/route_test.go
+++ b/scenarios/route_test.go
@@ -42,3 +42,20 @@
 	ts.Check(json.NewDecoder(resp.Body).Decode(&answer))
 	return answer
 }
+
+// cmdRoute adds a route of the fault proxy FAULTS and puts its address into a
+// variable:
+//
+//	route VARIABLE NAME [TARGET]
+//
+// Without a target, connections are refused until the route is given one.
+func cmdRoute(ts *testscript.TestScript, neg bool, args []string) {
+	if neg || len(args) < 2 {
+		ts.Fatalf("usage: route VARIABLE NAME [TARGET]")
+	}
+	faults := ts.Getenv("FAULTS")
+	ts.Setenv(args[0], addRoute(ts, faults, args[1]))
+	if len(args) > 2 {
+		changeRoute(ts, faults, args[1], args[2])
+	}
+}
--- a/scenarios/scenarios_test.go
+++ b/scenarios/scenarios_test.go
@@ -73,6 +73,9 @@
 			"await":    cmdAwait,
 			"shard":    cmdShard,
 			"runs":     cmdRuns,
+			"route":    cmdRoute,
+			"counter":  cmdCounter,
+			"growth":   cmdGrowth,
 		},
 	})
 }
--- a/standin/command/backendcommand/announcement.go
+++ b/standin/command/backendcommand/announcement.go
@@ -26,6 +26,9 @@
 
 func newAnnouncement(o Options, address cassiatally.Address, client *http.Client, logger *log.Logger) *announcement {
 	a := &announcement{logger: logger}
+	if o.Advertise != "" {
+		address = cassiatally.Address(o.Advertise)
+	}
 	a.truth = announcer.Announcement{
 		Service: cassiatally.Service(o.Service), Address: address,
 		Slots: cassiatally.Concurrency(o.Slots), Connections: cassiatally.Concurrency(o.Connections),
--- a/standin/command/backendcommand/backendcommand.go
+++ b/standin/command/backendcommand/backendcommand.go
@@ -42,6 +42,7 @@
 // Options are the flags of the command.
 type Options struct {
 	Listen        string
+	Advertise     string
 	Service       string
 	Node          string
 	Recorder      string
@@ -76,6 +77,7 @@
 	s := c.Subcommand
 	s.Description = "Serve the requests of one service"
 	s.String(&o.Listen, "", "listen", "address to listen on")
+	s.String(&o.Advertise, "", "advertise", "address to announce in place of the own one, such as that of a fault proxy")
 	s.String(&o.Service, "", "service", "name of the service")
 	s.String(&o.Node, "", "node", "URL of the node's address for backend servers")
 	s.String(&o.Recorder, "", "recorder", "URL of the recorder that keeps the runs")
--- a/standin/faultproxy/faultproxy.go
+++ b/standin/faultproxy/faultproxy.go
@@ -76,6 +76,9 @@
 	Matching string
 	// Target is where new connections go from now on; empty keeps the target.
 	Target cassiatally.Address
+	// CutDown closes each connection that is opened from now on once that many
+	// bytes have come from the target; zero lifts it. Nil keeps what is in force.
+	CutDown *int64
 	// ExistingOnly applies the mode to the connections that are open now, for
 	// good, and leaves the mode of new connections as it is.
 	ExistingOnly bool
@@ -102,6 +105,7 @@
 	listener  net.Listener
 	owner     *owner.Owner[state]
 	delay     atomic.Int64
+	cutDown   atomic.Int64
 	bytesUp   atomic.Uint64
 	bytesDown atomic.Uint64
 	ctx       context.Context
@@ -164,6 +168,9 @@
 	if c.Delay != nil {
 		p.delay.Store(int64(*c.Delay))
 	}
+	if c.CutDown != nil {
+		p.cutDown.Store(*c.CutDown)
+	}
 	return p.owner.Do(ctx, func(s *state) { s.apply(c) })
 }
 
--- a/standin/faultproxy/faultproxy_test.go
+++ b/standin/faultproxy/faultproxy_test.go
@@ -237,3 +237,19 @@
 	near, far := connect(t, p, conns)
 	is.True(passes(t, near, far, generous))
 }
+
+// Guards against an answer that passes whole when it was to be cut.
+func TestCutDown(t *testing.T) {
+	is := is.New(t)
+	p, conns := startProxy(t)
+	limit := int64(3)
+	is.NoErr(p.Apply(t.Context(), faultproxy.Change{CutDown: &limit}))
+	near, far := connect(t, p, conns)
+	is.True(passes(t, near, far, generous))
+	_, err := far.Write([]byte("answer"))
+	is.NoErr(err)
+	_ = near.SetReadDeadline(time.Now().Add(generous))
+	got, err := io.ReadAll(near)
+	is.True(err != nil)
+	is.True(len(got) <= int(limit))
+}
--- a/standin/faultproxy/link.go
+++ b/standin/faultproxy/link.go
@@ -21,6 +21,9 @@
 	ringCapacity = 64
 )
 
+// errCut ends a connection that was to be cut after a number of bytes.
+var errCut = errors.New("the connection was cut as asked for")
+
 // link is one connection through the proxy.
 type link struct {
 	ctx    context.Context
@@ -47,6 +50,8 @@
 	gate     *gate.Gate
 	bytes    *atomic.Uint64
 	ring     *ring.Ring[chunk]
+	// left, if positive, is how many bytes may still pass before the link is cut.
+	left int64
 	// first, if set, is called with the first data before it is passed on.
 	first func(data []byte)
 }
@@ -84,6 +89,7 @@
 	up := &pipe{from: l.near, to: far, gate: l.up, bytes: &p.bytesUp, ring: ring.New[chunk](ringCapacity, ring.Wait)}
 	up.first = func(data []byte) { p.identify(l, data) }
 	down := &pipe{from: far, to: l.near, gate: l.down, bytes: &p.bytesDown, ring: ring.New[chunk](ringCapacity, ring.Wait)}
+	down.left = p.cutDown.Load()
 	var wg sync.WaitGroup
 	for _, d := range []*pipe{up, down} {
 		wg.Go(func() { d.read(l.ctx, &p.delay) })
@@ -139,10 +145,18 @@
 
 func (d *pipe) deliver(c chunk) error {
 	if len(c.data) > 0 {
+		cut := d.left > 0 && int64(len(c.data)) >= d.left
+		if cut {
+			c.data = c.data[:d.left]
+		}
 		if _, err := d.to.Write(c.data); err != nil {
 			return errors.Wrap(err, "passing data on")
 		}
 		d.bytes.Add(uint64(len(c.data)))
+		d.left -= int64(len(c.data))
+		if cut {
+			return errCut
+		}
 	}
 	if c.err == nil {
 		return nil
--- a/standin/faultserver/faultserver.go
+++ b/standin/faultserver/faultserver.go
@@ -56,7 +56,8 @@
 	Mode         faultproxy.Mode `json:"mode"`
 	Delay        *string         `json:"delay"`
 	ExistingOnly bool            `json:"existing_only"`
-	// Matching and Target are those of faultproxy.Change.
+	// CutDown, Matching and Target are those of faultproxy.Change.
+	CutDown  *int64              `json:"cut_down"`
 	Matching string              `json:"matching"`
 	Target   cassiatally.Address `json:"target"`
 }
@@ -232,7 +233,7 @@
 }
 
 func (b changeBody) decode() (faultproxy.Change, error) {
-	change := faultproxy.Change{Mode: b.Mode, ExistingOnly: b.ExistingOnly, Matching: b.Matching, Target: b.Target}
+	change := faultproxy.Change{Mode: b.Mode, ExistingOnly: b.ExistingOnly, CutDown: b.CutDown, Matching: b.Matching, Target: b.Target}
 	if b.Mode != "" && !b.Mode.Valid() {
 		return change, errors.New("mode is not one of pass, cut, silent, one_way_up, one_way_down, refuse")
 	}
