--- a/operator/flagparser/parser.go
+++ b/cassiatally/flagparser/parser.go
@@ -8,7 +8,7 @@
 //
 // # Usage
 //
-//	p := flagparser.New("sheet check")
+//	p := flagparser.New("cassiatally sheet check")
 //	p.Positional(&file, "FILE", "the sheet", true)
 //	p.Flags.Bool(&json, "", "json", "print JSON")
 //	help, err := p.Parse(args)
@@ -17,6 +17,7 @@
 import (
 	"fmt"
 	"strings"
+	"sync"
 	"text/template"
 
 	"github.com/integrii/flaggy"
@@ -29,6 +30,9 @@
 	flaggy.PanicInsteadOfExit = true
 }
 
+// parsing guards the state that flaggy keeps in its package.
+var parsing sync.Mutex
+
 // Parser parses the arguments of one command once.
 type Parser struct {
 	// Flags takes the flags of the command.
@@ -39,7 +43,8 @@
 	positions int
 }
 
-// New returns a parser for the command, which has the flag --help.
+// New returns a parser for the command, named with its program, which has the
+// flag --help.
 func New(command string) *Parser {
 	p := &Parser{Flags: flaggy.NewParser(command)}
 	p.Flags.ShowHelpWithHFlag = false
@@ -67,6 +72,8 @@
 
 // Parse sets the flags and reports whether help was asked for.
 func (p *Parser) Parse(args []string) (help bool, err error) {
+	parsing.Lock()
+	defer parsing.Unlock()
 	defer func() {
 		if r := recover(); r != nil {
 			help, err = false, p.usage(fmt.Sprint(r))
@@ -94,7 +101,7 @@
 	if p.message != "" {
 		message = p.message
 	}
-	return cassiatally.NewError(cassiatally.KindUsage, "%s; see cassiatally %s --help", strings.TrimSpace(message), p.Flags.Name)
+	return cassiatally.NewError(cassiatally.KindUsage, "%s; see %s --help", strings.TrimSpace(message), p.Flags.Name)
 }
 
 // Describe returns one line for each flag.
--- a/node/claimkeeper/claimkeeper.go
+++ b/node/claimkeeper/claimkeeper.go
@@ -16,8 +16,6 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/charmbracelet/log"
-
 	"github.com/cassiatally/cassiatally/cassiatally"
 	"github.com/cassiatally/cassiatally/cassiatally/assigner"
 	"github.com/cassiatally/cassiatally/cassiatally/claimer"
@@ -25,6 +23,7 @@
 	"github.com/cassiatally/cassiatally/cassiatally/protocol"
 	"github.com/cassiatally/cassiatally/cassiatally/registrar"
 	"github.com/cassiatally/cassiatally/cassiatally/ring"
+	"github.com/cassiatally/cassiatally/node/loglimiter"
 )
 
 const (
@@ -59,7 +58,7 @@
 	Requests   Requests
 	Log        cassiatally.Log
 	Codec      *protocol.Codec
-	Logger     *log.Logger
+	Logger     loglimiter.Logger
 	NextID     func() cassiatally.CallID
 	// Retries is the retry budget of a claimed request.
 	Retries cassiatally.RetryCount
@@ -103,6 +102,12 @@
 	k.helpers.Go(k.serveAppends)
 }
 
+// Refused returns how many messages found no room in the inbox.
+func (k *Keeper) Refused() uint64 {
+	refused, _ := k.inbox.Lost()
+	return refused
+}
+
 // Close stops the duty and its helpers and waits for them.
 func (k *Keeper) Close() {
 	k.cancel()
--- a/node/dispatcher/dispatcher.go
+++ b/node/dispatcher/dispatcher.go
@@ -87,6 +87,8 @@
 // EndpointLevels are the levels that gossip reports for one endpoint.
 type EndpointLevels struct {
 	Node cassiatally.NodeID
+	// At is when the endpoint had these levels.
+	At   cassiatally.Instant
 	Load cassiatally.ServiceLoad
 }
 
@@ -107,6 +109,12 @@
 	d.duty.Run()
 }
 
+// Refused returns how many messages found no room in the inbox.
+func (d *Dispatcher) Refused() uint64 {
+	refused, _ := d.inbox.Lost()
+	return refused
+}
+
 // Close stops the duty and waits for it.
 func (d *Dispatcher) Close() { d.duty.Close() }
 
@@ -194,7 +202,7 @@
 func (e endpointsEvent) apply(d *Dispatcher, now cassiatally.Instant) {
 	d.Balancer.Update(now, e.candidates)
 	for _, l := range e.loads {
-		d.Loads.Observe(now, l.Node, l.Load)
+		d.Loads.Observe(l.At, l.Node, l.Load)
 	}
 }
 
--- a/node/memberkeeper/memberkeeper.go
+++ b/node/memberkeeper/memberkeeper.go
@@ -14,12 +14,11 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/charmbracelet/log"
-
 	"github.com/cassiatally/cassiatally/cassiatally"
 	"github.com/cassiatally/cassiatally/cassiatally/looper"
 	"github.com/cassiatally/cassiatally/cassiatally/registrar"
 	"github.com/cassiatally/cassiatally/cassiatally/ring"
+	"github.com/cassiatally/cassiatally/node/loglimiter"
 )
 
 const (
@@ -38,7 +37,7 @@
 	Registrar *registrar.Registrar
 	Clock     cassiatally.Clock
 	Links     Links
-	Logger    *log.Logger
+	Logger    loglimiter.Logger
 	// OnView is called by the duty with each new view; it must not block.
 	OnView func(*registrar.View)
 	// OnGossip is called by the duty with what gossip carries besides members; it
@@ -84,6 +83,12 @@
 	k.duty.Run()
 }
 
+// Refused returns how many messages found no room in the inbox.
+func (k *Keeper) Refused() uint64 {
+	refused, _ := k.inbox.Lost()
+	return refused
+}
+
 // Close stops the duty and waits for it.
 func (k *Keeper) Close() { k.duty.Close() }
 
@@ -152,7 +157,7 @@
 
 func (e endpointEvent) apply(k *Keeper, now cassiatally.Instant) {
 	k.carryOut(k.Registrar.SetEndpoint(now, e.endpoint))
-	k.Registrar.SetCrashes(e.crashes)
+	k.carryOut(k.Registrar.SetCrashes(e.crashes))
 }
 
 func (e sheetEvent) apply(k *Keeper, now cassiatally.Instant) {
--- a/node/sheetkeeper/sheetkeeper.go
+++ b/node/sheetkeeper/sheetkeeper.go
@@ -17,8 +17,6 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/charmbracelet/log"
-
 	"github.com/cassiatally/cassiatally/cassiatally"
 	"github.com/cassiatally/cassiatally/cassiatally/follower"
 	"github.com/cassiatally/cassiatally/cassiatally/looper"
@@ -27,6 +25,7 @@
 	"github.com/cassiatally/cassiatally/cassiatally/registrar"
 	"github.com/cassiatally/cassiatally/cassiatally/ring"
 	"github.com/cassiatally/cassiatally/cassiatally/sheetparser"
+	"github.com/cassiatally/cassiatally/node/loglimiter"
 )
 
 const (
@@ -51,7 +50,7 @@
 	Transport cassiatally.Transport
 	Log       cassiatally.Log
 	Codec     *protocol.Codec
-	Logger    *log.Logger
+	Logger    loglimiter.Logger
 	// OnSheet is called by the duty with each sheet that comes into force; it must
 	// not block.
 	OnSheet func(*ranker.Ranker)
@@ -104,6 +103,12 @@
 	k.helpers.Go(k.serveAppends)
 }
 
+// Refused returns how many messages found no room in the inbox.
+func (k *Keeper) Refused() uint64 {
+	refused, _ := k.inbox.Lost()
+	return refused
+}
+
 // Close stops the duty and its helpers and waits for them.
 func (k *Keeper) Close() {
 	k.cancel()
--- a/scenarios/fleet_test.go
+++ b/scenarios/fleet_test.go
@@ -33,10 +33,13 @@
 type fleet struct {
 	env       *testscript.Env
 	processes map[string]*process
+	versions  *versionWatch
+	keepers   map[string]*keeper
 	// links has the address of each node that was started, by name.
 	links map[string]string
 	// sendings has the requests that a script does not wait for yet.
-	sendings map[string]chan sent
+	sendings    map[string]chan sent
+	insistences map[string]*insistence
 }
 
 type process struct {
@@ -47,13 +50,19 @@
 func newFleet(env *testscript.Env) *fleet {
 	return &fleet{
 		env: env, processes: make(map[string]*process),
+		versions: newVersionWatch(), keepers: make(map[string]*keeper),
 		links: make(map[string]string), sendings: make(map[string]chan sent),
+		insistences: make(map[string]*insistence),
 	}
 }
 
 func fleetOf(ts *testscript.TestScript) *fleet { return ts.Value(fleetKey{}).(*fleet) }
 
 func (f *fleet) killAll() {
+	f.versions.close()
+	for _, k := range f.keepers {
+		k.close()
+	}
 	for _, p := range f.processes {
 		_ = p.cmd.Process.Signal(syscall.SIGCONT)
 		_ = p.cmd.Process.Kill()
--- a/scenarios/runs_test.go
+++ b/scenarios/ran_test.go
@@ -7,12 +7,12 @@
 	"github.com/rogpeppe/go-internal/testscript"
 )
 
-// cmdRuns fails unless backend servers began a request the given number of times:
+// cmdRan fails unless backend servers began a request the given number of times:
 //
-//	runs RECORDER-ADDRESS ID COUNT
-func cmdRuns(ts *testscript.TestScript, neg bool, args []string) {
+//	ran RECORDER-ADDRESS ID COUNT
+func cmdRan(ts *testscript.TestScript, neg bool, args []string) {
 	if neg || len(args) != 3 {
-		ts.Fatalf("usage: runs RECORDER-ADDRESS ID COUNT")
+		ts.Fatalf("usage: ran RECORDER-ADDRESS ID COUNT")
 	}
 	body, err := fetch("http://" + args[0] + "/v1/runs")
 	ts.Check(err)
@@ -28,7 +28,7 @@
 			count++
 		}
 	}
-	ts.Logf("runs id=%s count=%d", args[1], count)
+	ts.Logf("ran id=%s count=%d", args[1], count)
 	if strconv.Itoa(count) != args[2] {
 		ts.Fatalf("%s ran %d times, not %s", args[1], count, args[2])
 	}
