--- a/scenarios/scenarios_test.go
+++ b/scenarios/scenarios_test.go
@@ -66,6 +66,9 @@
 		"await":    cmdAwait,
 		"shard":    cmdShard,
 		"ran":      cmdRan,
+		"route":    cmdRoute,
+		"counter":  cmdCounter,
+		"growth":   cmdGrowth,
 	}
 	maps.Copy(cmds, evidenceCommands())
 	testscript.Run(t, testscript.Params{
