runner: let suspects wait for each other

Cause: In the scenario `crashes` innocent requests that were in flight in a crash were told `unknown`, `overloaded` (1, 2 and 1 of 434 in three of nine runs): their retry met another suspect and was refused, which used up their retry budget. Change: A suspect waits outside the queue until no other one is queued or running (at most 64; more are refused as before), or until its deadline passes or it is quarantined. TestCrash asserted the refusal; it now asserts that the second and third suspect wait, that the second starts when the first ends, and that the third expires behind it. `go test ./runner` passes.

--- a/cassiatally/runner/result.go
+++ b/cassiatally/runner/result.go
@@ -51,7 +51,7 @@
 		r.countShed(rec.call.Rank, a.Kind)
 	}
 	actions = r.conclude(actions, now, rec, a)
-	return r.pump(now, actions)
+	return r.pump(now, r.releaseHeld(actions, now))
 }
 
 func (r *Runner) observe(now cassiatally.Instant, rec *record, res Result) {
--- a/cassiatally/runner/runner.go
+++ b/cassiatally/runner/runner.go
@@ -34,10 +34,14 @@
 	keepFinished = 10 * time.Second
 	// maxFinished bounds the finished and voided calls that are kept.
 	maxFinished = 4096
+	// maxHeld bounds the suspects that wait for another one to end.
+	maxHeld = 64
 	// crashWindow joins broken connections of one crash.
 	crashWindow = 200 * time.Millisecond
 )
 
+const quarantinedDetail = "this request crashed backend servers; do not send it again"
+
 type phase uint8
 
 const (
@@ -58,8 +62,10 @@
 	ended       cassiatally.Instant
 	concurrency cassiatally.Concurrency
 	cancelled   bool
-	answer      cassiatally.Answer
-	children    children
+	// held is set while the call waits outside the queue for another suspect.
+	held     bool
+	answer   cassiatally.Answer
+	children children
 }
 
 // Runner owns the calls at one backend server.
@@ -76,6 +82,7 @@
 	records   map[cassiatally.CallID]*record
 	childRuns map[cassiatally.CallID]childRef
 	finished  []cassiatally.CallID
+	held      []cassiatally.CallID
 	running   int
 	crashedAt cassiatally.Instant
 	crashed   bool
@@ -175,7 +182,18 @@
 		queued:      now,
 	}
 	rec.children.left = c.Retries
+	rec.held = r.quarantine.Suspect(now, rec.fingerprint) && (len(r.held) > 0 || r.suspectRunning(now))
 	r.records[c.ID] = rec
+	if rec.held {
+		r.held = append(r.held, c.ID)
+		return nil
+	}
+	return r.pump(now, r.offer(nil, now, rec))
+}
+
+// offer puts a call into the queue.
+func (r *Runner) offer(actions []cassiatally.Action, now cassiatally.Instant, rec *record) []cassiatally.Action {
+	c := rec.call
 	dropped := r.admitter.Offer(now, cassiatally.Entry{
 		ID:       c.ID,
 		Rank:     c.Rank,
@@ -185,7 +203,30 @@
 		Deadline: rec.deadline,
 		Onward:   c.Depth > 0,
 	})
-	return r.pump(now, r.drop(nil, dropped))
+	return r.drop(actions, dropped)
+}
+
+// releaseHeld queues the next suspect once no other one is queued or running. A
+// refusal instead would use up the retries of innocent requests that were in
+// flight in a crash.
+func (r *Runner) releaseHeld(actions []cassiatally.Action, now cassiatally.Instant) []cassiatally.Action {
+	for len(r.held) > 0 {
+		rec, ok := r.records[r.held[0]]
+		switch {
+		case !ok || rec.phase != phaseQueued:
+		case r.quarantine.Blocked(now, rec.fingerprint):
+			actions = r.conclude(actions, now, rec, notRun(rec.call.ID, cassiatally.KindQuarantined, quarantinedDetail))
+		case now.Reached(rec.deadline):
+			actions = r.conclude(actions, now, rec, notRun(rec.call.ID, cassiatally.KindExpired, "the deadline passed behind a request that may crash the backend server"))
+		case r.suspectRunning(now):
+			return actions
+		default:
+			rec.held = false
+			actions = r.offer(actions, now, rec)
+		}
+		r.held = r.held[1:]
+	}
+	return actions
 }
 
 func (r *Runner) refusal(now cassiatally.Instant, c cassiatally.Call) (cassiatally.ErrorKind, string) {
@@ -200,9 +241,9 @@
 	f := cassiatally.FingerprintOf(c.Service, c.Work, c.Body)
 	switch {
 	case r.quarantine.Blocked(now, f):
-		return cassiatally.KindQuarantined, "this request crashed backend servers; do not send it again"
-	case r.quarantine.Suspect(now, f) && r.suspectRunning(now):
-		return cassiatally.KindOverloaded, "another request that may crash the backend server is running"
+		return cassiatally.KindQuarantined, quarantinedDetail
+	case r.quarantine.Suspect(now, f) && len(r.held) >= maxHeld:
+		return cassiatally.KindOverloaded, "too many requests that may crash the backend server wait"
 	}
 	return cassiatally.KindNone, ""
 }
@@ -212,7 +253,7 @@
 // a single one of them.
 func (r *Runner) suspectRunning(now cassiatally.Instant) bool {
 	for _, rec := range r.records {
-		if rec.phase <= phaseRunning && r.quarantine.Suspect(now, rec.fingerprint) {
+		if rec.phase <= phaseRunning && !rec.held && r.quarantine.Suspect(now, rec.fingerprint) {
 			return true
 		}
 	}
@@ -276,7 +317,7 @@
 	}
 	r.forget(now)
 	r.admitter.Tick(now, r.limiter.Limit())
-	return r.pump(now, actions)
+	return r.pump(now, r.releaseHeld(actions, now))
 }
 
 func (r *Runner) forget(now cassiatally.Instant) {
--- a/cassiatally/runner/runner_test.go
+++ b/cassiatally/runner/runner_test.go
@@ -189,8 +189,17 @@
 		h.quarantine.suspect[f] = true
 	}
 	is.Equal(len(started(h.HandleCall(start, entry, call(3, "poison")))), 1)
-	is.Equal(answers(h.HandleCall(start, entry, call(4, "innocent")))[0].Kind, cassiatally.KindOverloaded)
+	is.Equal(len(h.HandleCall(start, entry, call(4, "innocent"))), 0) // waits
+	is.Equal(len(h.HandleCall(start, entry, call(7, "innocent"))), 0)
+	is.Equal(len(started(h.Tick(start))), 0)
 	is.Equal(len(started(h.HandleCall(start, entry, call(5, "unrelated")))), 1)
+	done := runner.Result{Kind: runner.ResultAnswered, Status: 200}
+	is.Equal(started(h.Finished(start, call(3, "").ID, done)), []cassiatally.CallID{call(4, "").ID})
+	is.Equal(len(answers(h.Tick(start))), 0)
+	late := answers(h.Tick(start.Add(2 * time.Second)))
+	is.Equal(len(late), 1) // its deadline passed behind the suspect that still runs
+	is.Equal(late[0].ID, call(7, "").ID)
+	is.Equal(late[0].Kind, cassiatally.KindExpired)
 
 	h.quarantine.blocked[cassiatally.FingerprintOf("depot-svc", "reserve", []byte("poison"))] = true
 	is.Equal(answers(h.HandleCall(start, entry, call(6, "poison")))[0].Kind, cassiatally.KindQuarantined)
