bench: start a fleet again when a port was taken

Ports are reserved before the processes start, so another program of the shared machine can take one. The recovery after a lost data centre was 0 s where goodput fell later.

Change: A fleet that does not start is started again, up to three times, and the error has the last line of the log. New rows tell after which time the level before a disturbance holds for good.

Measured: go test ./measurer ./launcher passes.

--- a/bench/experimenter/experimenter.go
+++ b/bench/experimenter/experimenter.go
@@ -31,6 +31,11 @@
 	"github.com/cassiatally/cassiatally/standin/core"
 )
 
+// startTries bounds the starts of a fleet.
+const startTries = 3
+
+var errNotStarted = errors.New("the fleet did not start")
+
 // Mode is one way to run the nodes.
 type Mode struct {
 	Name    observation.Mode
@@ -78,8 +83,20 @@
 	return all, nil
 }
 
-// runOn runs scenarios on one fleet, which it ends.
+// runOn runs scenarios on one fleet. A fleet that does not start is started again,
+// since another program of the machine can take a reserved port.
 func (e *Experimenter) runOn(ctx context.Context, m Mode, group []scenario.Scenario) ([]observation.Observation, error) {
+	for tries := 1; ; tries++ {
+		seen, err := e.tryOn(ctx, m, group)
+		if !errors.Is(err, errNotStarted) || tries == startTries || ctx.Err() != nil {
+			return seen, err
+		}
+		e.Logger.Warn("fleet not started", "mode", m.Name, "tries", tries, "err", err)
+	}
+}
+
+// tryOn runs scenarios on one fleet, which it ends.
+func (e *Experimenter) tryOn(ctx context.Context, m Mode, group []scenario.Scenario) ([]observation.Observation, error) {
 	folder, err := os.MkdirTemp("", "cassiatally-bench-")
 	if err != nil {
 		return nil, errors.Wrap(err, "making a folder for logs")
@@ -90,7 +107,7 @@
 	defer l.Close()
 	p, err := e.start(ctx, m, l, folder, group)
 	if err != nil {
-		return nil, err
+		return nil, errors.Mark(err, errNotStarted)
 	}
 	var seen []observation.Observation
 	for _, s := range group {
--- a/bench/launcher/launcher_test.go
+++ b/bench/launcher/launcher_test.go
@@ -50,6 +50,7 @@
 	_, err := launch(t, l, "early", "echo no settings >&2; exit 2")
 	is.True(err != nil)
 	is.True(strings.Contains(err.Error(), "early.log"))
+	is.True(strings.Contains(err.Error(), "no settings"))
 	logged, err := os.ReadFile(filepath.Join(folder, "early.log"))
 	is.NoErr(err)
 	is.Equal(string(logged), "no settings\n")
--- a/bench/launcher/process.go
+++ b/bench/launcher/process.go
@@ -99,7 +99,7 @@
 		p.Listening, _ = parseLine(line, "listening ")
 		return nil
 	case <-p.exited:
-		return errors.Newf("%s ended before it listened; see %s", p.Name, p.logFile.Name())
+		return errors.Newf("%s ended before it listened; %s ends with: %s", p.Name, p.logFile.Name(), p.lastLine())
 	case <-timer.C:
 		return errors.Newf("%s did not listen within %v; see %s", p.Name, startLimit, p.logFile.Name())
 	case <-ctx.Done():
@@ -107,6 +107,17 @@
 	}
 }
 
+// lastLine returns the last line of the log, which mostly has the reason for an
+// early end.
+func (p *Process) lastLine() string {
+	data, err := os.ReadFile(p.logFile.Name())
+	if err != nil {
+		return err.Error()
+	}
+	lines := strings.Split(strings.TrimSpace(string(data)), "\n")
+	return lines[len(lines)-1]
+}
+
 func (p *Process) waitExit(ctx context.Context) {
 	select {
 	case <-p.exited:
--- a/bench/measurer/measurer.go
+++ b/bench/measurer/measurer.go
@@ -71,14 +71,17 @@
 		m.flood(o, add)
 	case scenario.Surge:
 		add(BackSurge, Back(o).Seconds())
+		add(StaysSurge, Stays(o).Seconds())
 	case scenario.Slow:
 		add(BackSlow, Back(o).Seconds())
+		add(StaysSlow, Stays(o).Seconds())
 		add(ExecutionsSlow, Executions(o.Runs, m.Deployment))
 		add(WasteSlow, m.Waste(o))
 	case scenario.Unequal:
 		add(GoodputUnequal, Goodput(o, scenario.PhaseUnequal, o.Scenario.Capacity))
 	case scenario.Lost:
 		add(BackLost, Back(o).Seconds())
+		add(StaysLost, Stays(o).Seconds())
 	}
 	return values
 }
@@ -227,6 +230,24 @@
 	return end - o.Scenario.Restored
 }
 
+// Stays returns the time from the end of a disturbance after which no window of
+// the time that was observed falls below the level that Back looks for. It is
+// longer than Back when the level is reached and lost again, as after the loss
+// of a data centre, whose effect begins late.
+func Stays(o observation.Observation) time.Duration {
+	from, to := o.Scenario.Offset(scenario.PhaseBefore)
+	level := partDue(o, from+time.Duration(float64(to-from)*settlePart), to) * backPart
+	_, end := o.Scenario.Offset(scenario.PhaseAfter)
+	stays := end
+	for at := end - backWindow; at >= o.Scenario.Restored; at -= backStep {
+		if part := partDue(o, at, at+backWindow); part < level || part == 0 {
+			break
+		}
+		stays = at
+	}
+	return stays - o.Scenario.Restored
+}
+
 // partDue returns the part of the requests due in a window that were completed
 // in time.
 func partDue(o observation.Observation, from, to time.Duration) float64 {
--- a/bench/measurer/measurer_test.go
+++ b/bench/measurer/measurer_test.go
@@ -126,6 +126,37 @@
 	}
 }
 
+// TestStays guards against a level that is lost again being reported as a lasting
+// recovery.
+func TestStays(t *testing.T) {
+	phases := []loadplan.Phase{phase(scenario.PhaseBefore, 2), phase(scenario.PhaseAfter, 4)}
+	before := steady("before", "usual", 0, 2*time.Second, true)
+	after := func(from, to time.Duration) []collector.Result {
+		all := steady("after", "usual", 2*time.Second, 6*time.Second, true)
+		for i := range all {
+			if at := all[i].At.Sub(epoch); at >= from && at < to {
+				all[i].InTime = false
+			}
+		}
+		return all
+	}
+	cases := map[string]struct {
+		failFrom, failTo time.Duration
+		want             time.Duration
+	}{
+		"never below":                  {0, 0, 0},
+		"below at the beginning":       {2 * time.Second, 3 * time.Second, time.Second},
+		"reached and lost again":       {3 * time.Second, 4 * time.Second, 2 * time.Second},
+		"below at the end of the time": {5 * time.Second, 6 * time.Second, 4 * time.Second},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			is.Equal(Stays(observe(phases, 2*time.Second, before, after(c.failFrom, c.failTo))), c.want)
+		})
+	}
+}
+
 // TestBackCountsFromWhenRequestsWereDue guards against answers to requests of the
 // disturbed time that pass for a recovery when they arrive after it.
 func TestBackCountsFromWhenRequestsWereDue(t *testing.T) {
--- a/bench/measurer/targets.go
+++ b/bench/measurer/targets.go
@@ -22,6 +22,9 @@
 	BackSurge          ID = "back_surge"
 	BackSlow           ID = "back_slow"
 	BackLost           ID = "back_lost"
+	StaysSurge         ID = "stays_surge"
+	StaysSlow          ID = "stays_slow"
+	StaysLost          ID = "stays_lost"
 	ExecutionsOverload ID = "executions_overload"
 	ExecutionsSlow     ID = "executions_slow"
 	WasteOverload      ID = "waste_overload"
@@ -104,6 +107,9 @@
 		{BackSurge, "time back at 95% after a surge", "s", AtMost, backTarget},
 		{BackSlow, "time back at 95% after a slow-down", "s", AtMost, backTarget},
 		{BackLost, "time back at 95% after a data centre is lost", "s", NoTarget, 0},
+		{StaysSurge, "time until it stays at 95% after a surge", "s", NoTarget, 0},
+		{StaysSlow, "time until it stays at 95% after a slow-down", "s", NoTarget, 0},
+		{StaysLost, "time until it stays at 95% after a data centre is lost", "s", NoTarget, 0},
 		{ExecutionsOverload, "executions per request at the deepest service, demand", "", AtMost, executionsTarget},
 		{ExecutionsSlow, "executions per request at the deepest service, slow-down", "", AtMost, executionsTarget},
 		{WasteOverload, "work for failed requests over all work, demand", "", AtMost, wasteTarget},
