linker: send heartbeats only on links that carry requests

Cause: a node at rest among 64 held 42 links open and used 3.4% of a core, most of it for heartbeats, timers and wake-ups of links that only gossip had opened.

--- a/node/linker/link.go
+++ b/node/linker/link.go
@@ -29,10 +29,15 @@
 	// lastRequest and lastControl are when a message of a request, or any other but
 	// a heartbeat, was last sent or received.
 	lastRequest, lastControl atomic.Int64
+	// lastRead is when anything last arrived.
+	lastRead atomic.Int64
 
-	mu   sync.Mutex
-	conn *websocket.Conn
-	why  string
+	mu sync.Mutex
+	// watchdog ends the link when it is silent; wokenAt is when it last started.
+	watchdog *time.Timer
+	wokenAt  time.Time
+	conn     *websocket.Conn
+	why      string
 }
 
 func newLink(l *Linker, addr cassiatally.Address) *link {
@@ -117,7 +122,7 @@
 				k.end("idle")
 				return
 			}
-			if !wrote {
+			if !wrote && k.busy() {
 				seq++
 				if k.writeFrame(k.ctx, cassiatally.Ping{Seq: seq}) != nil {
 					return
@@ -141,11 +146,63 @@
 
 func (k *link) touch(m cassiatally.Message) {
 	now := time.Now().UnixNano()
-	if ofRequest(m) {
-		k.lastRequest.Store(now)
+	if !ofRequest(m) {
+		k.lastControl.Store(now)
 		return
 	}
-	k.lastControl.Store(now)
+	if was := k.lastRequest.Swap(now); now-was > int64(requestIdle) {
+		k.wake()
+	}
+}
+
+// busy reports whether requests were sent on the link lately. Only then do its
+// ends send heartbeats, since nobody waits for an answer otherwise.
+func (k *link) busy() bool {
+	return time.Now().UnixNano()-k.lastRequest.Load() <= int64(requestIdle)
+}
+
+// wake starts the watchdog, or starts it anew when the link becomes busy.
+func (k *link) wake() {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.wokenAt = time.Now()
+	if k.watchdog == nil {
+		k.watchdog = time.AfterFunc(k.owner.DeadAfter, k.checkSilence)
+		return
+	}
+	k.watchdog.Reset(k.owner.DeadAfter)
+}
+
+func (k *link) sleep() {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.watchdog.Stop()
+}
+
+// checkSilence ends the link when nothing arrived for longer than its state
+// allows.
+func (k *link) checkSilence() {
+	if faultswitch.Off(faultswitch.LinkSilence) || k.ctx.Err() != nil {
+		return
+	}
+	k.mu.Lock()
+	since := k.wokenAt
+	k.mu.Unlock()
+	if read := time.Unix(0, k.lastRead.Load()); read.After(since) {
+		since = read
+	}
+	allowed := quietSilence
+	if k.busy() {
+		allowed = k.owner.DeadAfter
+	}
+	left := allowed - time.Since(since)
+	if left <= 0 {
+		k.end("silent")
+		return
+	}
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.watchdog.Reset(left)
 }
 
 // writeQueued writes messages one by one, so that those not yet written are
@@ -179,11 +236,8 @@
 
 func (k *link) read() {
 	defer k.end("reader ended")
-	watchdog := time.AfterFunc(k.owner.DeadAfter, func() { k.end("silent") })
-	defer watchdog.Stop()
-	if faultswitch.Off(faultswitch.LinkSilence) {
-		watchdog.Stop()
-	}
+	k.wake()
+	defer k.sleep()
 	for {
 		m, err := k.readFrame(k.ctx)
 		if err != nil {
@@ -193,9 +247,7 @@
 			}
 			return
 		}
-		if !faultswitch.Off(faultswitch.LinkSilence) {
-			watchdog.Reset(k.owner.DeadAfter)
-		}
+		k.lastRead.Store(time.Now().UnixNano())
 		k.handle(m)
 	}
 }
--- a/node/linker/linker.go
+++ b/node/linker/linker.go
@@ -3,9 +3,11 @@
 // on, so that its loss is noticed by the node that waits.
 //
 // Each link has two duties: a writer that takes messages from a bounded ring, and
-// a reader that hands messages to Inbound. Both ends send a Ping when they have
-// nothing else to send, and close a link on which nothing arrives for DeadAfter.
-// That finds connections that have gone silent for good.
+// a reader that hands messages to Inbound. While a link carries requests, both
+// ends send a Ping when they have nothing else to send, and close the link when
+// nothing arrives for DeadAfter. That finds connections that have gone silent for
+// good. Links that carry only control messages have no heartbeats and are closed
+// after a second.
 //
 // # Usage
 //
@@ -45,6 +47,9 @@
 	// each open link costs heartbeats.
 	requestIdle = time.Minute
 	controlIdle = time.Second
+	// quietSilence is the silence after which a link without requests ends, which
+	// has no heartbeats. Its opener closes it earlier when it lives.
+	quietSilence = 4 * time.Second
 	// linkPath is where nodes accept links.
 	linkPath = "/v1/link"
 	// dataCentreHeader names the data centre of the node that opens a link, so that
