--- a/cassiatally/claimer/claimer.go
+++ b/cassiatally/claimer/claimer.go
@@ -241,8 +241,12 @@
 	return c.Tick(now)
 }
 
-// Drained reports whether this node holds no shard any more.
+// Drained reports whether this node holds no shard that another member could
+// take over. When all members leave together there is nobody to hand over to.
 func (c *Claimer) Drained() bool {
+	if !c.hasSuccessor() {
+		return true
+	}
 	for _, s := range c.shards {
 		if s.role == roleHolder {
 			return false
@@ -251,6 +255,15 @@
 	return true
 }
 
+func (c *Claimer) hasSuccessor() bool {
+	for _, m := range c.live {
+		if m.Ref != c.self && !m.Leaving {
+			return true
+		}
+	}
+	return false
+}
+
 // Tick does what is due by time. It is called every 100 ms.
 func (c *Claimer) Tick(now cassiatally.Instant) []cassiatally.Action {
 	c.answers.expire(now)
--- a/cassiatally/claimer/claimer_test.go
+++ b/cassiatally/claimer/claimer_test.go
@@ -245,6 +245,14 @@
 	is.True(!h.Drained())
 	h.AssignmentsChanged(second(4), []cassiatally.Assignment{handover})
 	is.True(h.Drained())
+
+	// All members of the data centre leave together.
+	h = holding()
+	h.Drain(second(4))
+	h.MembersChanged(second(4), []cassiatally.Member{
+		{Ref: holderRef, Leaving: true}, {Ref: standbyRef, Leaving: true}, {Ref: spareRef, Leaving: true},
+	})
+	is.True(h.Drained())
 }
 
 // Guards against stored answers that outgrow their bound.
--- a/node/linker/link.go
+++ b/node/linker/link.go
@@ -33,6 +33,8 @@
 	lastRead atomic.Int64
 
 	mu sync.Mutex
+	// woken tells the writer that the link became busy.
+	woken chan struct{}
 	// watchdog ends the link when it is silent; wokenAt is when it last started.
 	watchdog *time.Timer
 	wokenAt  time.Time
@@ -49,6 +51,7 @@
 		outbox:   ring.New[cassiatally.Message](l.RingSize, ring.RefuseNewest),
 		ctx:      ctx,
 		cancel:   cancel,
+		woken:    make(chan struct{}, 1),
 	}
 	k.lastControl.Store(time.Now().UnixNano())
 	return k
@@ -106,7 +109,7 @@
 
 func (k *link) write() {
 	defer k.end("writer ended")
-	beat := time.NewTicker(k.owner.Heartbeat)
+	beat := time.NewTimer(k.beatTime())
 	defer beat.Stop()
 	var seq uint64
 	wrote := false
@@ -117,24 +120,35 @@
 				return
 			}
 			wrote = true
+		case <-k.woken:
+			beat.Reset(k.beatTime())
 		case <-beat.C:
 			if k.idle() {
 				k.end("idle")
 				return
 			}
-			if !wrote && k.busy() {
+			if !wrote {
 				seq++
 				if k.writeFrame(k.ctx, cassiatally.Ping{Seq: seq}) != nil {
 					return
 				}
 			}
 			wrote = false
+			beat.Reset(k.beatTime())
 		case <-k.ctx.Done():
 			return
 		}
 	}
 }
 
+// beatTime returns the time between heartbeats.
+func (k *link) beatTime() time.Duration {
+	if k.busy() {
+		return k.owner.Heartbeat
+	}
+	return quietBeat
+}
+
 func (k *link) idle() bool {
 	return k.outbound && k.quiet() && !k.owner.otherLinkActive(k)
 }
@@ -146,7 +160,7 @@
 
 func (k *link) touch(m cassiatally.Message) {
 	now := time.Now().UnixNano()
-	if !ofRequest(m) {
+	if !isAwaited(m) {
 		k.lastControl.Store(now)
 		return
 	}
@@ -155,8 +169,8 @@
 	}
 }
 
-// busy reports whether requests were sent on the link lately. Only then do its
-// ends send heartbeats, since nobody waits for an answer otherwise.
+// busy reports whether somebody waited for an answer on the link lately. Then its
+// ends send heartbeats often.
 func (k *link) busy() bool {
 	return time.Now().UnixNano()-k.lastRequest.Load() <= int64(requestIdle)
 }
@@ -166,6 +180,10 @@
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	k.wokenAt = time.Now()
+	select {
+	case k.woken <- struct{}{}:
+	default:
+	}
 	if k.watchdog == nil {
 		k.watchdog = time.AfterFunc(k.owner.DeadAfter, k.checkSilence)
 		return
--- a/node/linker/linker.go
+++ b/node/linker/linker.go
@@ -6,8 +6,7 @@
 // a reader that hands messages to Inbound. While a link carries requests, both
 // ends send a Ping when they have nothing else to send, and close the link when
 // nothing arrives for DeadAfter. That finds connections that have gone silent for
-// good. Links that carry only control messages have no heartbeats and are closed
-// after a second.
+// good. Links on which nobody waits for an answer have few heartbeats.
 //
 // # Usage
 //
@@ -43,13 +42,15 @@
 	// requestIdle and controlIdle are the times without a request and without any
 	// message but heartbeats after which the node that opened a link closes it.
 	// requestIdle exceeds the longest timeout of a request, so that no call is in
-	// flight. controlIdle is short, since gossip picks other nodes each round and
-	// each open link costs heartbeats.
+	// flight.
 	requestIdle = time.Minute
-	controlIdle = time.Second
-	// quietSilence is the silence after which a link without requests ends, which
-	// has no heartbeats. Its opener closes it earlier when it lives.
-	quietSilence = 4 * time.Second
+	controlIdle = time.Minute
+	// quietBeat and quietSilence apply to links on which nobody waited for an
+	// answer within requestIdle. Gossip opens a link to every node of the data
+	// centre; with frequent heartbeats on all of them, or with links that are opened
+	// anew for each message, a node at rest used 3 to 5% of a core.
+	quietBeat    = 5 * time.Second
+	quietSilence = 15 * time.Second
 	// linkPath is where nodes accept links.
 	linkPath = "/v1/link"
 	// dataCentreHeader names the data centre of the node that opens a link, so that
--- a/node/linker/traffic.go
+++ b/node/linker/traffic.go
@@ -43,6 +43,17 @@
 	}
 }
 
+// isAwaited reports whether somebody waits for the answer to a message: a caller,
+// or the holder of a shard for its standby.
+func isAwaited(m cassiatally.Message) bool {
+	switch m.(type) {
+	case cassiatally.ClaimUpdate, cassiatally.ClaimAck, cassiatally.ClaimCopy:
+		return true
+	default:
+		return ofRequest(m)
+	}
+}
+
 func ofRequest(m cassiatally.Message) bool {
 	switch m.(type) {
 	case cassiatally.Call, cassiatally.Answer, cassiatally.Cancel, cassiatally.RunQuery, cassiatally.KeyQuery:
