registrar, memberkeeper: build views more cheaply and less often

Cause: a benchmark of a view with the 972 members that a node keeps at the target size took 9.2 ms, ten times a second: each member searched all summaries. Change: summaries are found by a map; a view is built when a member changed, else once a second.

--- a/cassiatally/registrar/merge.go
+++ b/cassiatally/registrar/merge.go
@@ -111,6 +111,7 @@
 	delete(m.tombstones, in.Ref.Node)
 	delete(m.asked, in.Ref.Node)
 	in.Endpoint.Load.Node = in.Ref.Node
+	m.changes++
 	m.table[in.Ref.Node] = &entry{member: in, grewAt: m.now, loadAt: m.now, score: m.score(in.Ref.Node)}
 	m.crowded = m.crowded || in.DataCentre != m.cfg.DataCentre
 }
@@ -128,6 +129,7 @@
 		}
 	}
 	if full && in.Revision > e.member.Revision {
+		m.changes++
 		e.member = in
 	}
 	e.member.Heartbeat = heartbeat
@@ -246,6 +248,7 @@
 		gateways[m.DataCentre]++
 		endpoints[service]++
 		if !kept {
+			r.changes++
 			delete(r.table, id)
 		}
 	}
--- a/cassiatally/registrar/registrar.go
+++ b/cassiatally/registrar/registrar.go
@@ -104,9 +104,11 @@
 	epochs  cassiatally.Epoch
 	crashes []cassiatally.CrashReport
 	// told has the crash reports that were sent at once.
-	told       map[crashID]crashCount
-	nextRound  cassiatally.Instant
-	allowance  int
+	told      map[crashID]crashCount
+	nextRound cassiatally.Instant
+	allowance int
+	// changes counts what a view shows, but for heartbeats and loads.
+	changes    uint64
 	table      map[cassiatally.NodeID]*entry
 	tombstones map[cassiatally.NodeID]tombstone
 	asked      map[cassiatally.NodeID]cassiatally.Instant
@@ -148,6 +150,10 @@
 	}
 }
 
+// Changes counts the changes of members, without heartbeats and loads. A view
+// that was taken at the same count differs in those at most.
+func (r *Registrar) Changes() uint64 { return r.changes }
+
 // SetEndpoint records the state of the local backend server. A change of
 // anything but the load is spread at once.
 func (r *Registrar) SetEndpoint(_ cassiatally.Instant, e cassiatally.Endpoint) []cassiatally.Action {
@@ -174,6 +180,7 @@
 }
 
 func (r *Registrar) changed() []cassiatally.Action {
+	r.changes++
 	r.self.Revision++
 	r.self.Heartbeat++
 	return r.forward([]cassiatally.Member{r.self}, true)
@@ -451,6 +458,7 @@
 
 func (r *Registrar) remove(now cassiatally.Instant, e *entry) {
 	id := e.member.Ref.Node
+	r.changes++
 	delete(r.table, id)
 	r.rumours.drop(id)
 	if len(r.tombstones) < maxTombstones {
--- a/cassiatally/registrar/view.go
+++ b/cassiatally/registrar/view.go
@@ -133,7 +133,9 @@
 			trusted[m.Endpoint.Service] = true
 		}
 	}
-	for _, m := range v.Members {
+	summaries := map[summaryKey]int{}
+	for i := range v.Members {
+		m := &v.Members[i]
 		e := m.Endpoint
 		if e.State == cassiatally.EndpointNone || (suspects[m.Ref.Node] && trusted[e.Service]) {
 			continue
@@ -148,21 +150,27 @@
 		})
 		load := cassiatally.ServiceLoad{Service: e.Service, Weight: float64(e.Load.Limit), Levels: e.Levels}
 		v.Loads = append(v.Loads, Load{m.Ref.Node, loadAt[m.Ref.Node], load})
-		v.summarise(m)
+		v.summarise(m, summaries)
 	}
 }
 
-func (v *View) summarise(m cassiatally.Member) {
+type summaryKey struct {
+	service    cassiatally.Service
+	dataCentre cassiatally.DataCentre
+}
+
+// summarise adds a member to its summary; at has the places of the summaries.
+func (v *View) summarise(m *cassiatally.Member, at map[summaryKey]int) {
 	level := cassiatally.Level(1)
 	if len(m.Endpoint.Levels) > 0 {
 		level = slices.Min(m.Endpoint.Levels)
 	}
-	i := slices.IndexFunc(v.Summaries, func(s Summary) bool {
-		return s.Service == m.Endpoint.Service && s.DataCentre == m.DataCentre
-	})
-	if i < 0 {
+	key := summaryKey{m.Endpoint.Service, m.DataCentre}
+	i, found := at[key]
+	if !found {
 		v.Summaries = append(v.Summaries, Summary{Service: m.Endpoint.Service, DataCentre: m.DataCentre, Level: 1})
 		i = len(v.Summaries) - 1
+		at[key] = i
 	}
 	s := &v.Summaries[i]
 	limit := m.Endpoint.Load.Limit
--- a/node/memberkeeper/memberkeeper.go
+++ b/node/memberkeeper/memberkeeper.go
@@ -24,6 +24,9 @@
 const (
 	inboxSize = 1024
 	tickEvery = 100 * time.Millisecond
+	// viewEvery is the time between views while only heartbeats and loads change. A
+	// view of the 972 members that a node keeps at the target size takes 5 ms.
+	viewEvery = time.Second
 )
 
 // Links sends messages to nodes and to addresses whose node is not yet known.
@@ -48,6 +51,10 @@
 	duty  looper.Looper[event]
 	view  atomic.Pointer[registrar.View]
 	known map[cassiatally.NodeID]cassiatally.Incarnation
+	// shown is the count of changes of the last view; nextView is when the next one
+	// is due in any case.
+	shown    uint64
+	nextView cassiatally.Instant
 }
 
 type event interface {
@@ -125,6 +132,11 @@
 
 func (k *Keeper) tick(now cassiatally.Instant) {
 	k.carryOut(k.Registrar.Tick(now))
+	if k.Registrar.Changes() == k.shown && now.Before(k.nextView) {
+		return
+	}
+	k.shown = k.Registrar.Changes()
+	k.nextView = now.Add(viewEvery)
 	v := k.Registrar.View(now)
 	k.view.Store(v)
 	k.logChanges(v)
