--- a/cassiatally/admitter/admitter.go
+++ b/cassiatally/admitter/admitter.go
@@ -34,11 +34,6 @@
 	defaultLeastQueue = 16
 	// typicalWeight is the weight of one run in the typical run time.
 	typicalWeight = 0.1
-	// fasterWeight is the weight of a run that took less than fasterPart of the
-	// typical run time. After a slow-down few calls run at a time, and with the
-	// lower weight the rest were refused as hopeless for seconds longer.
-	fasterWeight = 0.25
-	fasterPart   = 0.4
 	// needSpreads is the number of mean deviations above the typical run time for
 	// which a call is given time to run.
 	needSpreads = 2
@@ -357,12 +352,12 @@
 	a.prepare(now)
 	r = min(r, cassiatally.MaxRanks-1)
 	a.meter.ended(now)
-	a.typical = smooth(a.typical, busy, weightOf(a.typical, busy))
+	a.typical = smooth(a.typical, busy)
 	s := &a.ranks[r]
 	if s.typical > 0 {
-		s.spread = smooth(s.spread, max(busy-s.typical, s.typical-busy), typicalWeight)
+		s.spread = smooth(s.spread, max(busy-s.typical, s.typical-busy))
 	}
-	s.typical = smooth(s.typical, busy, weightOf(s.typical, busy))
+	s.typical = smooth(s.typical, busy)
 	for i := range a.ranks {
 		s := &a.ranks[i]
 		if s.share > 0 {
@@ -436,17 +431,9 @@
 	return a.typical
 }
 
-func smooth(old, sample time.Duration, weight float64) time.Duration {
+func smooth(old, sample time.Duration) time.Duration {
 	if old == 0 {
 		return sample
 	}
-	return old + time.Duration(weight*float64(sample-old))
-}
-
-// weightOf returns the weight of a run in the typical run time.
-func weightOf(typical, run time.Duration) float64 {
-	if float64(run) < fasterPart*float64(typical) {
-		return fasterWeight
-	}
-	return typicalWeight
+	return old + time.Duration(typicalWeight*float64(sample-old))
 }
