--- a/cassiatally/action.go
+++ b/cassiatally/action.go
@@ -33,19 +33,12 @@
 // Withdraw tells the router that nobody waits for a submitted request any more.
 type Withdraw struct{ Call CallID }
 
-// Append writes a record to a stream of the log service.
-type Append struct {
-	Stream Stream
-	Record []byte
-}
-
 func (Send) action()     {}
 func (Deliver) action()  {}
 func (StartRun) action() {}
 func (AbortRun) action() {}
 func (Submit) action()   {}
 func (Withdraw) action() {}
-func (Append) action()   {}
 
 // AppendAssignment has the log appender of this node append an assignment to
 // the stream of the shard's data centre. Decisions do not encode, so the record
