standin: hold data back on a cut before the reset

The cut cancelled the link, but the reset runs in a goroutine of its own, and the ring and the open gate may prefer a ready value to a cancelled context, so the first chunk could pass before it. Ruled out: the order of identify and of the push, which is fixed. Change: a cut closes both gates before it cancels the link. The test is unchanged.

--- a/standin/faultproxy/link.go
+++ b/standin/faultproxy/link.go
@@ -64,6 +64,9 @@
 func (l *link) apply(m Mode, forGood bool) {
 	switch {
 	case m == ModeCut:
+		// Data that is already in a ring must not overtake the cut.
+		l.up.Open(false)
+		l.down.Open(false)
 		l.cancel()
 	case l.frozen:
 	default:
