node: share the HTTP server and the log access of the duties

Cause: adminserver, backendserver and callerserver each had their own listener, echo set-up and shutdown; sheetkeeper and claimkeeper each had their own pauses, timeouts and encoding for the log. Change: httpserver runs the server of one address, logdriver reads and appends. No performance was measured.

--- a/node/backendserver/server.go
+++ b/node/backendserver/server.go
@@ -11,10 +11,8 @@
 import (
 	"context"
 	"encoding/json"
-	"net"
 	"net/http"
 	"net/netip"
-	"sync"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -24,16 +22,15 @@
 	"github.com/cassiatally/cassiatally/cassiatally/headers"
 	"github.com/cassiatally/cassiatally/cassiatally/runner"
 	"github.com/cassiatally/cassiatally/node/executor"
+	"github.com/cassiatally/cassiatally/node/httpserver"
 	"github.com/cassiatally/cassiatally/node/requestreader"
 	"github.com/cassiatally/cassiatally/node/responder"
 	"github.com/cassiatally/cassiatally/node/waiter"
 )
 
 const (
-	readHeaderTimeout = 5 * time.Second
-	maxHeaderBytes    = 16 << 10
-	maxAnnouncement   = 4 << 10
-	maxSlots          = 1 << 16
+	maxAnnouncement = 4 << 10
+	maxSlots        = 1 << 16
 	// shutdownGrace exceeds the 5 s for which net/http waits on a connection that
 	// never sent a request.
 	shutdownGrace = 10 * time.Second
@@ -50,45 +47,24 @@
 	Policies   func() (cassiatally.Policies, bool)
 	NextID     func() cassiatally.CallID
 
-	listener net.Listener
-	server   *http.Server
-	running  sync.WaitGroup
+	http httpserver.Server
 }
 
 // Run starts to serve.
 func (s *Server) Run() error {
-	lc := net.ListenConfig{}
-	listener, err := lc.Listen(context.Background(), "tcp", string(s.Listen))
-	if err != nil {
-		return errors.Wrapf(err, "listen for the backend server on %s", s.Listen)
-	}
-	s.listener = listener
-	e := echo.New()
-	e.HideBanner = true
-	e.HidePort = true
-	e.HTTPErrorHandler = responder.ErrorHandler
-	e.PUT("/v1/announce", s.announce)
-	e.DELETE("/v1/announce", s.withdraw)
-	e.POST("/v1/call/:service/:kind", s.call)
-	s.server = &http.Server{Handler: e, ReadHeaderTimeout: readHeaderTimeout, MaxHeaderBytes: maxHeaderBytes}
-	s.running.Go(func() { _ = s.server.Serve(listener) })
-	return nil
+	s.http = httpserver.Server{Listen: s.Listen, Clients: "the backend server", Grace: shutdownGrace}
+	return s.http.Run(func(e *echo.Echo) {
+		e.PUT("/v1/announce", s.announce)
+		e.DELETE("/v1/announce", s.withdraw)
+		e.POST("/v1/call/:service/:kind", s.call)
+	})
 }
 
 // Addr returns the address on which the backend server is served.
-func (s *Server) Addr() cassiatally.Address {
-	return cassiatally.Address(s.listener.Addr().String())
-}
+func (s *Server) Addr() cassiatally.Address { return s.http.Addr() }
 
 // Close refuses new calls and waits for those in flight.
-func (s *Server) Close() {
-	ctx, cancel := context.WithTimeout(context.Background(), shutdownGrace)
-	defer cancel()
-	if s.server.Shutdown(ctx) != nil {
-		_ = s.server.Close()
-	}
-	s.running.Wait()
-}
+func (s *Server) Close() { s.http.Close() }
 
 type announcement struct {
 	Service     string `json:"service"`
--- a/node/callerserver/server.go
+++ b/node/callerserver/server.go
@@ -11,9 +11,7 @@
 import (
 	"context"
 	"crypto/rand"
-	"net"
 	"net/http"
-	"sync"
 	"sync/atomic"
 	"time"
 
@@ -22,14 +20,13 @@
 
 	"github.com/cassiatally/cassiatally/cassiatally"
 	"github.com/cassiatally/cassiatally/cassiatally/headers"
+	"github.com/cassiatally/cassiatally/node/httpserver"
 	"github.com/cassiatally/cassiatally/node/requestreader"
 	"github.com/cassiatally/cassiatally/node/responder"
 	"github.com/cassiatally/cassiatally/node/waiter"
 )
 
 const (
-	readHeaderTimeout = 5 * time.Second
-	maxHeaderBytes    = 16 << 10
 	// shutdownGrace exceeds the 5 s for which net/http waits on a connection that
 	// never sent a request.
 	shutdownGrace = 10 * time.Second
@@ -73,49 +70,28 @@
 	Retries     cassiatally.RetryCount
 	MaxInFlight int
 
-	listener net.Listener
-	server   *http.Server
-	running  sync.WaitGroup
+	http     httpserver.Server
 	inFlight atomic.Int64
 }
 
 // Run starts to serve.
 func (s *Server) Run() error {
-	lc := net.ListenConfig{}
-	listener, err := lc.Listen(context.Background(), "tcp", string(s.Listen))
-	if err != nil {
-		return errors.Wrapf(err, "listen for callers on %s", s.Listen)
-	}
-	s.listener = listener
-	e := echo.New()
-	e.HideBanner = true
-	e.HidePort = true
-	e.HTTPErrorHandler = responder.ErrorHandler
-	e.POST("/v1/call/:service/:kind", s.call)
-	e.POST("/v1/keys", s.mint)
-	e.GET("/v1/keys/:key", s.lookup)
-	s.server = &http.Server{Handler: e, ReadHeaderTimeout: readHeaderTimeout, MaxHeaderBytes: maxHeaderBytes}
-	s.running.Go(func() { _ = s.server.Serve(listener) })
-	return nil
+	s.http = httpserver.Server{Listen: s.Listen, Clients: "callers", Grace: shutdownGrace}
+	return s.http.Run(func(e *echo.Echo) {
+		e.POST("/v1/call/:service/:kind", s.call)
+		e.POST("/v1/keys", s.mint)
+		e.GET("/v1/keys/:key", s.lookup)
+	})
 }
 
 // Addr returns the address on which callers are served.
-func (s *Server) Addr() cassiatally.Address {
-	return cassiatally.Address(s.listener.Addr().String())
-}
+func (s *Server) Addr() cassiatally.Address { return s.http.Addr() }
 
 // InFlight returns the number of requests that wait for an answer.
 func (s *Server) InFlight() int { return int(s.inFlight.Load()) }
 
 // Close refuses new requests and waits for those in flight.
-func (s *Server) Close() {
-	ctx, cancel := context.WithTimeout(context.Background(), shutdownGrace)
-	defer cancel()
-	if s.server.Shutdown(ctx) != nil {
-		_ = s.server.Close()
-	}
-	s.running.Wait()
-}
+func (s *Server) Close() { s.http.Close() }
 
 func (s *Server) call(c echo.Context) error {
 	arrived := s.Clock.Now()
--- a/node/claimkeeper/claimkeeper.go
+++ b/node/claimkeeper/claimkeeper.go
@@ -23,6 +23,7 @@
 	"github.com/cassiatally/cassiatally/cassiatally/protocol"
 	"github.com/cassiatally/cassiatally/cassiatally/registrar"
 	"github.com/cassiatally/cassiatally/cassiatally/ring"
+	"github.com/cassiatally/cassiatally/node/logdriver"
 	"github.com/cassiatally/cassiatally/node/loglimiter"
 )
 
@@ -56,7 +57,7 @@
 	Rand       cassiatally.Rand
 	Transport  cassiatally.Transport
 	Requests   Requests
-	Log        cassiatally.Log
+	Log        *logdriver.Driver
 	Codec      *protocol.Codec
 	Logger     loglimiter.Logger
 	NextID     func() cassiatally.CallID
--- a/node/claimkeeper/stream.go
+++ b/node/claimkeeper/stream.go
@@ -1,19 +1,9 @@
 package claimkeeper
 
 import (
-	"context"
-	"time"
-
 	"github.com/cassiatally/cassiatally/cassiatally"
 )
 
-const (
-	longPoll = 2 * time.Second
-	// readRetry is the pause after a failed read of the log.
-	readRetry     = 500 * time.Millisecond
-	appendTimeout = 3 * time.Second
-)
-
 // stream returns the log stream of the data centre's shards.
 func (k *Keeper) stream() cassiatally.Stream {
 	return cassiatally.Stream("shards." + string(k.DataCentre))
@@ -29,23 +19,11 @@
 	k.catchUp = false
 	from := k.Assigner.Next()
 	k.helpers.Go(func() {
-		batch, err := k.Log.Read(k.ctx, k.stream(), from, longPoll)
-		if err != nil {
-			k.pause(readRetry)
-		}
+		batch, err := k.Log.Read(k.ctx, k.stream(), from)
 		k.inbox.Push(k.ctx, batchEvent{batch: batch, err: err})
 	})
 }
 
-func (k *Keeper) pause(d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-k.ctx.Done():
-	}
-}
-
 func (e batchEvent) apply(k *Keeper, now cassiatally.Instant) {
 	k.reading = false
 	if e.err != nil {
@@ -90,14 +68,7 @@
 }
 
 func (k *Keeper) append(as cassiatally.Assignment) error {
-	data, err := k.Codec.Encode(cassiatally.ShardTable{Assignments: []cassiatally.Assignment{as}})
-	if err != nil {
-		return err
-	}
-	ctx, cancel := context.WithTimeout(k.ctx, appendTimeout)
-	defer cancel()
-	_, err = k.Log.Append(ctx, k.stream(), data)
-	return err
+	return k.Log.Append(k.ctx, k.stream(), cassiatally.ShardTable{Assignments: []cassiatally.Assignment{as}})
 }
 
 func (e appendEvent) apply(k *Keeper, now cassiatally.Instant) {
--- a/node/sheetkeeper/sheetkeeper.go
+++ b/node/sheetkeeper/sheetkeeper.go
@@ -4,7 +4,7 @@
 //
 // # Usage
 //
-//	k := &sheetkeeper.Keeper{Follower: f, Clock: clock, Log: client, OnSheet: adopted, ...}
+//	k := &sheetkeeper.Keeper{Follower: f, Clock: clock, Log: driver, OnSheet: adopted, ...}
 //	k.Run()
 //	defer k.Close()
 //	policies, ok := k.Policies()
@@ -25,6 +25,7 @@
 	"github.com/cassiatally/cassiatally/cassiatally/registrar"
 	"github.com/cassiatally/cassiatally/cassiatally/ring"
 	"github.com/cassiatally/cassiatally/cassiatally/sheetparser"
+	"github.com/cassiatally/cassiatally/node/logdriver"
 	"github.com/cassiatally/cassiatally/node/loglimiter"
 )
 
@@ -33,11 +34,7 @@
 	// batchReserve keeps places for what the log answers.
 	batchReserve = 32
 	tickEvery    = 100 * time.Millisecond
-	longPoll     = 2 * time.Second
-	// readRetry is the pause after a failed read of the log.
-	readRetry     = 500 * time.Millisecond
-	appendTimeout = 3 * time.Second
-	appendRing    = 8
+	appendRing   = 8
 	// sheetName names the sheet of the log in problems.
 	sheetName = "sheet.csv"
 )
@@ -48,7 +45,7 @@
 	Follower  *follower.Follower
 	Clock     cassiatally.Clock
 	Transport cassiatally.Transport
-	Log       cassiatally.Log
+	Log       *logdriver.Driver
 	Codec     *protocol.Codec
 	Logger    loglimiter.Logger
 	// OnSheet is called by the duty with each sheet that comes into force; it must
--- a/node/supervisor/supervisor.go
+++ b/node/supervisor/supervisor.go
@@ -35,6 +35,7 @@
 	"github.com/cassiatally/cassiatally/node/dispatcher"
 	"github.com/cassiatally/cassiatally/node/executor"
 	"github.com/cassiatally/cassiatally/node/linker"
+	"github.com/cassiatally/cassiatally/node/logdriver"
 	"github.com/cassiatally/cassiatally/node/loglimiter"
 	"github.com/cassiatally/cassiatally/node/memberkeeper"
 	"github.com/cassiatally/cassiatally/node/reporter"
@@ -203,12 +204,13 @@
 func (s *Supervisor) buildKeepers() {
 	cfg := s.Settings
 	dc := cfg.Node.DataCentre
+	log := &logdriver.Driver{Log: s.logClient, Codec: s.codec}
 	s.sheets = &sheetkeeper.Keeper{
 		Self:      s.self,
 		Follower:  follower.New(follower.Config{Self: s.self}, newRand()),
 		Clock:     s.Clock,
 		Transport: s.links,
-		Log:       s.logClient,
+		Log:       log,
 		Codec:     s.codec,
 		Logger:    s.logs,
 		OnSheet:   s.sheetAdopted,
@@ -222,7 +224,7 @@
 		Rand:       newRand(),
 		Transport:  s.links,
 		Requests:   requests{s.dispatcher},
-		Log:        s.logClient,
+		Log:        log,
 		Codec:      s.codec,
 		Logger:     s.logs,
 		NextID:     s.nextID,
