router, standin: drop answers that carry the id of another call

With a proxy that gives an answer the id of another call in flight to the same node, a caller was told the answer to another request: answers were matched by call id and sender, and their digest covers the body only. An answer that had lost its whole body also passed as complete.

Change: an answer repeats a tag of its request, a digest of the call id and of what was asked (key 13; RunQuery has it as key 3 for nodes that have not seen the call). The router and the look-up of keys drop answers with another tag and count them as foreign_answers. Answers without a tag are accepted, since nodes of an earlier release send none. An empty body with a digest is checked as well. cassiatally-standin faults passes frames of links on (/v1/links) and can double, delay, cross and swap answers. TestLostLink expects the tag in RunQuery; TestCrossedAnswer and TestAnswerWithoutItsBody are new.

--- a/cassiatally/claimer/answers.go
+++ b/cassiatally/claimer/answers.go
@@ -35,6 +35,7 @@
 		return
 	}
 	a.ID = cassiatally.CallID{}
+	a.Request = 0
 	a.Endpoint = cassiatally.EndpointLoad{}
 	a.Loads = nil
 	cl.answer = &a
--- a/cassiatally/claimer/claim.go
+++ b/cassiatally/claimer/claim.go
@@ -6,12 +6,18 @@
 	"github.com/cassiatally/cassiatally/cassiatally"
 )
 
-// waiter is a call that waits for the outcome of a key.
-type waiter struct {
+// caller names a call of a node.
+type caller struct {
 	entry cassiatally.NodeID
 	call  cassiatally.CallID
 }
 
+// waiter is a call that waits for the outcome of a key.
+type waiter struct {
+	caller
+	tag cassiatally.RequestTag
+}
+
 // claim is what this node knows about a key.
 type claim struct {
 	key         cassiatally.Key
@@ -48,10 +54,8 @@
 	return true
 }
 
-func (cl *claim) removeWaiter(w waiter) {
-	if i := slices.Index(cl.waiters, w); i >= 0 {
-		cl.waiters = slices.Delete(cl.waiters, i, i+1)
-	}
+func (cl *claim) removeWaiter(c caller) {
+	cl.waiters = slices.DeleteFunc(cl.waiters, func(w waiter) bool { return w.caller == c })
 }
 
 // request is what the router has to run for the claim.
--- a/cassiatally/claimer/claimer.go
+++ b/cassiatally/claimer/claimer.go
@@ -75,7 +75,7 @@
 	knowsMembers bool
 	draining     bool
 	runs         map[cassiatally.CallID]*claim
-	waiting      map[waiter]*claim
+	waiting      map[caller]*claim
 	answers      answerStore
 	heldBytes    int
 	seq          uint64
@@ -89,7 +89,7 @@
 		self:    self,
 		dc:      dc,
 		runs:    make(map[cassiatally.CallID]*claim),
-		waiting: make(map[waiter]*claim),
+		waiting: make(map[caller]*claim),
 		seq:     submitSeqBase,
 		faults:  faults{skipAck: faultswitch.Off(faultswitch.ClaimAck)},
 	}
@@ -324,7 +324,7 @@
 // release answers all calls that wait for a claim.
 func (c *Claimer) release(cl *claim, a cassiatally.Answer) {
 	for _, w := range cl.waiters {
-		delete(c.waiting, w)
+		delete(c.waiting, w.caller)
 		c.answer(w, a)
 	}
 	cl.waiters = nil
@@ -332,6 +332,7 @@
 
 func (c *Claimer) answer(w waiter, a cassiatally.Answer) {
 	a.ID = w.call
+	a.Request = w.tag
 	c.send(w.entry, a)
 }
 
--- a/cassiatally/claimer/holder.go
+++ b/cassiatally/claimer/holder.go
@@ -32,7 +32,7 @@
 
 // HandleCall claims the key of a call, or joins the claim that exists.
 func (c *Claimer) HandleCall(now cassiatally.Instant, from cassiatally.NodeID, call cassiatally.Call) []cassiatally.Action {
-	w := waiter{from, call.ID}
+	w := waiter{caller{from, call.ID}, call.Tag()}
 	s, parts, refusal := c.locate(call.Key)
 	if refusal != nil {
 		c.answer(w, *refusal)
@@ -73,7 +73,7 @@
 // HandleKeyQuery answers for the outcome of a key. A key that was never seen
 // becomes void, so that a delayed copy of its request cannot run afterwards.
 func (c *Claimer) HandleKeyQuery(now cassiatally.Instant, from cassiatally.NodeID, m cassiatally.KeyQuery) []cassiatally.Action {
-	w := waiter{from, m.ID}
+	w := waiter{caller{from, m.ID}, m.Tag()}
 	s, parts, refusal := c.locate(m.Key)
 	if refusal != nil {
 		c.answer(w, *refusal)
@@ -99,7 +99,7 @@
 
 // HandleCancel drops a waiting call. The claim itself goes on.
 func (c *Claimer) HandleCancel(_ cassiatally.Instant, from cassiatally.NodeID, m cassiatally.Cancel) []cassiatally.Action {
-	w := waiter{from, m.ID}
+	w := caller{from, m.ID}
 	if cl := c.waiting[w]; cl != nil {
 		cl.removeWaiter(w)
 		delete(c.waiting, w)
@@ -216,7 +216,7 @@
 		c.answer(w, failure(cassiatally.KindUnavailable, cassiatally.OutcomeUnknown, "too many calls wait for the key; look it up later"))
 		return
 	}
-	c.waiting[w] = cl
+	c.waiting[w.caller] = cl
 }
 
 // conflict refuses another request under a known key. Until the claim is
@@ -245,7 +245,7 @@
 // update has the standby record the state of a claim.
 func (c *Claimer) update(now cassiatally.Instant, s *shard, cl *claim) {
 	for _, w := range cl.waiters {
-		c.waiting[w] = cl
+		c.waiting[w.caller] = cl
 	}
 	cl.need = s.outbox.add(now, outboxEntry{keys: []cassiatally.Key{cl.key}})
 	c.pump(now, s)
--- a/cassiatally/faultswitch/faultswitch.go
+++ b/cassiatally/faultswitch/faultswitch.go
@@ -36,4 +36,6 @@
 	RunQuery Mechanism = "run_query"
 	// AnswerLength takes an answer of a backend server that ends early as whole.
 	AnswerLength Mechanism = "answer_length"
+	// AnswerTag takes an answer that is tagged as that of another request.
+	AnswerTag Mechanism = "answer_tag"
 )
--- a/cassiatally/ids.go
+++ b/cassiatally/ids.go
@@ -1,6 +1,7 @@
 package cassiatally
 
 import (
+	"encoding/binary"
 	"encoding/hex"
 	"fmt"
 	"strconv"
@@ -39,6 +40,9 @@
 	Key string
 	// Fingerprint identifies equal requests: service, kind of work and body.
 	Fingerprint uint64
+	// RequestTag ties an answer to the request that it is for: a digest of the call
+	// id and of what was asked.
+	RequestTag uint64
 )
 
 // NodeRef names one incarnation of a node.
@@ -112,6 +116,20 @@
 	return Fingerprint(h.Sum64())
 }
 
+// tagOf returns the tag of a request with these parts.
+func tagOf(id CallID, parts ...[]byte) RequestTag {
+	var b [16]byte
+	binary.BigEndian.PutUint64(b[:8], uint64(id.Origin))
+	binary.BigEndian.PutUint64(b[8:], id.Seq)
+	h := xxhash.New()
+	_, _ = h.Write(b[:])
+	for _, p := range parts {
+		_, _ = h.Write(p)
+	}
+	// Zero stands for no tag.
+	return RequestTag(max(h.Sum64(), 1))
+}
+
 // ShardRef names a shard of idempotency keys.
 type ShardRef struct {
 	DataCentre DataCentre
--- a/cassiatally/message.go
+++ b/cassiatally/message.go
@@ -48,9 +48,18 @@
 	Digest    Digest
 }
 
+// Tag returns the tag that the answer to the call repeats.
+func (c Call) Tag() RequestTag {
+	return tagOf(c.ID, c.Root[:], c.Digest[:], []byte(c.Service+"\x00"+Service(c.Work)+"\x00"+Service(c.Key)))
+}
+
 // Answer is the result of a Call.
 type Answer struct {
-	ID          CallID
+	ID CallID
+	// Request is the tag of the request that the answer is for. An id alone does not
+	// show that an answer got the id of another call on its way. It is zero in
+	// stored answers and in those of nodes that do not know the field.
+	Request     RequestTag
 	Outcome     Outcome
 	Kind        ErrorKind
 	Detail      string
@@ -76,6 +85,8 @@
 type RunQuery struct {
 	ID     CallID
 	Target Incarnation
+	// Request is the tag of the call.
+	Request RequestTag
 }
 
 // KeyQuery asks the holder of a shard for the outcome of a key.
@@ -84,6 +95,9 @@
 	Key Key
 }
 
+// Tag returns the tag that the answer to the query repeats.
+func (q KeyQuery) Tag() RequestTag { return tagOf(q.ID, []byte(q.Key)) }
+
 // EndpointLoad is what an endpoint's node reports about it.
 type EndpointLoad struct {
 	Node     NodeID
--- a/cassiatally/protocol/codec_test.go
+++ b/cassiatally/protocol/codec_test.go
@@ -20,7 +20,7 @@
 	load := cassiatally.EndpointLoad{Node: "depot-1", Limit: 12, InFlight: 3, Queued: 1, Typical: time.Millisecond}
 	levels := cassiatally.ServiceLoad{Service: "avail-svc", Weight: 15, Levels: []cassiatally.Level{1, 0.5}}
 	answer := cassiatally.Answer{
-		ID: id, Outcome: cassiatally.OutcomeRan, Status: 200, ContentType: "text/plain",
+		ID: id, Request: 11, Outcome: cassiatally.OutcomeRan, Status: 200, ContentType: "text/plain",
 		Body: []byte("ok"), Digest: cassiatally.DigestOf([]byte("ok")), RetryAfter: time.Second,
 		RetriesSpent: 1, Endpoint: load, Loads: []cassiatally.ServiceLoad{levels},
 	}
@@ -36,7 +36,7 @@
 		cassiatally.Call{ID: id, Stage: cassiatally.StageClaim, Root: cassiatally.RootID{1}, Service: "avail-svc", Work: "check", Tenant: "t", Rank: 1, Order: 0.25, Idempotent: true, Key: claim.Key, Remaining: time.Second, Retries: 2, Depth: 3, Attempt: 1, Body: []byte("x"), Digest: cassiatally.DigestOf([]byte("x"))},
 		answer,
 		cassiatally.Cancel{ID: id},
-		cassiatally.RunQuery{ID: id, Target: 7},
+		cassiatally.RunQuery{ID: id, Target: 7, Request: 11},
 		cassiatally.KeyQuery{ID: id, Key: claim.Key},
 		cassiatally.Gossip{From: ref, Reply: true, Members: []cassiatally.Member{member}, Sheet: 3, Crashes: []cassiatally.CrashReport{{Fingerprint: 1, Reporter: ref, Crashes: 2, Completed: true}}, ShardEpochs: 4},
 		cassiatally.SheetPull{Have: 2},
--- a/cassiatally/protocol/wire.go
+++ b/cassiatally/protocol/wire.go
@@ -331,6 +331,7 @@
 	RetriesSpent cassiatally.RetryCount `cbor:"10,keyasint,omitempty"`
 	Endpoint     wireEndpointLoad       `cbor:"11,keyasint,omitempty"`
 	Loads        []wireServiceLoad      `cbor:"12,keyasint,omitempty"`
+	Request      cassiatally.RequestTag `cbor:"13,keyasint,omitempty"`
 }
 
 func toAnswer(m cassiatally.Answer) wireAnswer {
@@ -347,6 +348,7 @@
 		RetriesSpent: m.RetriesSpent,
 		Endpoint:     toEndpointLoad(m.Endpoint),
 		Loads:        each(m.Loads, toServiceLoad),
+		Request:      m.Request,
 	}
 }
 
@@ -364,6 +366,7 @@
 		RetriesSpent: w.RetriesSpent,
 		Endpoint:     fromEndpointLoad(w.Endpoint),
 		Loads:        each(w.Loads, fromServiceLoad),
+		Request:      w.Request,
 	}
 }
 
@@ -384,16 +387,17 @@
 }
 
 type wireRunQuery struct {
-	ID     wireCallID              `cbor:"1,keyasint,omitempty"`
-	Target cassiatally.Incarnation `cbor:"2,keyasint,omitempty"`
+	ID      wireCallID              `cbor:"1,keyasint,omitempty"`
+	Target  cassiatally.Incarnation `cbor:"2,keyasint,omitempty"`
+	Request cassiatally.RequestTag  `cbor:"3,keyasint,omitempty"`
 }
 
 func toRunQuery(m cassiatally.RunQuery) wireRunQuery {
-	return wireRunQuery{ID: toCallID(m.ID), Target: m.Target}
+	return wireRunQuery{ID: toCallID(m.ID), Target: m.Target, Request: m.Request}
 }
 
 func fromRunQuery(w wireRunQuery) cassiatally.RunQuery {
-	return cassiatally.RunQuery{ID: fromCallID(w.ID), Target: w.Target}
+	return cassiatally.RunQuery{ID: fromCallID(w.ID), Target: w.Target, Request: w.Request}
 }
 
 type wireKeyQuery struct {
--- a/cassiatally/router/answer.go
+++ b/cassiatally/router/answer.go
@@ -12,7 +12,12 @@
 		r.counts.LateAnswers++
 		return nil
 	}
-	if len(a.Body) > 0 && cassiatally.DigestOf(a.Body) != a.Digest {
+	if a.Request != 0 && a.Request != p.tag && !faultswitch.Off(faultswitch.AnswerTag) {
+		// The own answer may still come; without it the call ends at its deadline.
+		r.counts.Foreign++
+		return nil
+	}
+	if hasBody(a) && cassiatally.DigestOf(a.Body) != a.Digest {
 		r.counts.Incomplete++
 		a = incomplete(a, p)
 	}
@@ -29,6 +34,11 @@
 	return r.afterFailure(now, p, a)
 }
 
+// hasBody reports whether the answer has a body, or lost the one that it had.
+func hasBody(a cassiatally.Answer) bool {
+	return len(a.Body) > 0 || a.Digest != cassiatally.Digest{}
+}
+
 func incomplete(a cassiatally.Answer, p *pending) cassiatally.Answer {
 	out := cassiatally.Answer{
 		ID:       a.ID,
@@ -190,7 +200,7 @@
 	r.scheduleWake(p, now.Add(queryPause))
 	return []cassiatally.Action{cassiatally.Send{
 		To:      p.target,
-		Message: cassiatally.RunQuery{ID: p.attempt, Target: p.lostAt},
+		Message: cassiatally.RunQuery{ID: p.attempt, Target: p.lostAt, Request: p.tag},
 	}}
 }
 
--- a/cassiatally/router/router.go
+++ b/cassiatally/router/router.go
@@ -60,6 +60,7 @@
 	RetriesDenied  uint64
 	LateAnswers    uint64
 	Incomplete     uint64
+	Foreign        uint64
 	Queries        uint64
 }
 
@@ -75,6 +76,7 @@
 type pending struct {
 	req      cassiatally.Request
 	attempt  cassiatally.CallID
+	tag      cassiatally.RequestTag
 	target   cassiatally.NodeID
 	lostAt   cassiatally.Incarnation
 	claim    bool
@@ -214,7 +216,9 @@
 	}
 	p.left -= p.given
 	r.attempts[p.attempt] = p
-	return []cassiatally.Action{cassiatally.Send{To: to, Message: r.call(now, p, stage)}}
+	call := r.call(now, p, stage)
+	p.tag = call.Tag()
+	return []cassiatally.Action{cassiatally.Send{To: to, Message: call}}
 }
 
 func (r *Router) call(now cassiatally.Instant, p *pending, stage cassiatally.Stage) cassiatally.Call {
--- a/cassiatally/router/router_test.go
+++ b/cassiatally/router/router_test.go
@@ -207,6 +207,30 @@
 	is.Equal(h.Counts().LateAnswers, uint64(3))
 }
 
+// Guards against an answer that lost its whole body and is passed on as empty.
+func TestAnswerWithoutItsBody(t *testing.T) {
+	is := is.New(t)
+	h := newHarness([]cassiatally.NodeID{"a", "b"}, openBudget{denied: true}, fixedLoads{})
+	to, call := sent(t, h.Submit(start, request(true)))
+	empty := cassiatally.Answer{ID: call.ID, Outcome: cassiatally.OutcomeRan, Digest: cassiatally.DigestOf([]byte("own"))}
+	is.Equal(delivered(t, h.HandleAnswer(start, to, empty)).Kind, cassiatally.KindIncompleteAnswer)
+}
+
+// Guards against an answer to another request that got the id of this one on its
+// way, and against the loss of the own answer that follows it.
+func TestCrossedAnswer(t *testing.T) {
+	is := is.New(t)
+	h := newHarness([]cassiatally.NodeID{"a", "b"}, openBudget{}, fixedLoads{})
+	to, call := sent(t, h.Submit(start, request(false)))
+	other := call
+	other.ID.Seq += 50
+	crossed := cassiatally.Answer{ID: call.ID, Request: other.Tag(), Outcome: cassiatally.OutcomeRan, Body: []byte("other"), Digest: cassiatally.DigestOf([]byte("other"))}
+	is.Equal(len(h.HandleAnswer(start, to, crossed)), 0)
+	own := cassiatally.Answer{ID: call.ID, Request: call.Tag(), Outcome: cassiatally.OutcomeRan, Body: []byte("own"), Digest: cassiatally.DigestOf([]byte("own"))}
+	is.Equal(string(delivered(t, h.HandleAnswer(start, to, own)).Body), "own")
+	is.Equal(h.Counts().Foreign, uint64(1))
+}
+
 // Guards against a lost link that repeats a non-idempotent run or forgets it.
 func TestLostLink(t *testing.T) {
 	is := is.New(t)
@@ -214,7 +238,7 @@
 	to, call := sent(t, h.Submit(start, request(false)))
 	actions := h.LinkLost(start, cassiatally.NodeRef{Node: to, Incarnation: 4})
 	is.Equal(len(actions), 1)
-	is.Equal(actions[0], cassiatally.Action(cassiatally.Send{To: to, Message: cassiatally.RunQuery{ID: call.ID, Target: 4}}))
+	is.Equal(actions[0], cassiatally.Action(cassiatally.Send{To: to, Message: cassiatally.RunQuery{ID: call.ID, Target: 4, Request: call.Tag()}}))
 	ran := cassiatally.Answer{ID: call.ID, Outcome: cassiatally.OutcomeRan, Status: 200}
 	is.Equal(delivered(t, h.HandleAnswer(start, to, ran)).Outcome, cassiatally.OutcomeRan)
 }
--- a/cassiatally/runner/runner.go
+++ b/cassiatally/runner/runner.go
@@ -172,7 +172,7 @@
 	}
 	if kind, detail := r.refusal(now, c); kind != cassiatally.KindNone {
 		r.countShed(c.Rank, kind)
-		return r.refuse(nil, from, c.ID, kind, detail)
+		return r.refuse(nil, from, c, kind, detail)
 	}
 	rec := &record{
 		call:        c,
@@ -296,7 +296,7 @@
 // that was not seen is voided.
 func (r *Runner) HandleRunQuery(now cassiatally.Instant, from cassiatally.NodeID, q cassiatally.RunQuery) []cassiatally.Action {
 	if q.Target != r.self.Incarnation {
-		a := cassiatally.Answer{ID: q.ID, Outcome: cassiatally.OutcomeUnknown, Kind: cassiatally.KindOutcomeUnknown, Detail: "the node was restarted after the call was sent"}
+		a := cassiatally.Answer{ID: q.ID, Request: q.Request, Outcome: cassiatally.OutcomeUnknown, Kind: cassiatally.KindOutcomeUnknown, Detail: "the node was restarted after the call was sent"}
 		return []cassiatally.Action{cassiatally.Send{To: from, Message: a}}
 	}
 	if rec, ok := r.records[q.ID]; ok {
@@ -304,6 +304,7 @@
 	}
 	rec := &record{call: cassiatally.Call{ID: q.ID}, from: from, phase: phaseVoid, ended: now}
 	rec.answer = notRun(q.ID, cassiatally.KindUnreachable, "the call never arrived")
+	rec.answer.Request = q.Request
 	r.records[q.ID] = rec
 	r.keep(q.ID)
 	return []cassiatally.Action{cassiatally.Send{To: from, Message: rec.answer}}
@@ -371,13 +372,14 @@
 		}
 		delete(r.records, d.ID)
 		r.countShed(rec.call.Rank, d.Kind)
-		actions = r.refuse(actions, rec.from, d.ID, d.Kind, "refused before the backend server")
+		actions = r.refuse(actions, rec.from, rec.call, d.Kind, "refused before the backend server")
 	}
 	return actions
 }
 
-func (r *Runner) refuse(actions []cassiatally.Action, to cassiatally.NodeID, id cassiatally.CallID, kind cassiatally.ErrorKind, detail string) []cassiatally.Action {
-	a := notRun(id, kind, detail)
+func (r *Runner) refuse(actions []cassiatally.Action, to cassiatally.NodeID, c cassiatally.Call, kind cassiatally.ErrorKind, detail string) []cassiatally.Action {
+	a := notRun(c.ID, kind, detail)
+	a.Request = c.Tag()
 	a.Endpoint = r.load()
 	a.Loads = r.ownLevels()
 	return append(actions, cassiatally.Send{To: to, Message: a})
@@ -409,6 +411,7 @@
 // conclude answers a call and keeps the answer for a sender whose link was lost.
 func (r *Runner) conclude(actions []cassiatally.Action, now cassiatally.Instant, rec *record, a cassiatally.Answer) []cassiatally.Action {
 	a.ID = rec.call.ID
+	a.Request = rec.call.Tag()
 	a.Endpoint = r.load()
 	a.Loads = mergeLoads(r.ownLevels(), rec.children.loads)
 	a.RetriesSpent = rec.children.spent
--- a/node/dispatcher/dispatcher.go
+++ b/node/dispatcher/dispatcher.go
@@ -17,6 +17,7 @@
 	"time"
 
 	"github.com/cassiatally/cassiatally/cassiatally"
+	"github.com/cassiatally/cassiatally/cassiatally/faultswitch"
 	"github.com/cassiatally/cassiatally/cassiatally/looper"
 	"github.com/cassiatally/cassiatally/cassiatally/ring"
 	"github.com/cassiatally/cassiatally/cassiatally/router"
@@ -42,14 +43,17 @@
 	Clock     cassiatally.Clock
 	Transport cassiatally.Transport
 
-	inbox  *ring.Ring[event]
-	duty   looper.Looper[event]
-	waits  map[cassiatally.CallID]Reply
-	asks   map[cassiatally.CallID]ask
-	counts atomic.Pointer[router.Counts]
+	inbox *ring.Ring[event]
+	duty  looper.Looper[event]
+	waits map[cassiatally.CallID]Reply
+	asks  map[cassiatally.CallID]ask
+	// foreign counts answers to queries that are tagged as those of other requests.
+	foreign uint64
+	counts  atomic.Pointer[router.Counts]
 }
 
 type ask struct {
+	tag      cassiatally.RequestTag
 	reply    Reply
 	deadline cassiatally.Instant
 }
@@ -164,6 +168,7 @@
 func (d *Dispatcher) tick(now cassiatally.Instant) {
 	d.carryOut(now, d.Router.Tick(now))
 	counts := d.Router.Counts()
+	counts.Foreign += d.foreign
 	d.counts.Store(&counts)
 	for id, a := range d.asks {
 		if now.Reached(a.deadline) {
@@ -185,6 +190,10 @@
 
 func (e answerEvent) apply(d *Dispatcher, now cassiatally.Instant) {
 	if a, ok := d.asks[e.answer.ID]; ok {
+		if e.answer.Request != 0 && e.answer.Request != a.tag && !faultswitch.Off(faultswitch.AnswerTag) {
+			d.foreign++
+			return
+		}
 		delete(d.asks, e.answer.ID)
 		a.reply(e.answer)
 		return
@@ -208,7 +217,7 @@
 }
 
 func (e askEvent) apply(d *Dispatcher, now cassiatally.Instant) {
-	d.asks[e.query.ID] = ask{reply: e.reply, deadline: now.Add(e.timeout)}
+	d.asks[e.query.ID] = ask{tag: e.query.Tag(), reply: e.reply, deadline: now.Add(e.timeout)}
 	if err := d.Transport.Send(e.to, e.query); err != nil {
 		delete(d.asks, e.query.ID)
 		e.reply(cassiatally.Answer{ID: e.query.ID, Kind: cassiatally.KindUnavailable, Detail: err.Error()})
--- a/node/sampler/sampler.go
+++ b/node/sampler/sampler.go
@@ -130,6 +130,7 @@
 	s.total("redirects", r.Redirects, nil)
 	s.total("late_answers", r.LateAnswers, nil)
 	s.total("incomplete_answers", r.Incomplete, nil)
+	s.total("foreign_answers", r.Foreign, nil)
 	s.total("outcome_queries", r.Queries, nil)
 }
 
--- a/node/supervisor/routes.go
+++ b/node/supervisor/routes.go
@@ -51,7 +51,7 @@
 // refuse answers a call that no duty took. A copy of a claim that is refused here
 // proves nothing about other copies of it.
 func (s *Supervisor) refuse(to cassiatally.NodeRef, c cassiatally.Call, kind cassiatally.ErrorKind, detail string) {
-	a := cassiatally.Answer{ID: c.ID, Outcome: cassiatally.OutcomeNotRun, Kind: kind, Detail: detail}
+	a := cassiatally.Answer{ID: c.ID, Request: c.Tag(), Outcome: cassiatally.OutcomeNotRun, Kind: kind, Detail: detail}
 	if c.Stage == cassiatally.StageClaim {
 		a.Outcome = cassiatally.OutcomeUnknown
 		a.Kind = cassiatally.KindUnavailable
--- a/node/supervisor/status.go
+++ b/node/supervisor/status.go
@@ -67,6 +67,7 @@
 			Redirects:      counts.Redirects,
 			LateAnswers:    counts.LateAnswers,
 			Incomplete:     counts.Incomplete,
+			Foreign:        counts.Foreign,
 			Queries:        counts.Queries,
 		},
 		Refused: map[string]uint64{
--- a/operator/nodeclient/status.go
+++ b/operator/nodeclient/status.go
@@ -102,6 +102,7 @@
 	Redirects      uint64 `json:"redirects"`
 	LateAnswers    uint64 `json:"late_answers"`
 	Incomplete     uint64 `json:"incomplete_answers"`
+	Foreign        uint64 `json:"foreign_answers"`
 	Queries        uint64 `json:"outcome_queries"`
 }
 
--- a/scenarios/fleet_test.go
+++ b/scenarios/fleet_test.go
@@ -146,7 +146,8 @@
 // Further lines are added to the settings. The variable LOG has the address of
 // the log service. The nodes that were started before are the seeds; with a
 // variable NAME_advertise the node tells others that address. With a variable
-// FAULTS, the address of a fault proxy, links to the node go through its route NAME.
+// FAULTS, the address of a fault proxy, links to the node go through its route NAME,
+// which passes frames on instead of TCP with a variable FRAMES.
 func cmdNode(ts *testscript.TestScript, neg bool, args []string) {
 	if neg || len(args) < 2 {
 		ts.Fatalf("usage: node NAME DATA_CENTRE [YAML-LINE...]")
--- a/scenarios/route_test.go
+++ b/scenarios/route_test.go
@@ -19,11 +19,20 @@
 
 // addRoute adds a route for a node that is about to start and returns its address.
 func addRoute(ts *testscript.TestScript, faults, name string) string {
-	return putRoute(ts, http.MethodPost, "http://"+faults+"/v1/routes", routeBody{Name: name, Target: unusedTarget}).Listen
+	return putRoute(ts, http.MethodPost, routesURL(ts, faults), routeBody{Name: name, Target: unusedTarget}).Listen
 }
 
 func changeRoute(ts *testscript.TestScript, faults, name, target string) {
-	putRoute(ts, http.MethodPut, "http://"+faults+"/v1/routes/"+name, routeBody{Target: target})
+	putRoute(ts, http.MethodPut, routesURL(ts, faults)+"/"+name, routeBody{Target: target})
+}
+
+// routesURL returns where routes are added: those that pass frames on with a
+// variable FRAMES, those that pass TCP on without it.
+func routesURL(ts *testscript.TestScript, faults string) string {
+	if ts.Getenv("FRAMES") != "" {
+		return "http://" + faults + "/v1/links"
+	}
+	return "http://" + faults + "/v1/routes"
 }
 
 func putRoute(ts *testscript.TestScript, method, url string, body routeBody) routeBody {
--- a/standin/faultserver/faultserver.go
+++ b/standin/faultserver/faultserver.go
@@ -1,4 +1,5 @@
-// Package faultserver controls fault proxies over HTTP.
+// Package faultserver controls fault proxies over HTTP: routes, which pass TCP on,
+// and links, which pass the frames between nodes on.
 //
 // # Usage
 //
@@ -20,6 +21,7 @@
 
 	"github.com/cassiatally/cassiatally/cassiatally"
 	"github.com/cassiatally/cassiatally/standin/faultproxy"
+	"github.com/cassiatally/cassiatally/standin/frameproxy"
 	"github.com/cassiatally/cassiatally/standin/httpserver"
 	"github.com/cassiatally/cassiatally/standin/owner"
 )
@@ -44,6 +46,7 @@
 // routes is owned by the duty of the server.
 type routes struct {
 	proxies map[RouteName]*faultproxy.Proxy
+	links   map[RouteName]*frameproxy.Proxy
 }
 
 type addBody struct {
@@ -81,17 +84,24 @@
 
 // New returns a server without routes.
 func New() *Server {
-	return &Server{owner: owner.New(&routes{proxies: make(map[RouteName]*faultproxy.Proxy)}, inboxCapacity)}
+	return &Server{owner: owner.New(&routes{
+		proxies: make(map[RouteName]*faultproxy.Proxy),
+		links:   make(map[RouteName]*frameproxy.Proxy),
+	}, inboxCapacity)}
 }
 
 // Close works after the end of ctx. It closes all routes and waits for the end of their duties.
 func (s *Server) Close(ctx context.Context) {
-	var proxies []*faultproxy.Proxy
+	var proxies []interface{ Close() }
 	_ = s.owner.Do(context.WithoutCancel(ctx), func(r *routes) {
 		for name, p := range r.proxies {
 			proxies = append(proxies, p)
 			delete(r.proxies, name)
 		}
+		for name, p := range r.links {
+			proxies = append(proxies, p)
+			delete(r.links, name)
+		}
 	})
 	s.owner.Close()
 	for _, p := range proxies {
@@ -129,6 +139,9 @@
 	e.POST("/v1/routes", s.handleAdd)
 	e.PUT("/v1/routes/:name", s.handleChange)
 	e.DELETE("/v1/routes/:name", s.handleRemove)
+	e.POST("/v1/links", s.handleAddLink)
+	e.GET("/v1/links/:name", s.handleLink)
+	e.PUT("/v1/links/:name", s.handleChangeLink)
 	return e
 }
 
--- /dev/null
+++ b/standin/frameproxy/frameproxy_test.go
@@ -0,0 +1,144 @@
+package frameproxy_test
+
+import (
+	"context"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/coder/websocket"
+	"github.com/matryer/is"
+
+	"github.com/cassiatally/cassiatally/cassiatally"
+	"github.com/cassiatally/cassiatally/cassiatally/protocol"
+	"github.com/cassiatally/cassiatally/standin/frameproxy"
+)
+
+const generous = 30 * time.Second
+
+// end is one end of a link.
+type end struct {
+	t     *testing.T
+	conn  *websocket.Conn
+	codec *protocol.Codec
+}
+
+func (e end) write(messages ...cassiatally.Message) {
+	e.t.Helper()
+	for _, m := range messages {
+		frame, err := e.codec.Encode(m)
+		if err != nil {
+			e.t.Fatal(err)
+		}
+		if err := e.conn.Write(e.t.Context(), websocket.MessageBinary, frame); err != nil {
+			e.t.Fatal(err)
+		}
+	}
+}
+
+// read returns the answers that arrive before the next ping, as id:detail.
+func (e end) read() string {
+	e.t.Helper()
+	ctx, cancel := context.WithTimeout(e.t.Context(), generous)
+	defer cancel()
+	var b strings.Builder
+	for {
+		_, frame, err := e.conn.Read(ctx)
+		if err != nil {
+			e.t.Fatal(err)
+		}
+		m, err := e.codec.Decode(frame)
+		if err != nil {
+			e.t.Fatal(err)
+		}
+		a, ok := m.(cassiatally.Answer)
+		if !ok {
+			return b.String()
+		}
+		b.WriteString(string('0'+rune(a.ID.Seq)) + a.Detail + " ")
+	}
+}
+
+// open returns both ends of a link through a proxy.
+func open(t *testing.T) (p *frameproxy.Proxy, near, far end) {
+	t.Helper()
+	codec, err := protocol.New()
+	if err != nil {
+		t.Fatal(err)
+	}
+	accepted := make(chan *websocket.Conn, 1)
+	target := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if conn, err := websocket.Accept(w, r, nil); err == nil {
+			accepted <- conn
+		}
+	}))
+	t.Cleanup(target.Close)
+	p = &frameproxy.Proxy{Listen: "127.0.0.1:0", Target: cassiatally.Address(target.Listener.Addr().String())}
+	if err := p.Start(t.Context()); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(p.Close)
+	conn, resp, err := websocket.Dial(t.Context(), "ws://"+string(p.Address())+"/v1/link", nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if resp.Body != nil {
+		_ = resp.Body.Close()
+	}
+	t.Cleanup(func() { _ = conn.CloseNow() })
+	other := <-accepted
+	t.Cleanup(func() { _ = other.CloseNow() })
+	return p, end{t, conn, codec}, end{t, other, codec}
+}
+
+func answer(id uint64, detail string) cassiatally.Answer {
+	return cassiatally.Answer{ID: cassiatally.CallID{Seq: id}, Detail: detail}
+}
+
+// Guards against a mode that does something else to answers than it says, or that
+// loses those it held back.
+func TestModes(t *testing.T) {
+	cases := []struct {
+		mode        frameproxy.Mode
+		direction   frameproxy.Direction
+		want, after string
+	}{
+		{frameproxy.ModePass, frameproxy.DirectionBoth, "1a 2b 3c ", ""},
+		{frameproxy.ModeDouble, frameproxy.DirectionBoth, "1a 1a 2b 2b 3c 3c ", ""},
+		{frameproxy.ModeLate, frameproxy.DirectionDown, "2b 3c 1a ", ""},
+		{frameproxy.ModeCross, frameproxy.DirectionBoth, "2a 1b 1a 2b ", "3c "},
+		{frameproxy.ModeSwap, frameproxy.DirectionDown, "2a 1b ", "3c "},
+		{frameproxy.ModeSwap, frameproxy.DirectionUp, "1a 2b 3c ", ""},
+	}
+	for _, c := range cases {
+		t.Run(string(c.mode)+" "+string(c.direction), func(t *testing.T) {
+			is := is.New(t)
+			p, near, far := open(t)
+			is.NoErr(p.Apply(t.Context(), frameproxy.Change{Answers: c.mode, Direction: c.direction}))
+			far.write(answer(1, "a"), answer(2, "b"), answer(3, "c"), cassiatally.Ping{Seq: 1})
+			is.Equal(near.read(), c.want)
+			is.NoErr(p.Apply(t.Context(), frameproxy.Change{Answers: frameproxy.ModePass}))
+			far.write(cassiatally.Ping{Seq: 2})
+			is.Equal(near.read(), c.after)
+		})
+	}
+}
+
+// Guards against a change for the links of one node that reaches those of another.
+func TestPeer(t *testing.T) {
+	for _, peer := range []cassiatally.NodeID{"n1", "n2"} {
+		is := is.New(t)
+		p, near, far := open(t)
+		near.write(cassiatally.Hello{From: cassiatally.NodeRef{Node: "n1", Incarnation: 1}})
+		is.Equal(far.read(), "") // the hello has passed
+		is.NoErr(p.Apply(t.Context(), frameproxy.Change{Answers: frameproxy.ModeDouble, Peer: peer}))
+		far.write(answer(1, "a"), cassiatally.Ping{Seq: 1})
+		want := "1a "
+		if peer == "n1" {
+			want = "1a 1a "
+		}
+		is.Equal(near.read(), want)
+	}
+}
