balancer, router: move on from endpoints that cannot be reached

Nothing was known about the far endpoint, so its predicted wait was lower; each call to it failed at once, its retry was denied by the budget, and a service with fewer than three endpoints excludes none as an outlier. It went on until membership suspected the other data centre, 10 s later.

The endpoint is chosen in the next second only when there is no other one. Tests TestUnreached and TestUnreachableEndpoint.

--- a/cassiatally/balancer/balancer.go
+++ b/cassiatally/balancer/balancer.go
@@ -31,6 +31,10 @@
 	defaultConnectionShare = 0.25
 	defaultSlowStart       = 5 * time.Second
 	defaultExclusion       = 5 * time.Second
+	// unreachedPause is how long an endpoint that was not reached is chosen only
+	// when there is no other one. Membership takes 3 s to 10 s to suspect it, and
+	// with fewer than three endpoints a service excludes none.
+	unreachedPause = time.Second
 	// leastWeight is the weight of an endpoint at the start of its slow start.
 	leastWeight = 0.1
 	// reportHalfLife is the time after which half of what a report said about the
@@ -91,6 +95,8 @@
 	calls      int
 	excluded   cassiatally.Instant
 	exclusions int
+	// unreached is until when the endpoint is taken as out of reach.
+	unreached cassiatally.Instant
 }
 
 var _ cassiatally.Balancer = (*Balancer)(nil)
@@ -141,11 +147,13 @@
 
 // Choose returns an endpoint of the service that is not in avoid.
 func (b *Balancer) Choose(now cassiatally.Instant, s cassiatally.Service, avoid []cassiatally.NodeID) (cassiatally.NodeID, bool) {
-	b.collect(now, s, avoid, false)
-	if len(b.near)+len(b.far) == 0 {
-		// A refusal here would hit every rank alike; the queue of the endpoint
-		// refuses the least urgent call instead.
-		b.collect(now, s, avoid, true)
+	// A refusal when all are full would hit every rank alike; the queue of the
+	// endpoint refuses the least urgent call instead.
+	for _, w := range []width{widthFree, widthFull, widthAll} {
+		b.collect(now, s, avoid, w)
+		if len(b.near)+len(b.far) > 0 {
+			break
+		}
 	}
 	near, nearWait := b.betterOfTwo(now, b.near)
 	far, farWait := b.betterOfTwo(now, b.far)
@@ -160,12 +168,23 @@
 	return near.candidate.Ref.Node, true
 }
 
-// collect lists the endpoints that may be chosen, those that are full included
-// on request.
-func (b *Balancer) collect(now cassiatally.Instant, s cassiatally.Service, avoid []cassiatally.NodeID, full bool) {
+// width tells which endpoints besides the free ones may be chosen.
+type width int
+
+const (
+	widthFree width = iota
+	// widthFull includes those that are full.
+	widthFull
+	// widthAll includes those that were not reached lately.
+	widthAll
+)
+
+// collect lists the endpoints that may be chosen.
+func (b *Balancer) collect(now cassiatally.Instant, s cassiatally.Service, avoid []cassiatally.NodeID, w width) {
 	b.near, b.far = b.near[:0], b.far[:0]
 	for _, e := range b.services[s] {
-		if !eligible(now, e) || !full && b.full(e) || slices.Contains(avoid, e.candidate.Ref.Node) {
+		if !eligible(now, e) || slices.Contains(avoid, e.candidate.Ref.Node) ||
+			w < widthFull && b.full(e) || w < widthAll && now.Before(e.unreached) {
 			continue
 		}
 		if e.candidate.DataCentre == b.DataCentre {
@@ -264,6 +283,9 @@
 		e.report(now, r.Load)
 	}
 	e.calls++
+	if r.Unreached {
+		e.unreached = now.Add(unreachedPause)
+	}
 	failed := 0.0
 	if r.Failed {
 		failed = 1
--- a/cassiatally/balancer/balancer_test.go
+++ b/cassiatally/balancer/balancer_test.go
@@ -132,6 +132,21 @@
 	is.True(spread(b, later, 100)["n0"] > 0)
 }
 
+// Guards against calls that go on to an endpoint behind a partition until
+// membership suspects it, while another one would serve them, and against a
+// refusal when no other one is left.
+func TestUnreached(t *testing.T) {
+	is := is.New(t)
+	b := newBalancer(1, candidates(1, 1))
+	b.Started(settled, "n0")
+	b.Finished(settled, "n0", cassiatally.CallResult{Failed: true, Unreached: true})
+	is.Equal(spread(b, settled, 20)["n1"], 20)
+	b.Started(settled, "n1")
+	b.Finished(settled, "n1", cassiatally.CallResult{Failed: true, Unreached: true})
+	is.Equal(spread(b, settled, 20)["none"], 0)
+	is.Equal(spread(b, settled.Add(2*time.Second), 20)["n0"], 20)
+}
+
 // Guards against a new endpoint that gets its full part of the calls while it is
 // still cold, and against a restart that is not noticed.
 func TestSlowStart(t *testing.T) {
--- a/cassiatally/router/answer.go
+++ b/cassiatally/router/answer.go
@@ -101,10 +101,7 @@
 		return r.deliver(p, a)
 	}
 	if a.Kind == cassiatally.KindDraining && p.redirects < maxRedirects {
-		p.redirects++
-		r.counts.Redirects++
-		p.avoid = append(p.avoid, a.Endpoint.Node)
-		return r.sendRun(now, p)
+		return r.redirect(now, p, a.Endpoint.Node)
 	}
 	if !r.takeRetry(now, p) {
 		return r.deliver(p, a)
@@ -113,6 +110,14 @@
 	return r.sendRun(now, p)
 }
 
+// redirect sends a call that ran nothing to another endpoint.
+func (r *Router) redirect(now cassiatally.Instant, p *pending, from cassiatally.NodeID) []cassiatally.Action {
+	p.redirects++
+	r.counts.Redirects++
+	p.avoid = append(p.avoid, from)
+	return r.sendRun(now, p)
+}
+
 // mayRepeat reports whether the request may be run by another endpoint. A
 // non-idempotent one may only when it is certain that it was not run.
 func (r *Router) mayRepeat(p *pending, a cassiatally.Answer) bool {
@@ -216,10 +221,13 @@
 	}
 	p.left += p.given
 	p.given = 0
-	r.finishAttempt(now, p, cassiatally.CallResult{Took: now.Sub(p.sentAt), Failed: true})
+	r.finishAttempt(now, p, cassiatally.CallResult{Took: now.Sub(p.sentAt), Failed: true, Unreached: true})
 	if p.claim {
 		return r.holdClaim(now, p)
 	}
+	if p.redirects < maxRedirects && !now.Reached(p.req.Deadline) {
+		return r.redirect(now, p, to)
+	}
 	a := refusal(cassiatally.KindUnreachable, "the node of the backend server cannot be reached")
 	a.Endpoint.Node = to
 	return r.afterFailure(now, p, a)
--- a/cassiatally/router/router.go
+++ b/cassiatally/router/router.go
@@ -35,8 +35,8 @@
 	claimRetryPause = 100 * time.Millisecond
 	// queryPause is the pause before a lost run is asked about again.
 	queryPause = 200 * time.Millisecond
-	// maxRedirects bounds how often a call moves on from endpoints that are leaving.
-	// Such a refusal ran nothing and spends no retry.
+	// maxRedirects bounds how often a call moves on from endpoints that are leaving
+	// or out of reach. Such a call ran nothing and spends no retry.
 	maxRedirects = 3
 	// overloadRetryAfter tells callers when to send again.
 	overloadRetryAfter = time.Second
--- a/cassiatally/router/router_test.go
+++ b/cassiatally/router/router_test.go
@@ -231,6 +231,23 @@
 	is.Equal(h.Counts().Foreign, uint64(1))
 }
 
+// Guards against a refusal, or a spent retry, for a call that never left the node
+// while another endpoint can be reached.
+func TestUnreachableEndpoint(t *testing.T) {
+	is := is.New(t)
+	h := newHarness([]cassiatally.NodeID{"a", "b"}, openBudget{denied: true}, fixedLoads{})
+	first, call := sent(t, h.Submit(start, request(false)))
+	second, call := sent(t, h.SendFailed(start, first, call))
+	is.True(second != first)
+	is.Equal(call.Retries, cassiatally.RetryCount(1)) // half of the two retries
+	for range 2 {
+		second, call = sent(t, h.SendFailed(start, second, call))
+	}
+	refused := delivered(t, h.SendFailed(start, second, call))
+	is.Equal(refused.Kind, cassiatally.KindUnreachable)
+	is.Equal(refused.Outcome, cassiatally.OutcomeNotRun)
+}
+
 // Guards against a lost link that repeats a non-idempotent run or forgets it.
 func TestLostLink(t *testing.T) {
 	is := is.New(t)
