scenarios: prove that a takeover waits for its winning record

Cause: no switch removed the wait for the winning record of a takeover, so logfaults was not seen to fail, and nothing had two nodes append the same epoch with real processes.

Change: switch winning_record adopts the record of a takeover as soon as it is handed to the log. Nodes name themselves in the header Cassiatally-Node when they open a link, so that the proxy can cut single pairs of nodes.

--- a/cassiatally/faultswitch/faultswitch.go
+++ b/cassiatally/faultswitch/faultswitch.go
@@ -30,6 +30,9 @@
 	ClaimUnresolved Mechanism = "claim_unresolved"
 	// LogBase judges a log whose beginning was dropped as if it were whole.
 	LogBase Mechanism = "log_base"
+	// WinningRecord acts on a takeover before its record is read back from the log
+	// as the winner.
+	WinningRecord Mechanism = "winning_record"
 	// LinkSilence leaves links open on which nothing arrives.
 	LinkSilence Mechanism = "link_silence"
 	// RunQuery takes a call on a lost link as not run.
--- a/node/claimkeeper/claimkeeper.go
+++ b/node/claimkeeper/claimkeeper.go
@@ -19,6 +19,7 @@
 	"github.com/cassiatally/cassiatally/cassiatally"
 	"github.com/cassiatally/cassiatally/cassiatally/assigner"
 	"github.com/cassiatally/cassiatally/cassiatally/claimer"
+	"github.com/cassiatally/cassiatally/cassiatally/faultswitch"
 	"github.com/cassiatally/cassiatally/cassiatally/looper"
 	"github.com/cassiatally/cassiatally/cassiatally/protocol"
 	"github.com/cassiatally/cassiatally/cassiatally/registrar"
@@ -308,6 +309,11 @@
 			if !k.appends.Offer(a.Assignment, 0) {
 				k.carryOut(now, k.Claimer.AppendFailed(now, a.Assignment))
 			}
+			if a.Assignment.Epoch > 1 && faultswitch.Off(faultswitch.WinningRecord) {
+				k.Assigner.Adopt(cassiatally.ShardTable{Assignments: []cassiatally.Assignment{a.Assignment}})
+				k.tableChanged(now)
+				k.publish()
+			}
 		default:
 		}
 	}
--- a/node/linker/linker.go
+++ b/node/linker/linker.go
@@ -56,6 +56,8 @@
 	// dataCentreHeader names the data centre of the node that opens a link, so that
 	// what stands between two nodes can tell which data centres a link joins.
 	dataCentreHeader = "Cassiatally-Data-Centre"
+	// nodeHeader names the node that opens a link, for the same reason.
+	nodeHeader = "Cassiatally-Node"
 	// shutdownGrace bounds the closing of the HTTP server.
 	shutdownGrace = 2 * time.Second
 )
@@ -222,7 +224,7 @@
 	ctx, cancel := context.WithTimeout(l.ctx, dialTimeout)
 	conn, resp, err := websocket.Dial(ctx, "ws://"+string(k.addr)+linkPath, &websocket.DialOptions{
 		CompressionMode: websocket.CompressionDisabled,
-		HTTPHeader:      http.Header{dataCentreHeader: {string(l.DataCentre)}},
+		HTTPHeader:      http.Header{dataCentreHeader: {string(l.DataCentre)}, nodeHeader: {string(l.Self.Node)}},
 	})
 	if resp != nil && resp.Body != nil {
 		_ = resp.Body.Close()
