--- a/cassiatally/faultswitch/faultswitch.go
+++ b/cassiatally/faultswitch/faultswitch.go
@@ -33,6 +33,8 @@
 	// WinningRecord acts on a takeover before its record is read back from the log
 	// as the winner.
 	WinningRecord Mechanism = "winning_record"
+	// VersionGrowth puts a sheet of a peer in force although its version is lower.
+	VersionGrowth Mechanism = "version_growth"
 	// LinkSilence leaves links open on which nothing arrives.
 	LinkSilence Mechanism = "link_silence"
 	// RunQuery takes a call on a lost link as not run.
--- a/cassiatally/follower/follower.go
+++ b/cassiatally/follower/follower.go
@@ -18,6 +18,7 @@
 	"time"
 
 	"github.com/cassiatally/cassiatally/cassiatally"
+	"github.com/cassiatally/cassiatally/cassiatally/faultswitch"
 	"github.com/cassiatally/cassiatally/cassiatally/sheetfolder"
 )
 
@@ -160,7 +161,11 @@
 // adopt puts the current record in force when it is newer.
 func (f *Follower) adopt() []cassiatally.Action {
 	current, ok := f.folder.Current()
-	if !ok || !f.settled || current.Version <= f.inForce {
+	lower := current.Version <= f.inForce
+	if faultswitch.Off(faultswitch.VersionGrowth) {
+		lower = current.Version == f.inForce
+	}
+	if !ok || !f.settled || lower {
 		return nil
 	}
 	f.inForce = current.Version
--- a/cassiatally/sheetfolder/folder.go
+++ b/cassiatally/sheetfolder/folder.go
@@ -27,7 +27,10 @@
 // sheet overrules what was folded without the lost records.
 package sheetfolder
 
-import "github.com/cassiatally/cassiatally/cassiatally"
+import (
+	"github.com/cassiatally/cassiatally/cassiatally"
+	"github.com/cassiatally/cassiatally/cassiatally/faultswitch"
+)
 
 // Folder folds the records of the stream sheet. The zero value expects the
 // record at offset 0. It is not safe for concurrent use.
@@ -118,7 +121,7 @@
 // reports whether it is newer. The version in force only grows.
 func (f *Folder) Adopt(r cassiatally.SheetRecord) bool {
 	current, _ := f.Current()
-	if cassiatally.DigestOf(r.Sheet) != r.Digest || r.Version <= current.Version {
+	if cassiatally.DigestOf(r.Sheet) != r.Digest || r.Version <= current.Version && !faultswitch.Off(faultswitch.VersionGrowth) {
 		return false
 	}
 	f.adopted = r
@@ -128,7 +131,8 @@
 // Current returns the record in force. It is false when no version is known.
 // While Based is false, a newer version may be in force.
 func (f *Folder) Current() (cassiatally.SheetRecord, bool) {
-	if f.adopted.Version > f.folded.Version {
+	lower := faultswitch.Off(faultswitch.VersionGrowth) && f.adopted.Version > 0
+	if lower || f.adopted.Version > f.folded.Version {
 		return f.adopted, true
 	}
 	return f.folded, f.folded.Version > 0
--- a/standin/faultserver/links.go
+++ b/standin/faultserver/links.go
@@ -14,6 +14,7 @@
 // linkChangeBody has the fields of frameproxy.Change.
 type linkChangeBody struct {
 	Answers   frameproxy.Mode      `json:"answers"`
+	HoldSheet bool                 `json:"hold_sheet"`
 	Direction frameproxy.Direction `json:"direction"`
 	Peer      cassiatally.NodeID   `json:"peer"`
 	Target    cassiatally.Address  `json:"target"`
--- a/standin/frameproxy/frameproxy.go
+++ b/standin/frameproxy/frameproxy.go
@@ -1,5 +1,6 @@
-// Package frameproxy passes links between nodes on, frame by frame, and mixes up
-// the answers on them. Frames of other types pass unchanged and in order.
+// Package frameproxy passes links between nodes on, frame by frame. It mixes up
+// the answers on them and holds back a sheet. Frames of other types pass unchanged
+// and in order.
 //
 // Up is the direction from the end that connects to the target, down the other
 // one.
@@ -85,6 +86,9 @@
 type Change struct {
 	// Answers is the new mode; empty keeps the one in force.
 	Answers Mode
+	// HoldSheet holds back the next sheet record in each direction of a link until
+	// another change comes; later ones overtake it.
+	HoldSheet bool
 	// Direction limits the change to one direction.
 	Direction Direction
 	// Peer limits the change to the links that this node opened. Links that are
@@ -95,7 +99,7 @@
 }
 
 // Status is the state of a proxy. Mixed counts the answers that were doubled,
-// held back or given the id of another call.
+// held back or given the id of another call, and the sheets that were held back.
 type Status struct {
 	Target cassiatally.Address
 	Links  int
@@ -120,11 +124,26 @@
 // state is owned by the duty of the proxy.
 type state struct {
 	target   cassiatally.Address
-	up, down Mode
+	up, down faults
 	links    map[*link]struct{}
 	mixed    uint64
 }
 
+// faults are those of one direction.
+type faults struct {
+	answers   Mode
+	holdSheet bool
+}
+
+// changed returns the faults after a change.
+func (f faults) changed(c Change) faults {
+	f.holdSheet = c.HoldSheet
+	if c.Answers != "" {
+		f.answers = c.Answers
+	}
+	return f
+}
+
 // Start listens and accepts until Close.
 func (p *Proxy) Start(ctx context.Context) error {
 	codec, err := protocol.New()
@@ -138,7 +157,9 @@
 	}
 	p.codec, p.listener = codec, listener
 	p.ctx, p.cancel = context.WithCancel(context.WithoutCancel(ctx))
-	p.owner = owner.New(&state{target: p.Target, up: ModePass, down: ModePass, links: make(map[*link]struct{})}, inboxCapacity)
+	p.owner = owner.New(&state{
+		target: p.Target, up: faults{answers: ModePass}, down: faults{answers: ModePass}, links: make(map[*link]struct{}),
+	}, inboxCapacity)
 	mux := http.NewServeMux()
 	mux.HandleFunc(linkPath, p.accept)
 	p.server = &http.Server{Handler: mux, ReadHeaderTimeout: dialTimeout, BaseContext: func(net.Listener) context.Context { return p.ctx }}
@@ -166,7 +187,7 @@
 		if c.Target != "" {
 			s.target = c.Target
 		}
-		if c.Answers == "" {
+		if c.Answers == "" && !c.HoldSheet {
 			return
 		}
 		if c.Peer == "" {
@@ -184,10 +205,10 @@
 
 func (s *state) set(c Change) {
 	if c.Direction != DirectionDown {
-		s.up = c.Answers
+		s.up = s.up.changed(c)
 	}
 	if c.Direction != DirectionUp {
-		s.down = c.Answers
+		s.down = s.down.changed(c)
 	}
 }
 
@@ -232,7 +253,7 @@
 func (p *Proxy) admit(ctx context.Context, l *link) (target cassiatally.Address, err error) {
 	err = p.owner.Do(ctx, func(s *state) {
 		target = s.target
-		l.up.mode, l.down.mode = s.up, s.down
+		l.up.faults, l.down.faults = s.up, s.down
 		s.links[l] = struct{}{}
 	})
 	return target, err
--- a/standin/frameproxy/frameproxy_test.go
+++ b/standin/frameproxy/frameproxy_test.go
@@ -41,19 +41,9 @@
 // read returns the answers that arrive before the next ping, as id:detail.
 func (e end) read() string {
 	e.t.Helper()
-	ctx, cancel := context.WithTimeout(e.t.Context(), generous)
-	defer cancel()
 	var b strings.Builder
 	for {
-		_, frame, err := e.conn.Read(ctx)
-		if err != nil {
-			e.t.Fatal(err)
-		}
-		m, err := e.codec.Decode(frame)
-		if err != nil {
-			e.t.Fatal(err)
-		}
-		a, ok := m.(cassiatally.Answer)
+		a, ok := e.next().(cassiatally.Answer)
 		if !ok {
 			return b.String()
 		}
@@ -61,6 +51,31 @@
 	}
 }
 
+// sheet returns the version of the next message, which has to be a sheet.
+func (e end) sheet() cassiatally.Version {
+	e.t.Helper()
+	m, ok := e.next().(cassiatally.SheetRecord)
+	if !ok {
+		e.t.Fatalf("%T is no sheet", m)
+	}
+	return m.Version
+}
+
+func (e end) next() cassiatally.Message {
+	e.t.Helper()
+	ctx, cancel := context.WithTimeout(e.t.Context(), generous)
+	defer cancel()
+	_, frame, err := e.conn.Read(ctx)
+	if err != nil {
+		e.t.Fatal(err)
+	}
+	m, err := e.codec.Decode(frame)
+	if err != nil {
+		e.t.Fatal(err)
+	}
+	return m
+}
+
 // open returns both ends of a link through a proxy.
 func open(t *testing.T) (p *frameproxy.Proxy, near, far end) {
 	t.Helper()
@@ -126,6 +141,19 @@
 	}
 }
 
+// Guards against a sheet that is not held back, holds back later ones, or is lost.
+func TestHoldSheet(t *testing.T) {
+	is := is.New(t)
+	p, near, far := open(t)
+	is.NoErr(p.Apply(t.Context(), frameproxy.Change{HoldSheet: true}))
+	far.write(cassiatally.SheetRecord{Version: 1}, cassiatally.SheetRecord{Version: 2})
+	is.Equal(near.sheet(), cassiatally.Version(2))
+	is.NoErr(p.Apply(t.Context(), frameproxy.Change{Answers: frameproxy.ModePass}))
+	is.Equal(near.sheet(), cassiatally.Version(1))
+	far.write(cassiatally.SheetRecord{Version: 3})
+	is.Equal(near.sheet(), cassiatally.Version(3))
+}
+
 // Guards against a change for the links of one node that reaches those of another.
 func TestPeer(t *testing.T) {
 	for _, peer := range []cassiatally.NodeID{"n1", "n2"} {
--- a/standin/frameproxy/link.go
+++ b/standin/frameproxy/link.go
@@ -29,18 +29,21 @@
 	opener atomic.Pointer[cassiatally.NodeID]
 }
 
-// item is a frame in transit, or a change when it has a mode.
+// item is a frame in transit or a change.
 type item struct {
-	frame []byte
-	mode  Mode
+	frame  []byte
+	change *Change
 }
 
-// mixer is one direction of a link. The duty that writes owns mode and held.
+// mixer is one direction of a link. The duty that writes owns faults, held and
+// sheet.
 type mixer struct {
-	codec *protocol.Codec
-	ring  *ring.Ring[item]
-	mode  Mode
-	held  []cassiatally.Answer
+	faults faults
+	codec  *protocol.Codec
+	ring   *ring.Ring[item]
+	held   []cassiatally.Answer
+	// sheet is the frame that is held back, if any.
+	sheet []byte
 	mixed atomic.Uint64
 	hello func(cassiatally.NodeID)
 }
@@ -62,10 +65,10 @@
 		return
 	}
 	if c.Direction != DirectionDown {
-		l.up.ring.Push(l.ctx, item{mode: c.Answers})
+		l.up.ring.Push(l.ctx, item{change: &c})
 	}
 	if c.Direction != DirectionUp {
-		l.down.ring.Push(l.ctx, item{mode: c.Answers})
+		l.down.ring.Push(l.ctx, item{change: &c})
 	}
 }
 
@@ -114,9 +117,8 @@
 
 // next returns the frames to write after an item.
 func (m *mixer) next(i item) [][]byte {
-	if i.mode != "" {
-		m.mode = i.mode
-		return m.encode(m.release())
+	if i.change != nil {
+		return m.change(*i.change)
 	}
 	message, err := m.codec.Decode(i.frame)
 	if err != nil {
@@ -129,13 +131,30 @@
 			m.hello(message.From.Node)
 		}
 	case cassiatally.Answer:
-		if m.mode != ModePass {
+		if m.faults.answers != ModePass {
 			return m.encode(m.mix(message))
 		}
+	case cassiatally.SheetRecord:
+		if m.faults.holdSheet && m.sheet == nil {
+			m.mixed.Add(1)
+			m.sheet = i.frame
+			return nil
+		}
 	}
 	return [][]byte{i.frame}
 }
 
+// change returns what was held back.
+func (m *mixer) change(c Change) [][]byte {
+	m.faults = m.faults.changed(c)
+	out := m.encode(m.release())
+	if m.sheet != nil {
+		out = append(out, m.sheet)
+		m.sheet = nil
+	}
+	return out
+}
+
 func (m *mixer) release() []cassiatally.Answer {
 	out := m.held
 	m.held = nil
@@ -144,10 +163,10 @@
 
 func (m *mixer) mix(a cassiatally.Answer) []cassiatally.Answer {
 	m.mixed.Add(1)
-	if m.mode == ModeDouble {
+	if m.faults.answers == ModeDouble {
 		return []cassiatally.Answer{a, a}
 	}
-	if m.mode == ModeLate {
+	if m.faults.answers == ModeLate {
 		m.held = append(m.held, a)
 		if len(m.held) <= lateBy {
 			return nil
@@ -161,7 +180,7 @@
 	first := m.release()[0]
 	crossed := []cassiatally.Answer{first, a}
 	crossed[0].ID, crossed[1].ID = a.ID, first.ID
-	if m.mode == ModeSwap {
+	if m.faults.answers == ModeSwap {
 		return crossed
 	}
 	return append(crossed, first, a)
