--- a/cassiatally/budgeter/budgeter.go
+++ b/cassiatally/budgeter/budgeter.go
@@ -22,6 +22,7 @@
 	"time"
 
 	"github.com/cassiatally/cassiatally/cassiatally"
+	"github.com/cassiatally/cassiatally/cassiatally/faultswitch"
 )
 
 const (
@@ -69,6 +70,9 @@
 // Take spends a token of the pair. A level below 1 means that the target is
 // already short of capacity: the bucket is emptied and nothing may be retried.
 func (b *Budgeter) Take(now cassiatally.Instant, p cassiatally.ServicePair, level cassiatally.Level) bool {
+	if faultswitch.Off(faultswitch.RetryBudget) {
+		return true
+	}
 	k := b.bucket(now, p)
 	if k == nil {
 		return false
--- a/cassiatally/faultswitch/faultswitch.go
+++ b/cassiatally/faultswitch/faultswitch.go
@@ -39,6 +39,9 @@
 	LinkSilence Mechanism = "link_silence"
 	// RunQuery takes a call on a lost link as not run.
 	RunQuery Mechanism = "run_query"
+	// RetryBudget lets every failed call be retried while its root request has
+	// retries left.
+	RetryBudget Mechanism = "retry_budget"
 	// AnswerLength takes an answer of a backend server that ends early as whole.
 	AnswerLength Mechanism = "answer_length"
 	// AnswerTag takes an answer that is tagged as that of another request.
