--- a/cassiatally/faultswitch/faultswitch.go
+++ b/cassiatally/faultswitch/faultswitch.go
@@ -30,10 +30,20 @@
 	ClaimUnresolved Mechanism = "claim_unresolved"
 	// LogBase judges a log whose beginning was dropped as if it were whole.
 	LogBase Mechanism = "log_base"
+	// WinningRecord acts on a takeover before its record is read back from the log
+	// as the winner.
+	WinningRecord Mechanism = "winning_record"
+	// VersionGrowth puts a sheet of a peer in force although its version is lower.
+	VersionGrowth Mechanism = "version_growth"
 	// LinkSilence leaves links open on which nothing arrives.
 	LinkSilence Mechanism = "link_silence"
 	// RunQuery takes a call on a lost link as not run.
 	RunQuery Mechanism = "run_query"
+	// RetryBudget lets every failed call be retried while its root request has
+	// retries left.
+	RetryBudget Mechanism = "retry_budget"
 	// AnswerLength takes an answer of a backend server that ends early as whole.
 	AnswerLength Mechanism = "answer_length"
+	// AnswerTag takes an answer that is tagged as that of another request.
+	AnswerTag Mechanism = "answer_tag"
 )
--- a/cassiatally/router/answer.go
+++ b/cassiatally/router/answer.go
@@ -12,7 +12,12 @@
 		r.counts.LateAnswers++
 		return nil
 	}
-	if len(a.Body) > 0 && cassiatally.DigestOf(a.Body) != a.Digest {
+	if a.Request != 0 && a.Request != p.tag && !faultswitch.Off(faultswitch.AnswerTag) {
+		// The own answer may still come; without it the call ends at its deadline.
+		r.counts.Foreign++
+		return nil
+	}
+	if hasBody(a) && cassiatally.DigestOf(a.Body) != a.Digest {
 		r.counts.Incomplete++
 		a = incomplete(a, p)
 	}
@@ -29,6 +34,11 @@
 	return r.afterFailure(now, p, a)
 }
 
+// hasBody reports whether the answer has a body, or lost the one that it had.
+func hasBody(a cassiatally.Answer) bool {
+	return len(a.Body) > 0 || a.Digest != cassiatally.Digest{}
+}
+
 func incomplete(a cassiatally.Answer, p *pending) cassiatally.Answer {
 	out := cassiatally.Answer{
 		ID:       a.ID,
@@ -91,10 +101,7 @@
 		return r.deliver(p, a)
 	}
 	if a.Kind == cassiatally.KindDraining && p.redirects < maxRedirects {
-		p.redirects++
-		r.counts.Redirects++
-		p.avoid = append(p.avoid, a.Endpoint.Node)
-		return r.sendRun(now, p)
+		return r.redirect(now, p, a.Endpoint.Node)
 	}
 	if !r.takeRetry(now, p) {
 		return r.deliver(p, a)
@@ -103,6 +110,14 @@
 	return r.sendRun(now, p)
 }
 
+// redirect sends a call that ran nothing to another endpoint.
+func (r *Router) redirect(now cassiatally.Instant, p *pending, from cassiatally.NodeID) []cassiatally.Action {
+	p.redirects++
+	r.counts.Redirects++
+	p.avoid = append(p.avoid, from)
+	return r.sendRun(now, p)
+}
+
 // mayRepeat reports whether the request may be run by another endpoint. A
 // non-idempotent one may only when it is certain that it was not run.
 func (r *Router) mayRepeat(p *pending, a cassiatally.Answer) bool {
@@ -190,7 +205,7 @@
 	r.scheduleWake(p, now.Add(queryPause))
 	return []cassiatally.Action{cassiatally.Send{
 		To:      p.target,
-		Message: cassiatally.RunQuery{ID: p.attempt, Target: p.lostAt},
+		Message: cassiatally.RunQuery{ID: p.attempt, Target: p.lostAt, Request: p.tag},
 	}}
 }
 
@@ -206,10 +221,13 @@
 	}
 	p.left += p.given
 	p.given = 0
-	r.finishAttempt(now, p, cassiatally.CallResult{Took: now.Sub(p.sentAt), Failed: true})
+	r.finishAttempt(now, p, cassiatally.CallResult{Took: now.Sub(p.sentAt), Failed: true, Unreached: true})
 	if p.claim {
 		return r.holdClaim(now, p)
 	}
+	if p.redirects < maxRedirects && !now.Reached(p.req.Deadline) {
+		return r.redirect(now, p, to)
+	}
 	a := refusal(cassiatally.KindUnreachable, "the node of the backend server cannot be reached")
 	a.Endpoint.Node = to
 	return r.afterFailure(now, p, a)
