budgeter, router: send requests again whose endpoint was lost

Cause: When a backend server was killed near the capacity that is left, all 16 callers whose requests were cut off were told `unknown`. A trial that printed the level at each denied retry showed 1 - 4e-16: the level of a service is a mean that approaches 1 without reaching it, and a level below 1 emptied the retry budget. Ruled out: the root budget (2 left each time) and a new, empty bucket (10 tokens saved). With the level fixed, the budget is still smaller than the slots of an endpoint, and nothing in a real shortage. Change: A service counts as short below 0.995. Requests that were cut off by the loss of an endpoint have a token bucket of their own per pair of services, at the same rate, which holds the successes of a second (at least 32), starts full, and does not depend on the level; the root budget bounds them as before. Calls that are queued when their backend server is lost move on as `draining` at once. The fake budget of the router's tests has the new method.

--- a/cassiatally/budgeter/budgeter.go
+++ b/cassiatally/budgeter/budgeter.go
@@ -2,7 +2,8 @@
 // chain.
 //
 // A Budgeter has a token bucket per pair of services: a retry costs a token, and
-// tokens come from successes. An Allotment divides the retry budget of one root
+// tokens come from successes. A second bucket per pair is for runs that were cut
+// off by the loss of an endpoint. An Allotment divides the retry budget of one root
 // request among the child calls of a run.
 //
 // # Usage
@@ -12,6 +13,9 @@
 //	if b.Take(now, pair, level) {
 //		// send the retry
 //	}
+//	if b.TakeLost(now, pair) {
+//		// send a request again whose endpoint was lost
+//	}
 //
 //	a := budgeter.NewAllotment(call.Retries)
 //	granted := a.Grant()         // for a child call
@@ -22,6 +26,7 @@
 	"time"
 
 	"github.com/cassiatally/cassiatally/cassiatally"
+	"github.com/cassiatally/cassiatally/cassiatally/faultswitch"
 )
 
 const (
@@ -29,6 +34,14 @@
 	defaultMinRate = 1.0
 	defaultBurst   = 10.0
 	defaultIdle    = 5 * time.Minute
+	// shortBelow is the level below which a service is short of capacity. The level
+	// of a service is a mean of older ones and approaches 1 without reaching it: it
+	// was 4e-16 below 1 when a service refused nothing any more.
+	shortBelow = 0.995
+	// lostBurst is the least capacity of a bucket for lost runs, in tokens. A wide
+	// service has 110 slots per endpoint, of which one entry node fills a part; one
+	// that fills more has more successes, which raise the capacity.
+	lostBurst = 32
 	// defaultMaxPairs is above the pairs that 210 services form in practice.
 	defaultMaxPairs = 4096
 	// period is the time over which earned tokens and the minimum rate are
@@ -51,33 +64,56 @@
 	// Idle is the time after which an unused pair is forgotten; 0 means 5 min.
 	Idle time.Duration
 
-	pairs map[cassiatally.ServicePair]*bucket
+	pairs map[cassiatally.ServicePair]*buckets
 	swept cassiatally.Instant
 }
 
+// buckets are those of one pair.
+type buckets struct {
+	refused, lost bucket
+	begun, used   cassiatally.Instant
+	// earned tokens come from the successes of the current period.
+	earned float64
+}
+
 type bucket struct {
-	// saved tokens come from past periods, earned ones from the current period.
-	saved, earned float64
+	// saved tokens come from past periods.
+	saved float64
 	// spent counts tokens taken in the current period.
 	spent float64
-	begun cassiatally.Instant
-	used  cassiatally.Instant
 }
 
 var _ cassiatally.RetryBudget = (*Budgeter)(nil)
 
-// Take spends a token of the pair. A level below 1 means that the target is
-// already short of capacity: the bucket is emptied and nothing may be retried.
+// Take spends a token of the pair. A level below shortBelow means that the target
+// is already short of capacity: the bucket is emptied and nothing may be retried.
 func (b *Budgeter) Take(now cassiatally.Instant, p cassiatally.ServicePair, level cassiatally.Level) bool {
-	k := b.bucket(now, p)
+	k := b.pair(now, p)
 	if k == nil {
 		return false
 	}
-	if level < 1 {
-		*k = bucket{begun: now, used: now}
+	if level < shortBelow {
+		// What was earned so far must not pay for retries after the shortage either.
+		k.refused = bucket{spent: b.income(k, now)}
 		return false
 	}
-	if k.saved+b.income(k, now)-k.spent < 1 {
+	return k.refused.take(b.income(k, now))
+}
+
+// TakeLost spends a token for a run that was cut off by the loss of an endpoint.
+// There are at most as many of these as the endpoint had slots, so they may be
+// retried when the target is short: the bucket keeps the successes of a second, or
+// lostBurst tokens, and earns as much as the other one.
+func (b *Budgeter) TakeLost(now cassiatally.Instant, p cassiatally.ServicePair) bool {
+	if faultswitch.Off(faultswitch.LostRetries) {
+		return false
+	}
+	k := b.pair(now, p)
+	return k != nil && k.lost.take(b.income(k, now))
+}
+
+func (k *bucket) take(income float64) bool {
+	if k.saved+income-k.spent < 1 {
 		return false
 	}
 	k.spent++
@@ -86,19 +122,19 @@
 
 // Succeeded adds what a success earns.
 func (b *Budgeter) Succeeded(now cassiatally.Instant, p cassiatally.ServicePair) {
-	if k := b.bucket(now, p); k != nil {
+	if k := b.pair(now, p); k != nil {
 		k.earned += positive(b.Ratio, defaultRatio)
 	}
 }
 
 // income returns the tokens of the current period: those earned, or those of the
 // minimum rate if they are more.
-func (b *Budgeter) income(k *bucket, now cassiatally.Instant) float64 {
+func (b *Budgeter) income(k *buckets, now cassiatally.Instant) float64 {
 	least := positive(b.MinRate, defaultMinRate) * now.Sub(k.begun).Seconds()
 	return max(k.earned, least)
 }
 
-func (b *Budgeter) bucket(now cassiatally.Instant, p cassiatally.ServicePair) *bucket {
+func (b *Budgeter) pair(now cassiatally.Instant, p cassiatally.ServicePair) *buckets {
 	k := b.pairs[p]
 	if k == nil {
 		k = b.add(now, p)
@@ -113,16 +149,21 @@
 	return k
 }
 
-func (b *Budgeter) closePeriod(now cassiatally.Instant, k *bucket) {
+func (b *Budgeter) closePeriod(now cassiatally.Instant, k *buckets) {
 	income := b.income(k, now)
-	capacity := max(positive(b.Burst, defaultBurst), k.earned)
+	k.refused.save(income, max(positive(b.Burst, defaultBurst), k.earned))
+	k.lost.save(income, max(lostBurst, k.earned/positive(b.Ratio, defaultRatio)))
+	k.earned, k.begun = 0, now
+}
+
+func (k *bucket) save(income, capacity float64) {
 	k.saved = min(max(k.saved+income-k.spent, 0), capacity)
-	k.earned, k.spent, k.begun = 0, 0, now
+	k.spent = 0
 }
 
-func (b *Budgeter) add(now cassiatally.Instant, p cassiatally.ServicePair) *bucket {
+func (b *Budgeter) add(now cassiatally.Instant, p cassiatally.ServicePair) *buckets {
 	if b.pairs == nil {
-		b.pairs = make(map[cassiatally.ServicePair]*bucket)
+		b.pairs = make(map[cassiatally.ServicePair]*buckets)
 	}
 	bound := b.MaxPairs
 	if bound <= 0 {
@@ -135,7 +176,8 @@
 		return nil
 	}
 	// A new pair starts with one token, so that its first refusal can be retried.
-	k := &bucket{saved: 1, begun: now}
+	// What an endpoint can lose does not depend on the age of the pair.
+	k := &buckets{refused: bucket{saved: 1}, lost: bucket{saved: lostBurst}, begun: now, used: now}
 	b.pairs[p] = k
 	return k
 }
--- a/cassiatally/budgeter/budgeter_test.go
+++ b/cassiatally/budgeter/budgeter_test.go
@@ -36,6 +36,7 @@
 	}{
 		{"a tenth of the successes", 1000, 1, 9_900, 10_010},
 		{"at least one per second", 2, 1, 98, 102},
+		{"a tenth of the successes after a shortage, when the level approaches 1", 1000, 1 - 4e-16, 9_900, 10_010},
 		{"none while the target is short of capacity", 1000, 0.99, 0, 0},
 	}
 	for _, c := range cases {
@@ -69,6 +70,39 @@
 	is.True(b.Take(later.Add(time.Second), pair, 1))
 }
 
+// Guards against callers that are told unknown because the endpoint of their
+// requests was lost while the service is short, and against retries without bound
+// when endpoints are lost again and again.
+func TestLostRuns(t *testing.T) {
+	is := is.New(t)
+	takeAll := func(b *budgeter.Budgeter, now cassiatally.Instant) (taken int) {
+		for b.TakeLost(now, pair) {
+			taken++
+		}
+		return taken
+	}
+	b := &budgeter.Budgeter{}
+	is.True(b.Take(0, pair, 1))
+	is.True(!b.Take(0, pair, 0.5))
+	is.Equal(takeAll(b, 0), 32) // also for a new pair, in a shortage
+	taken := 0
+	for now := cassiatally.Instant(0); now.Before(cassiatally.Instant(100 * time.Second)); now = now.Add(time.Millisecond) {
+		b.Succeeded(now, pair)
+		taken += takeAll(b, now)
+	}
+	is.True(taken >= 9_900) // a tenth of the successes
+	is.True(taken <= 10_010)
+
+	saved := &budgeter.Budgeter{}
+	for now := cassiatally.Instant(0); now.Before(cassiatally.Instant(time.Minute)); now = now.Add(time.Second / 200) {
+		saved.Succeeded(now, pair)
+	}
+	most := takeAll(saved, cassiatally.Instant(time.Minute))
+	is.True(most >= 200) // the successes of a second
+	is.True(most <= 220)
+	is.True(saved.Take(cassiatally.Instant(time.Minute), pair, 1)) // the other budget is left
+}
+
 // Guards against memory that grows with the pairs, and against pairs that take
 // each other's tokens.
 func TestPairs(t *testing.T) {
--- a/cassiatally/faultswitch/faultswitch.go
+++ b/cassiatally/faultswitch/faultswitch.go
@@ -40,4 +40,7 @@
 	CrashNews Mechanism = "crash_news"
 	// SuspectsWait runs requests that were in flight in a crash side by side.
 	SuspectsWait Mechanism = "suspects_wait"
+	// LostRetries leaves requests that lost their endpoint to the retry budget of
+	// refused ones.
+	LostRetries Mechanism = "lost_retries"
 )
--- a/cassiatally/interfaces.go
+++ b/cassiatally/interfaces.go
@@ -152,6 +152,9 @@
 	// Take reports whether a retry may be sent now and spends it if so. The level
 	// of the target service shrinks the budget.
 	Take(now Instant, p ServicePair, level Level) bool
+	// TakeLost does the same for a run that was cut off by the loss of an endpoint,
+	// whatever the level.
+	TakeLost(now Instant, p ServicePair) bool
 	// Succeeded feeds the budget of the pair.
 	Succeeded(now Instant, p ServicePair)
 }
--- a/cassiatally/router/answer.go
+++ b/cassiatally/router/answer.go
@@ -87,6 +87,7 @@
 
 func (r *Router) afterFailure(now cassiatally.Instant, p *pending, a cassiatally.Answer) []cassiatally.Action {
 	p.mayHaveRun = p.mayHaveRun || a.Outcome != cassiatally.OutcomeNotRun
+	p.lost = p.lost || lostEndpoint(a.Kind)
 	if !r.mayRepeat(p, a) || now.Reached(p.req.Deadline) {
 		return r.deliver(p, a)
 	}
@@ -112,7 +113,13 @@
 	if !p.req.Policy.Idempotent {
 		return false
 	}
-	switch a.Kind {
+	return lostEndpoint(a.Kind)
+}
+
+// lostEndpoint reports whether a call failed because its endpoint, the node beside
+// it or the connection was lost.
+func lostEndpoint(k cassiatally.ErrorKind) bool {
+	switch k {
 	case cassiatally.KindOutcomeUnknown, cassiatally.KindIncompleteAnswer, cassiatally.KindUnreachable:
 		return true
 	default:
@@ -121,8 +128,7 @@
 }
 
 func (r *Router) takeRetry(now cassiatally.Instant, p *pending) bool {
-	level := r.cfg.Loads.Level(now, p.req.Service, p.req.Policy.Rank)
-	if p.left == 0 || !r.cfg.Budget.Take(now, p.pair(), level) {
+	if p.left == 0 || !r.budgetAllows(now, p) {
 		r.counts.RetriesDenied++
 		return false
 	}
@@ -132,6 +138,15 @@
 	return true
 }
 
+// budgetAllows takes a token of the service pair. A request that has lost an
+// endpoint stays one that has when the next endpoint refuses it.
+func (r *Router) budgetAllows(now cassiatally.Instant, p *pending) bool {
+	if p.lost && r.cfg.Budget.TakeLost(now, p.pair()) {
+		return true
+	}
+	return r.cfg.Budget.Take(now, p.pair(), r.cfg.Loads.Level(now, p.req.Service, p.req.Policy.Rank))
+}
+
 // LinkLost takes the loss of the link to a node. Idempotent calls are repeated
 // within the retry budget, claims are sent again, and all other calls are asked
 // about.
--- a/cassiatally/router/router.go
+++ b/cassiatally/router/router.go
@@ -83,13 +83,15 @@
 	// mayHaveRun tells that an earlier attempt may have been run, so that a refusal
 	// of a later one does not prove that the request was not.
 	mayHaveRun bool
-	done       bool
-	sentAt     cassiatally.Instant
-	given      cassiatally.RetryCount
-	left       cassiatally.RetryCount
-	spent      cassiatally.RetryCount
-	redirects  int
-	avoid      []cassiatally.NodeID
+	// lost tells that an attempt failed because its endpoint was lost.
+	lost      bool
+	done      bool
+	sentAt    cassiatally.Instant
+	given     cassiatally.RetryCount
+	left      cassiatally.RetryCount
+	spent     cassiatally.RetryCount
+	redirects int
+	avoid     []cassiatally.NodeID
 }
 
 // New returns a router without calls.
--- a/cassiatally/router/router_test.go
+++ b/cassiatally/router/router_test.go
@@ -36,11 +36,16 @@
 	return "", false
 }
 
-type openBudget struct{ denied bool }
+// openBudget denies retries, but for those of lost requests if lost is set.
+type openBudget struct{ denied, lost bool }
 
 func (b openBudget) Take(cassiatally.Instant, cassiatally.ServicePair, cassiatally.Level) bool {
 	return !b.denied
 }
+
+func (b openBudget) TakeLost(cassiatally.Instant, cassiatally.ServicePair) bool {
+	return b.lost
+}
 func (b openBudget) Succeeded(cassiatally.Instant, cassiatally.ServicePair) {}
 
 type fixedLoads struct{ short bool }
@@ -189,6 +194,37 @@
 	is.Equal(h.Counts().RetriesDenied, uint64(1))
 }
 
+// Guards against callers that are told unknown because their endpoint was lost
+// while the service is short, and against refused requests that use the allowance
+// for lost ones.
+func TestLostRequestsGoOnInAShortage(t *testing.T) {
+	overloaded := cassiatally.Answer{Outcome: cassiatally.OutcomeNotRun, Kind: cassiatally.KindOverloaded}
+	broken := cassiatally.Answer{Outcome: cassiatally.OutcomeUnknown, Kind: cassiatally.KindOutcomeUnknown}
+	for _, c := range []struct {
+		name    string
+		answers []cassiatally.Answer
+		calls   int
+	}{
+		{"refused", []cassiatally.Answer{overloaded}, 1},
+		{"broken off", []cassiatally.Answer{broken, broken, broken}, 3},
+		{"broken off, then refused", []cassiatally.Answer{broken, overloaded, overloaded}, 3},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			h := newHarness([]cassiatally.NodeID{"a", "b", "c", "d"}, openBudget{denied: true, lost: true}, fixedLoads{})
+			actions := h.Submit(start, request(true))
+			for i, a := range c.answers {
+				var call cassiatally.Call
+				a.Endpoint.Node, call = sent(t, actions)
+				a.ID = call.ID
+				actions = h.HandleAnswer(start, a.Endpoint.Node, a)
+				is.Equal(h.Counts().Retries, uint64(min(i+1, c.calls-1)))
+			}
+			is.Equal(delivered(t, actions).RetriesSpent, cassiatally.RetryCount(c.calls-1))
+		})
+	}
+}
+
 // Guards against an answer that reaches a request it does not belong to: late,
 // doubled, from another node, or changed on the way.
 func TestForeignAndDamagedAnswers(t *testing.T) {
--- a/cassiatally/runner/result.go
+++ b/cassiatally/runner/result.go
@@ -55,6 +55,11 @@
 	} else {
 		actions = r.conclude(actions, now, rec, a)
 	}
+	if r.endpoint.State == cassiatally.EndpointNone {
+		// They would wait until the backend server announces itself again or until its
+		// announcement lapses, while others can run them.
+		actions = r.refuseQueued(now, actions)
+	}
 	return r.pump(now, r.releaseHeld(actions, now))
 }
 
--- a/cassiatally/runner/runner_test.go
+++ b/cassiatally/runner/runner_test.go
@@ -313,6 +313,22 @@
 	is.Equal(started(got), []cassiatally.CallID{call(5, "").ID})
 }
 
+// Guards against queued calls that wait behind a backend server that is gone, up to
+// the time when its announcement lapses.
+func TestQueuedCallsGoOnWhenTheBackendServerIsLost(t *testing.T) {
+	for _, kind := range []runner.ResultKind{runner.ResultBroken, runner.ResultUnreached} {
+		is := is.New(t)
+		h := newHarness(1)
+		h.HandleCall(start, entry, call(1, "a"))
+		h.HandleCall(start, entry, call(2, "b"))
+		got := answers(h.Finished(start, call(1, "").ID, runner.Result{Kind: kind}))
+		is.Equal(len(got), 2)
+		is.Equal(got[1].ID, call(2, "").ID)
+		is.Equal(got[1].Kind, cassiatally.KindDraining) // moves on without a retry
+		is.Equal(got[1].Outcome, cassiatally.OutcomeNotRun)
+	}
+}
+
 // Guards against a crash that is not counted because the backend server had only
 // just started again, and against runs that were cut off shortly before a crash
 // and are not suspected though the backend server may have worked on.
