--- a/cassiatally/interfaces.go
+++ b/cassiatally/interfaces.go
@@ -154,6 +154,9 @@
 	// Take reports whether a retry may be sent now and spends it if so. The level
 	// of the target service shrinks the budget.
 	Take(now Instant, p ServicePair, level Level) bool
+	// TakeLost does the same for a run that was cut off by the loss of an endpoint,
+	// whatever the level.
+	TakeLost(now Instant, p ServicePair) bool
 	// Succeeded feeds the budget of the pair.
 	Succeeded(now Instant, p ServicePair)
 }
@@ -187,6 +190,8 @@
 	Count(now Instant) (suspects, quarantined int)
 	// Reports returns what to tell other nodes.
 	Reports(now Instant) []CrashReport
+	// News returns all that is known of the crashes of some requests.
+	News(now Instant, of []Fingerprint) []CrashReport
 	// Merge records what another node told.
 	Merge(now Instant, reports []CrashReport)
 }
