admitter: keep each rank's share in a flood of the most urgent work

Two rules cost it about as much each. (1) The level of a rank is pulled down by the backlog of all more urgent ranks. A flood keeps the queue full of rank 0, so entries let in a sixth less than the kept share pays for. (2) Onward calls could borrow from the kept share of the next second, also while nothing more urgent waited. Ruled out: the geometric mean of levels. Change: the level of a rank is at least the one at which its demand fits its kept share; that part follows the backlog of the rank itself, in parts of its own places in the queue. A kept share lends nothing. A call for which the tokens of its rank pay is predicted to wait for its own rank only, whether it is onward or not. TestFleetKeepsShares runs a flood in a model of a fleet. Urgent calls that fit are still refused by chance at 6 times the capacity.

--- a/cassiatally/admitter/admitter.go
+++ b/cassiatally/admitter/admitter.go
@@ -44,9 +44,6 @@
 	// tokenTime is the time for which a rank can save up its kept share. A longer
 	// time would let a rank that was idle hold up urgent work.
 	tokenTime = 250 * time.Millisecond
-	// debtTime is the time for which onward calls of a rank may borrow from its
-	// kept share.
-	debtTime = time.Second
 	// urgentBound multiplies the bound of the queue for the most urgent rank of the
 	// sheet. A limit that is halved for a probe must not cost urgent calls that can
 	// wait; their deadlines still bound the queue.
@@ -139,7 +136,7 @@
 		a.starved = true
 		return cassiatally.KindExpired
 	}
-	if left < a.predictedWait(e, r, key) {
+	if left < a.predictedWait(r, key) {
 		return cassiatally.KindOverloaded
 	}
 	return cassiatally.KindNone
@@ -147,7 +144,7 @@
 
 // predictedWait returns the time until an entry would start. It is 0 while the
 // capacity is unknown.
-func (a *Admitter) predictedWait(e cassiatally.Entry, r cassiatally.Rank, key float64) time.Duration {
+func (a *Admitter) predictedWait(r cassiatally.Rank, key float64) time.Duration {
 	rate := a.meter.capacity
 	if a.q.len() == 0 || rate <= 0 || a.meter.free() > a.q.len() {
 		return 0
@@ -160,7 +157,7 @@
 	wait := all / rate
 	if share := float64(a.ranks[r].share); share > 0 {
 		wait = min(wait, own/(share*rate))
-		if e.Onward && a.ranks[r].tokens+a.debt(r) > own {
+		if a.ranks[r].tokens > own {
 			wait = min(wait, own/rate)
 		}
 	}
@@ -226,11 +223,7 @@
 
 // quota returns the number of entries that the kept share of a rank may hold.
 func (a *Admitter) quota(r cassiatally.Rank, bound int) int {
-	share := float64(a.ranks[r].share)
-	if share <= 0 {
-		return 0
-	}
-	return max(int(share*float64(bound)), leastQuota)
+	return quota(float64(a.ranks[r].share), bound)
 }
 
 // Next returns up to free entries to start now, and the entries dropped because
@@ -239,7 +232,7 @@
 	a.prepare(now)
 	dropped = a.dropDue(now)
 	for len(start) < free {
-		it, byShare := a.choose(now)
+		it := a.choose(now)
 		if it == nil {
 			break
 		}
@@ -250,7 +243,7 @@
 			dropped = append(dropped, cassiatally.Dropped{ID: e.ID, Kind: cassiatally.KindExpired})
 			continue
 		}
-		a.ranks[r].spend(byShare)
+		a.ranks[r].spend()
 		start = append(start, e.ID)
 	}
 	a.meter.queue(now, a.q)
@@ -275,51 +268,30 @@
 
 // spend takes a token for a call that starts. A call that starts by precedence
 // costs the rank nothing that it does not have.
-func (s *rankState) spend(byShare bool) {
-	if byShare {
-		s.tokens--
-		return
-	}
-	s.tokens = max(s.tokens-1, min(s.tokens, 0))
-}
+func (s *rankState) spend() { s.tokens = max(s.tokens-1, 0) }
 
-// covers reports whether the kept share of a rank pays for a call. Onward calls
-// may borrow from the share of the next debtTime, so that a call tree that was
-// admitted in a burst still finishes. Over a longer time the rank gets its share.
-func (a *Admitter) covers(r cassiatally.Rank, e cassiatally.Entry) bool {
-	s := &a.ranks[r]
-	if s.share <= 0 {
-		return false
-	}
-	least := 1.0
-	if e.Onward {
-		least -= a.debt(r)
-	}
-	return s.tokens >= least
-}
-
-func (a *Admitter) debt(r cassiatally.Rank) float64 {
-	return max(float64(a.ranks[r].share)*a.meter.capacity*debtTime.Seconds(), leastTokens)
-}
+// covers reports whether the kept share of the rank pays for a call. It never lends:
+// with a debt of up to a second, onward calls used up the share as a flood began, and
+// calls of callers then waited behind the debt until they were too late.
+func (s *rankState) covers() bool { return s.share > 0 && s.tokens >= 1 }
 
 // choose returns the entry to start next: of the most urgent rank whose kept share
-// pays for it, else of the most urgent rank. It tells which of both it was.
-func (a *Admitter) choose(now cassiatally.Instant) (next *item, byShare bool) {
+// pays for it, else of the most urgent rank.
+func (a *Admitter) choose(now cassiatally.Instant) *item {
 	var first *item
 	for i := range a.q.first {
 		r := cassiatally.Rank(i)
 		if a.q.rankLen(r) == 0 {
 			continue
 		}
-		it := a.firstOf(now, r)
-		if a.covers(r, it.entry) {
-			return it, true
+		if a.ranks[r].covers() {
+			return a.firstOf(now, r)
 		}
 		if first == nil {
-			first = it
+			first = a.firstOf(now, r)
 		}
 	}
-	return first, false
+	return first
 }
 
 // firstOf returns the entry of the rank with the lowest key. While no call of the
--- /dev/null
+++ b/cassiatally/admitter/fleet_test.go
@@ -0,0 +1,418 @@
+package admitter_test
+
+import (
+	"container/heap"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"strconv"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/cassiatally/cassiatally/cassiatally"
+	"github.com/cassiatally/cassiatally/cassiatally/admitter"
+	"github.com/cassiatally/cassiatally/cassiatally/balancer"
+	"github.com/cassiatally/cassiatally/cassiatally/loadtracker"
+)
+
+const (
+	narrow cassiatally.Service = "narrow"
+	wide   cassiatally.Service = "wide"
+)
+
+// class is one kind of requests in the model of a fleet.
+type class struct {
+	name    cassiatally.WorkKind
+	rank    cassiatally.Rank
+	timeout time.Duration
+	// onward requests pass a wide service before they call the narrow one.
+	onward bool
+}
+
+// stage is a time with the load of each class, in calls per second.
+type stage struct {
+	duration time.Duration
+	rates    []float64
+}
+
+// fleet is a narrow service with several endpoints behind entry nodes that learn
+// levels from answers and, late, from gossip. It steps from event to event in
+// virtual time. Requests meet the narrow service directly or through a wide one.
+type fleet struct {
+	seed      uint64
+	endpoints int
+	entries   int
+	slots     int
+	service   time.Duration
+	shares    [cassiatally.MaxRanks]cassiatally.Share
+	classes   []class
+	stages    []stage
+
+	rng    *rand.Rand
+	now    cassiatally.Instant
+	events eventHeap
+	seq    uint64
+	nodes  []*entryNode
+	hosts  []*host
+	calls  map[cassiatally.CallID]*fleetCall
+	// ended has what became of each request.
+	ended []ending
+}
+
+// ending is what became of one request.
+type ending struct {
+	class   int
+	offered cassiatally.Instant
+	at      cassiatally.Instant
+	fate    fate
+}
+
+type fate uint8
+
+const (
+	inTime fate = iota
+	late
+	refusedAtEntry
+	refusedInQueue
+)
+
+const (
+	linkTime = time.Millisecond
+	wideTime = 20 * time.Millisecond
+	// gossipTime and gossipAge are the period of gossip and the greatest age of
+	// what it tells.
+	gossipTime = time.Second
+	gossipAge  = time.Second
+	queueTick  = 20 * time.Millisecond
+)
+
+type entryNode struct {
+	loads   *loadtracker.Tracker
+	balance *balancer.Balancer
+}
+
+type host struct {
+	id      cassiatally.NodeID
+	queue   *admitter.Admitter
+	running int
+	// told has past reports, for gossip.
+	told []report
+}
+
+type report struct {
+	at   cassiatally.Instant
+	load cassiatally.ServiceLoad
+	own  cassiatally.EndpointLoad
+}
+
+type fleetCall struct {
+	class    int
+	order    cassiatally.Order
+	offered  cassiatally.Instant
+	deadline cassiatally.Instant
+	entry    *entryNode
+	from     *entryNode
+	host     *host
+	began    cassiatally.Instant
+	sent     cassiatally.Instant
+}
+
+type event struct {
+	at  cassiatally.Instant
+	seq uint64
+	do  func()
+}
+
+type eventHeap []event
+
+func (h eventHeap) Len() int { return len(h) }
+func (h eventHeap) Less(i, j int) bool {
+	return h[i].at < h[j].at || h[i].at == h[j].at && h[i].seq < h[j].seq
+}
+func (h eventHeap) Swap(i, j int) { h[i], h[j] = h[j], h[i] }
+func (h *eventHeap) Push(x any)   { *h = append(*h, x.(event)) }
+func (h *eventHeap) Pop() any {
+	old := *h
+	last := old[len(old)-1]
+	*h = old[:len(old)-1]
+	return last
+}
+
+func (f *fleet) after(d time.Duration, do func()) {
+	f.seq++
+	heap.Push(&f.events, event{at: f.now.Add(d), seq: f.seq, do: do})
+}
+
+func (f *fleet) run() {
+	f.rng = rand.New(rand.NewPCG(f.seed, f.seed))
+	f.calls = make(map[cassiatally.CallID]*fleetCall)
+	for i := range f.endpoints {
+		h := &host{id: cassiatally.NodeID("host" + strconv.Itoa(i)), queue: &admitter.Admitter{}}
+		f.hosts = append(f.hosts, h)
+		f.after(time.Duration(f.rng.Int64N(int64(queueTick))), func() { f.tick(h) })
+	}
+	for range f.entries {
+		n := &entryNode{loads: &loadtracker.Tracker{}, balance: &balancer.Balancer{Rand: f.rng, DataCentre: "x"}}
+		f.nodes = append(f.nodes, n)
+		n.balance.Update(0, f.candidates())
+		f.after(time.Duration(f.rng.Int64N(int64(gossipTime))), func() { f.gossip(n) })
+	}
+	for i := range f.classes {
+		f.after(f.pause(i), func() { f.arrive(i) })
+	}
+	for len(f.events) > 0 {
+		e := heap.Pop(&f.events).(event)
+		if e.at.Reached(cassiatally.Instant(f.end())) {
+			return
+		}
+		f.now = e.at
+		e.do()
+	}
+}
+
+func (f *fleet) candidates() (all []cassiatally.Candidate) {
+	for _, h := range f.hosts {
+		all = append(all, cassiatally.Candidate{
+			Ref: cassiatally.NodeRef{Node: h.id}, Service: narrow, DataCentre: "x", State: cassiatally.EndpointReady,
+		})
+	}
+	return all
+}
+
+// end returns the time at which the last stage ends.
+func (f *fleet) end() (d time.Duration) {
+	for _, s := range f.stages {
+		d += s.duration
+	}
+	return d
+}
+
+// rate returns the load of a class at present.
+func (f *fleet) rate(i int) float64 {
+	left := f.now.Sub(0)
+	for _, s := range f.stages {
+		if left < s.duration {
+			return s.rates[i]
+		}
+		left -= s.duration
+	}
+	return 0
+}
+
+// pause returns the time to the next arrival of a class, of which each stage has
+// some.
+func (f *fleet) pause(i int) time.Duration {
+	return time.Duration(f.rng.ExpFloat64() / f.rate(i) * float64(time.Second))
+}
+
+func (f *fleet) arrive(i int) {
+	f.after(f.pause(i), func() { f.arrive(i) })
+	x := f.classes[i]
+	n := f.nodes[f.rng.IntN(len(f.nodes))]
+	c := &fleetCall{class: i, order: cassiatally.Order(f.rng.Float64()), offered: f.now, deadline: f.now.Add(x.timeout), entry: n, from: n}
+	first := narrow
+	if x.onward {
+		first = wide
+	}
+	if ok, _ := n.loads.Admit(f.now, first, x.name, x.rank, c.order); !ok {
+		f.conclude(c, refusedAtEntry)
+		return
+	}
+	if x.onward {
+		c.from = f.nodes[f.rng.IntN(len(f.nodes))]
+		f.after(2*linkTime+wideTime, func() { f.send(c) })
+		return
+	}
+	f.send(c)
+}
+
+func (f *fleet) send(c *fleetCall) {
+	id, ok := c.from.balance.Choose(f.now, narrow, nil)
+	if !ok {
+		panic("no endpoint")
+	}
+	c.from.balance.Started(f.now, id)
+	c.sent = f.now
+	for _, h := range f.hosts {
+		if h.id == id {
+			c.host = h
+		}
+	}
+	f.after(linkTime, func() { f.offer(c) })
+}
+
+func (f *fleet) offer(c *fleetCall) {
+	f.seq++
+	id := cassiatally.CallID{Origin: 1, Seq: f.seq}
+	f.calls[id] = c
+	x := f.classes[c.class]
+	f.drop(c.host.queue.Offer(f.now, cassiatally.Entry{
+		ID: id, Rank: x.rank, Share: f.shares[x.rank], Order: c.order, Deadline: c.deadline, Onward: x.onward,
+	}))
+	f.pump(c.host)
+}
+
+func (f *fleet) pump(h *host) {
+	start, dropped := h.queue.Next(f.now, max(f.slots-h.running, 0))
+	for _, id := range start {
+		c := f.calls[id]
+		h.running++
+		c.began = f.now
+		f.after(f.service, func() { f.finish(id) })
+	}
+	f.drop(dropped)
+}
+
+func (f *fleet) finish(id cassiatally.CallID) {
+	c := f.calls[id]
+	delete(f.calls, id)
+	c.host.running--
+	c.host.queue.Done(f.now, f.classes[c.class].rank, f.now.Sub(c.began))
+	fate := inTime
+	if c.deadline.Before(f.now.Add(2 * linkTime)) {
+		fate = late
+	}
+	f.answer(c, fate)
+	f.pump(c.host)
+}
+
+func (f *fleet) drop(dropped []cassiatally.Dropped) {
+	for _, d := range dropped {
+		c := f.calls[d.ID]
+		delete(f.calls, d.ID)
+		f.answer(c, refusedInQueue)
+	}
+}
+
+// answer brings the levels of the endpoint back along the way of the call.
+func (f *fleet) answer(c *fleetCall, to fate) {
+	r := f.reportOf(c.host)
+	x := f.classes[c.class]
+	f.after(linkTime, func() {
+		c.from.balance.Finished(f.now, c.host.id, cassiatally.CallResult{Took: f.now.Sub(c.sent), Load: r.own})
+		c.from.loads.Learn(f.now, narrow, "deep", []cassiatally.ServiceLoad{r.load})
+		if x.onward {
+			f.after(linkTime, func() {
+				c.entry.loads.Learn(f.now, wide, x.name, []cassiatally.ServiceLoad{r.load})
+				f.conclude(c, to)
+			})
+			return
+		}
+		f.conclude(c, to)
+	})
+}
+
+func (f *fleet) conclude(c *fleetCall, to fate) {
+	f.ended = append(f.ended, ending{class: c.class, offered: c.offered, at: f.now, fate: to})
+}
+
+func (f *fleet) reportOf(h *host) report {
+	return report{
+		at:   f.now,
+		load: cassiatally.ServiceLoad{Service: narrow, Weight: float64(f.slots), Levels: h.queue.Levels()},
+		own: cassiatally.EndpointLoad{
+			Node: h.id, Limit: cassiatally.Concurrency(f.slots), InFlight: cassiatally.Concurrency(h.running), Queued: h.queue.Len(),
+			Typical: f.service,
+		},
+	}
+}
+
+func (f *fleet) tick(h *host) {
+	f.after(queueTick, func() { f.tick(h) })
+	h.queue.Tick(f.now, cassiatally.Concurrency(f.slots))
+	h.told = append(h.told, f.reportOf(h))
+	f.pump(h)
+}
+
+// gossip tells a node about each endpoint, with a report of some age.
+func (f *fleet) gossip(n *entryNode) {
+	f.after(gossipTime, func() { f.gossip(n) })
+	for _, h := range f.hosts {
+		age := f.rng.IntN(int(gossipAge / queueTick))
+		if at := len(h.told) - 1 - age; at >= 0 {
+			n.loads.Observe(h.told[at].at, h.id, h.told[at].load)
+		}
+	}
+}
+
+// completed returns the requests of a rank per second that were completed in
+// time in a time.
+func (f *fleet) completed(r cassiatally.Rank, from, to time.Duration) float64 {
+	n := 0
+	for _, e := range f.ended {
+		if f.classes[e.class].rank == r && e.fate == inTime && e.at.Reached(cassiatally.Instant(from)) && e.at.Before(cassiatally.Instant(to)) {
+			n++
+		}
+	}
+	return float64(n) / (to - from).Seconds()
+}
+
+// The fleet of the barrier agency at a tenth of its rates.
+const (
+	fleetRanks    = 4
+	fleetCapacity = 300
+	fleetSeeds    = 10
+	warm          = 3 * time.Second
+	loaded        = 5 * time.Second
+	// settling is the first part of a load, which shares and goodput leave out as
+	// the bench does.
+	settling = time.Second
+)
+
+// fleetAt returns the fleet with the loads of its classes in multiples of the
+// capacity, after a warm-up.
+func fleetAt(seed uint64, stages ...stage) *fleet {
+	f := &fleet{
+		seed: seed, endpoints: 4, entries: 16, slots: 15, service: 200 * time.Millisecond,
+		shares: [cassiatally.MaxRanks]cassiatally.Share{0, 0.2, 0.1, 0.05},
+		classes: []class{
+			{name: "confirm", rank: 0, timeout: 2 * time.Second, onward: true},
+			{name: "check", rank: 1, timeout: 800 * time.Millisecond},
+			{name: "stock", rank: 1, timeout: 800 * time.Millisecond, onward: true},
+			{name: "view", rank: 2, timeout: 1500 * time.Millisecond, onward: true},
+			{name: "report", rank: 3, timeout: 2 * time.Second, onward: true},
+		},
+	}
+	for _, s := range slices.Concat([]stage{mixed(warm, 0.3)}, stages) {
+		s.rates = slices.Clone(s.rates)
+		for i := range s.rates {
+			s.rates[i] *= fleetCapacity
+		}
+		f.stages = append(f.stages, s)
+	}
+	f.run()
+	return f
+}
+
+// mixed is the usual mix of classes.
+func mixed(d time.Duration, load float64) stage {
+	return stage{d, []float64{0.1 * load, 0.25 * load, 0.25 * load, 0.2 * load, 0.2 * load}}
+}
+
+func (f *fleet) goodput(from, to time.Duration) (sum float64) {
+	for r := range cassiatally.Rank(fleetRanks) {
+		sum += f.completed(r, from, to)
+	}
+	return sum / fleetCapacity
+}
+
+// Guards against a flood of the most urgent work that takes the kept shares of
+// other ranks: by levels at the entry that follow the backlog of the urgent rank,
+// and by onward calls that use up a share for calls of callers.
+func TestFleetKeepsShares(t *testing.T) {
+	for seed := range uint64(fleetSeeds) {
+		t.Run(fmt.Sprintf("seed %d", seed), func(t *testing.T) {
+			is := is.New(t)
+			f := fleetAt(seed, stage{warm + loaded, []float64{4, 0.4, 0.4, 0.4, 0.4}})
+			from, to := warm+settling, warm+loaded
+			for r := range cassiatally.Rank(fleetRanks) {
+				kept := f.completed(r, from, to) / fleetCapacity
+				t.Logf("rank %d completes %.3f of the capacity, share %.2f", r, kept, f.shares[r])
+				is.True(kept >= shareTarget*float64(f.shares[r]))
+			}
+			is.True(f.goodput(from, to) >= goodputTarget)
+		})
+	}
+}
--- a/cassiatally/admitter/meter.go
+++ b/cassiatally/admitter/meter.go
@@ -29,6 +29,9 @@
 	// spareCapacity is the part of the capacity that must be left for a rank
 	// without arrivals before its level grows.
 	spareCapacity = 0.05
+	// keptRest is the part of its own places in the queue that a rank should fill
+	// with calls that only its kept share pays for.
+	keptRest = 0.5
 )
 
 type perRank [cassiatally.MaxRanks]float64
@@ -190,16 +193,20 @@
 func (m *meter) update(shares perRank, bound int) perRank {
 	sum := m.sum(windowCount)
 	backlog, waiting := 0.0, 0.0
-	available, targets := m.targets(sum, m.capacity, shares)
+	short := m.targets(sum, m.capacity, shares)
 	long := m.sum(longCount)
-	_, longTargets := m.targets(long, long.capacity(m.capacity), shares)
+	longer := m.targets(long, long.capacity(m.capacity), shares)
 	for r, l := range m.levels {
 		level := float64(l)
 		backlog += float64(m.queued[r]) / float64(bound)
-		next := target(r, targets[r], longTargets[r]) * pull(r, backlog)
+		next := target(r, short.levels[r], longer.levels[r]) * pull(r, backlog)
+		if shares[r] > 0 {
+			own := float64(m.queued[r]) / float64(quota(shares[r], bound))
+			next = max(next, target(r, short.kept[r], longer.kept[r])*pullKept(own))
+		}
 		if sum.arrivals[r] == 0 {
 			next = level
-			if available[r] > spareCapacity*m.capacity {
+			if short.available[r] > spareCapacity*m.capacity {
 				next = level * mostGrowth
 			}
 		}
@@ -211,7 +218,7 @@
 		next = min(max(next, least), level*mostGrowth)
 		m.levels[r] = cassiatally.Level(min(max(next, leastLevel), 1))
 	}
-	return available
+	return short.available
 }
 
 // target joins the targets of the short and the long windows. For the most urgent
@@ -224,20 +231,29 @@
 	return (short + long) / 2
 }
 
-// targets returns the capacity available to each rank, and the level at which its
-// demand just fits that.
-func (m *meter) targets(sum sample, capacity float64, shares perRank) (available, levels perRank) {
+// targets is what fits the demand of each rank.
+type targets struct {
+	// available is the capacity for a rank, in runs per second.
+	available perRank
+	// levels are those at which the demand just fits the available capacity, kept
+	// those at which it just fits the kept share.
+	levels, kept perRank
+}
+
+func (m *meter) targets(sum sample, capacity float64, shares perRank) (t targets) {
 	rates := sum.arrivals
 	for r := range rates {
 		rates[r] /= sum.seconds
 	}
-	available = allocate(capacity, rates, shares)
-	for r := range levels {
+	t.available = allocate(capacity, rates, shares)
+	for r := range rates {
 		if rates[r] > 0 {
-			levels[r] = available[r] / sum.demand(r)
+			demand := sum.demand(r)
+			t.levels[r] = t.available[r] / demand
+			t.kept[r] = shares[r] * capacity / demand
 		}
 	}
-	return available, levels
+	return t
 }
 
 // capacity returns the capacity over the windows of the sum, or otherwise while
@@ -276,6 +292,25 @@
 	return 1 + strength*(rest-backlog)
 }
 
+// pullKept returns the factor by which the level for the kept share follows the
+// backlog of the rank itself, in parts of its own places in the queue. More urgent
+// calls in the queue do not delay what the kept share pays for: with the pull of
+// the whole queue, a flood of the most urgent work took a sixth of the share of
+// rank 1.
+func pullKept(own float64) float64 {
+	const strength = 0.2
+	return 1 + strength*(keptRest-own)
+}
+
+// quota returns the number of places in the queue that a kept share has on top of
+// the bound.
+func quota(share float64, bound int) int {
+	if share <= 0 {
+		return 0
+	}
+	return max(int(share*float64(bound)), leastQuota)
+}
+
 // demand returns the demand of a rank before any refusal at the entry, in calls
 // per second. Entry nodes apply a level some time after it was set, and order
 // values are spread evenly. So the calls below the level tell the demand as soon
