loadtracker: let answers count more where they are few

Cause: after an overload at 6 times the capacity, endpoints of the model were back at level 1 within 1 s, but entries had smoothed levels of 0.4 then and 0.9 another 1.5 s later. An answer had the weight 0.18 whatever the time since the last one, and an entry that refuses most calls gets about ten answers a second. Change: the weight of an answer is at least 1 - exp(-t / 100 ms), t being the time since the last one. Above 50 answers a second nothing changes. Endpoints themselves take 0.8 s to raise their levels.

--- a/cassiatally/admitter/fleet_test.go
+++ b/cassiatally/admitter/fleet_test.go
@@ -459,3 +459,18 @@
 		})
 	}
 }
+
+// Guards against entries that go on refusing after an overload because they learn
+// late that the endpoints have recovered.
+func TestFleetServesAllAfterOverload(t *testing.T) {
+	is := is.New(t)
+	for r := cassiatally.Rank(1); r < fleetRanks; r++ {
+		sum := 0.0
+		for seed := range uint64(fleetSeeds) {
+			f := fleetAt(seed, mixed(loaded, 6), mixed(warm+loaded, 0.5))
+			sum += f.part(r, warm+loaded+recoveryTarget, warm+loaded+recoveryTarget+time.Second)
+		}
+		t.Logf("rank %d: %.3f completed in the third second after the overload", r, sum/fleetSeeds)
+		is.True(sum/fleetSeeds >= goodputTarget)
+	}
+}
--- a/cassiatally/loadtracker/loadtracker.go
+++ b/cassiatally/loadtracker/loadtracker.go
@@ -33,6 +33,10 @@
 	// learnedWeight smooths levels from answers, which come from one endpoint at
 	// a time.
 	learnedWeight = 0.18
+	// learnedTime is the time in which the smoothed levels from answers follow where
+	// answers are fewer than that weight needs. An entry with ten answers a second
+	// went on refusing for two seconds after endpoints had recovered.
+	learnedTime = 100 * time.Millisecond
 	// answersWeight is the number of endpoints that the smoothed levels from answers
 	// stand for. They are many endpoints' levels, though each answer has one.
 	answersWeight = 4
@@ -204,11 +208,12 @@
 		r.set(now, load)
 		return
 	}
+	weight := max(learnedWeight, 1-math.Exp(-float64(now.Sub(r.at))/float64(learnedTime)))
 	r.at = now
-	r.weight += learnedWeight * (max(load.Weight, 1) - r.weight)
+	r.weight += weight * (max(load.Weight, 1) - r.weight)
 	for i := range r.levels {
 		from, to := max(r.levels[i], leastLevel), max(levelAt(load.Levels, i), leastLevel)
-		r.levels[i] = from * cassiatally.Level(math.Pow(float64(to/from), learnedWeight))
+		r.levels[i] = from * cassiatally.Level(math.Pow(float64(to/from), weight))
 	}
 }
 
--- a/cassiatally/loadtracker/loadtracker_test.go
+++ b/cassiatally/loadtracker/loadtracker_test.go
@@ -117,6 +117,21 @@
 	is.True(l.Level(0, "avail", 0) < 0.11)
 }
 
+// Guards against an entry with few answers that goes on refusing long after the
+// endpoints have recovered.
+func TestFewAnswersCountMore(t *testing.T) {
+	const pause = 100 * time.Millisecond
+	is := is.New(t)
+	l := &loadtracker.Tracker{}
+	now := cassiatally.Instant(time.Second)
+	l.Learn(now, "avail", "check", []cassiatally.ServiceLoad{load("avail", 10, 0.1)})
+	for range 5 {
+		now = now.Add(pause)
+		l.Learn(now, "avail", "check", []cassiatally.ServiceLoad{load("avail", 10, 1)})
+	}
+	is.True(l.Level(now, "avail", 0) > 0.95)
+}
+
 // Guards against services that a kind of work no longer touches and that go on
 // refusing it.
 func TestForgetsServicesNoLongerTouched(t *testing.T) {
