loadtracker: learn a recovery from few answers

Cause: in the model of a slow-down, levels at the endpoints were at 1 half a second before the entry had 0.6. At a low level few requests pass, so an entry node gets about 4 answers a second, of which each counts 0.18; and reports by gossip that are a second old still pull the level down. Change: an answer counts at least as much as the time since the last one tells (500 ms); a report loses weight with the fourth power of its age. Measured: go test -race ./loadtracker passes; without the first part the new test fails, without the second it does not. More than 10 answers a second count as before.

--- a/cassiatally/loadtracker/loadtracker.go
+++ b/cassiatally/loadtracker/loadtracker.go
@@ -33,6 +33,10 @@
 	// learnedWeight smooths levels from answers, which come from one endpoint at
 	// a time.
 	learnedWeight = 0.18
+	// learnedTime is the time in which answers outweigh those before. A low level
+	// lets few requests pass, so few answers come, and a weight for each answer alone
+	// would make the entry learn late that a service has recovered.
+	learnedTime = 500 * time.Millisecond
 	// answersWeight is the number of endpoints that the smoothed levels from answers
 	// stand for. They are many endpoints' levels, though each answer has one.
 	answersWeight = 4
@@ -187,7 +191,7 @@
 		level += (1 - level) * float64(late) / float64(t.drift())
 	}
 	ratio := float64(age) / float64(halfAge)
-	weight = r.weight / (1 + ratio*ratio)
+	weight = r.weight / (1 + ratio*ratio*ratio*ratio)
 	return math.Log(max(level, leastLevel)) * weight, weight
 }
 
@@ -204,11 +208,12 @@
 		r.set(now, load)
 		return
 	}
+	w := max(learnedWeight, 1-math.Exp(-float64(now.Sub(r.at))/float64(learnedTime)))
 	r.at = now
-	r.weight += learnedWeight * (max(load.Weight, 1) - r.weight)
+	r.weight += w * (max(load.Weight, 1) - r.weight)
 	for i := range r.levels {
 		from, to := max(r.levels[i], leastLevel), max(levelAt(load.Levels, i), leastLevel)
-		r.levels[i] = from * cassiatally.Level(math.Pow(float64(to/from), learnedWeight))
+		r.levels[i] = from * cassiatally.Level(math.Pow(float64(to/from), w))
 	}
 }
 
--- a/cassiatally/loadtracker/loadtracker_test.go
+++ b/cassiatally/loadtracker/loadtracker_test.go
@@ -117,6 +117,26 @@
 	is.True(l.Level(0, "avail", 0) < 0.11)
 }
 
+// Guards against an entry that learns late that a service has recovered: at a low
+// level few requests pass, so few answers come, while gossip repeats old levels.
+func TestFewAnswersTellARecovery(t *testing.T) {
+	const apart, most = 250 * time.Millisecond, time.Second
+	is := is.New(t)
+	l := &loadtracker.Tracker{}
+	for range 20 {
+		l.Learn(0, "avail", "check", []cassiatally.ServiceLoad{load("avail", 10, 0.1)})
+	}
+	for i := range 4 {
+		l.Observe(0, cassiatally.NodeID(fmt.Sprint("n", i)), load("avail", 10, 0.1))
+	}
+	now := cassiatally.Instant(0)
+	for l.Level(now, "avail", 0) < 0.6 && now.Before(cassiatally.Instant(2*most)) {
+		now = now.Add(apart)
+		l.Learn(now, "avail", "check", []cassiatally.ServiceLoad{load("avail", 10, 1)})
+	}
+	is.True(now.Sub(0) <= most)
+}
+
 // Guards against services that a kind of work no longer touches and that go on
 // refusing it.
 func TestForgetsServicesNoLongerTouched(t *testing.T) {
