admitter: learn the speed of a backend server from runs of all ranks

And a typical run time that nothing lowers again refuses a rank whose calls are all dropped; it was lowered in every window in which no run ended, although slow runs were in flight. Demand that is dropped as too late took the level of less urgent ranks. Runs that were cut off counted as failures and cut the limit. Change: run times are those at the usual pace times a pace that all ranks share and that follows fast. A run that is cut off is taken to need as much again. Where run times vary, the pace follows more slowly. The estimate is lowered without a run only when none is in flight; a rank whose calls are all dropped gets probes in 1% of the slots' time. A rank of which 9 in 10 calls are too late gets the level 0.2. Queued calls are judged by the present estimate. The limiter takes a run that was cut off late as a slow one. Admitter has a new method Cut. Measured: go test -race ./admitter ./limiter ./runner ./fifo passes. Each new test fails with its mechanism off. Open: the waste of the runs in flight as the slow-down begins.

--- a/cassiatally/admitter/admitter.go
+++ b/cassiatally/admitter/admitter.go
@@ -76,8 +76,7 @@
 	q     *queue
 	ranks [cassiatally.MaxRanks]rankState
 	meter meter
-	// typical is the typical run time over all ranks.
-	typical time.Duration
+	times runTimes
 	// starved is set when a call was dropped because of its deadline.
 	starved bool
 }
@@ -85,10 +84,9 @@
 type rankState struct {
 	share   cassiatally.Share
 	tokens  float64
-	typical time.Duration
-	// spread is the mean absolute deviation from typical.
-	spread  time.Duration
 	tenants tenants
+	// probes pays for calls that start although their deadlines seem out of reach.
+	probes probes
 }
 
 var _ cassiatally.Admitter = (*Admitter)(nil)
@@ -99,18 +97,29 @@
 	r := min(e.Rank, cassiatally.MaxRanks-1)
 	s := &a.ranks[r]
 	s.share = e.Share
-	a.meter.arrived(r, e.Order)
 	key := float64(e.Order) * s.tenants.arrived(e.Tenant)
 	if e.Onward {
 		key -= onwardLead
 	}
-	if kind := a.hopeless(now, e, r, key); kind != cassiatally.KindNone {
+	kind := a.hopeless(now, e, r, key)
+	probe := kind == cassiatally.KindExpired && s.probes.take(e.Deadline.Sub(now))
+	switch {
+	case probe:
+		kind = cassiatally.KindNone
+	case kind == cassiatally.KindExpired:
+		a.meter.late(r)
+	default:
+		// A call that is too late in any case asks for no capacity. Counted as demand
+		// it would have calls of less urgent ranks refused that can finish.
+		a.meter.arrived(r, e.Order)
+	}
+	if kind != cassiatally.KindNone {
 		return []cassiatally.Dropped{{ID: e.ID, Kind: kind}}
 	}
 	if old := a.q.byID[e.ID]; old != nil {
 		a.q.remove(old)
 	}
-	a.q.add(e, r, key, a.need(now, e, r))
+	a.q.add(e, r, key).probe = probe
 	worst := a.worst()
 	if worst == nil {
 		a.meter.queue(now, a.q)
@@ -243,9 +252,9 @@
 		if it == nil {
 			break
 		}
-		e, r, need := it.entry, it.rank, it.need
-		a.q.remove(it)
-		if e.Deadline != 0 && e.Deadline.Sub(now) < need {
+		late, r := a.late(now, it), it.rank
+		e := a.q.remove(it)
+		if late {
 			a.starved = true
 			dropped = append(dropped, cassiatally.Dropped{ID: e.ID, Kind: cassiatally.KindExpired})
 			continue
@@ -262,7 +271,7 @@
 	for r := range a.q.due {
 		for {
 			it := a.q.due[r].top()
-			if it == nil || it.entry.Deadline.Sub(now) >= it.need {
+			if it == nil || !a.late(now, it) {
 				break
 			}
 			a.starved = true
@@ -273,6 +282,19 @@
 	return dropped
 }
 
+// late reports whether an entry has less time left than it needs. A probe needs
+// none.
+func (a *Admitter) late(now cassiatally.Instant, it *item) bool {
+	if it.entry.Deadline == 0 {
+		return false
+	}
+	need := time.Duration(0)
+	if !it.probe {
+		need = a.need(now, it.entry, it.rank)
+	}
+	return it.entry.Deadline.Sub(now) < need
+}
+
 // spend takes a token for a call that starts. A call that starts by precedence
 // costs the rank nothing that it does not have.
 func (s *rankState) spend(byShare bool) {
@@ -327,7 +349,7 @@
 // the rank fits, so none of its calls has to be lost.
 func (a *Admitter) firstOf(now cassiatally.Instant, r cassiatally.Rank) *item {
 	due := a.q.due[r].top()
-	if due != nil && a.meter.levels[r] >= 1 && due.entry.Deadline.Sub(now) < due.need+rescueTime {
+	if due != nil && a.meter.levels[r] >= 1 && due.entry.Deadline.Sub(now) < a.need(now, due.entry, r)+rescueTime {
 		return due
 	}
 	return a.q.first[r].top()
@@ -349,15 +371,23 @@
 // Done records the end of a run. Each end fills the kept shares, so a share is a
 // share of what the backend server completes, whatever its speed.
 func (a *Admitter) Done(now cassiatally.Instant, r cassiatally.Rank, busy time.Duration) {
-	a.prepare(now)
 	r = min(r, cassiatally.MaxRanks-1)
+	a.times.ended(r, busy, a.ranks[r].probes.taken)
+	a.ranks[r].probes = probes{}
+	a.ended(now)
+}
+
+// Cut records the end of a run that was broken off, so that it would have taken
+// longer.
+func (a *Admitter) Cut(now cassiatally.Instant, r cassiatally.Rank, busy time.Duration) {
+	r = min(r, cassiatally.MaxRanks-1)
+	a.times.cut(r, busy)
+	a.ended(now)
+}
+
+func (a *Admitter) ended(now cassiatally.Instant) {
+	a.prepare(now)
 	a.meter.ended(now)
-	a.typical = smooth(a.typical, busy)
-	s := &a.ranks[r]
-	if s.typical > 0 {
-		s.spread = smooth(s.spread, max(busy-s.typical, s.typical-busy))
-	}
-	s.typical = smooth(s.typical, busy)
 	for i := range a.ranks {
 		s := &a.ranks[i]
 		if s.share > 0 {
@@ -370,13 +400,16 @@
 // Tick closes the window and updates the levels.
 func (a *Admitter) Tick(now cassiatally.Instant, limit cassiatally.Concurrency) {
 	a.prepare(now)
-	if !a.meter.close(now, limit, a.typical) {
+	if !a.meter.close(now, limit, a.times.all) {
 		return
 	}
 	if a.starved && a.meter.idle() {
-		a.decayTypical()
+		a.times.decay(typicalDecay)
 	}
 	a.starved = false
+	for r := range a.ranks {
+		a.ranks[r].probes.close(float64(limit) * a.meter.window())
+	}
 	available := a.meter.update(a.shares(), a.bound())
 	for r := range a.ranks {
 		a.ranks[r].tenants.divide(a.meter.window(), available[r])
@@ -390,14 +423,6 @@
 	return shares
 }
 
-func (a *Admitter) decayTypical() {
-	a.typical = time.Duration(float64(a.typical) * typicalDecay)
-	for r := range a.ranks {
-		a.ranks[r].typical = time.Duration(float64(a.ranks[r].typical) * typicalDecay)
-		a.ranks[r].spread = time.Duration(float64(a.ranks[r].spread) * typicalDecay)
-	}
-}
-
 // Levels returns the level of each rank.
 func (a *Admitter) Levels() []cassiatally.Level { return a.meter.published() }
 
@@ -417,23 +442,7 @@
 	if e.Deadline == 0 {
 		return 0
 	}
-	typical := a.typicalOf(r)
+	typical := a.times.typical(r)
 	most := max(typical, e.Deadline.Sub(now)/2)
-	return min(typical+needSpreads*a.ranks[r].spread, most)
-}
-
-// typicalOf returns the typical run time of a rank, or that of all ranks while
-// the rank has had no run.
-func (a *Admitter) typicalOf(r cassiatally.Rank) time.Duration {
-	if t := a.ranks[r].typical; t > 0 {
-		return t
-	}
-	return a.typical
-}
-
-func smooth(old, sample time.Duration) time.Duration {
-	if old == 0 {
-		return sample
-	}
-	return old + time.Duration(typicalWeight*float64(sample-old))
+	return min(typical+needSpreads*a.times.spread(r), most)
 }
--- a/cassiatally/admitter/meter.go
+++ b/cassiatally/admitter/meter.go
@@ -26,6 +26,13 @@
 	// leastArrivals is the number of arrivals below which the highest order value
 	// says little about the level that the entry applies.
 	leastArrivals = 8
+	// A rank loses its level when at least leastLate of its calls, and lateFactor times
+	// as many as the others, have less time left than a run takes. Work done for them
+	// further up is lost. lateLevel lets enough pass to see when that ends, and is
+	// reached again from below in 6 windows.
+	leastLate  = 4
+	lateFactor = 9
+	lateLevel  = 0.2
 	// spareCapacity is the part of the capacity that must be left for a rank
 	// without arrivals before its level grows.
 	spareCapacity = 0.05
@@ -66,6 +73,8 @@
 	passed perRank
 	// highest has the highest order value that arrived.
 	highest perRank
+	// late counts the calls that came too late for their run time.
+	late perRank
 }
 
 func (m *meter) begin(now cassiatally.Instant) {
@@ -83,6 +92,8 @@
 	m.now.highest[r] = max(m.now.highest[r], float64(o))
 }
 
+func (m *meter) late(r cassiatally.Rank) { m.now.late[r]++ }
+
 // queue records the length of the queue from now on.
 func (m *meter) queue(now cassiatally.Instant, q *queue) {
 	m.advance(now)
@@ -118,9 +129,10 @@
 // free returns how many calls could start at once.
 func (m *meter) free() int { return max(int(m.limit)-m.inFlight, 0) }
 
-// idle reports whether no run ended in the last window.
+// idle reports whether no run ended in the last windows and none is in flight.
 func (m *meter) idle() bool {
-	return m.windows[(m.next+longCount-1)%longCount].ended == 0
+	sum := m.sum(windowCount)
+	return m.inFlight == 0 && sum.ended == 0
 }
 
 // window returns the time over which the last window ran, in seconds.
@@ -180,6 +192,7 @@
 			sum.below[r] += w.below[r]
 			sum.passed[r] += w.passed[r]
 			sum.highest[r] = max(sum.highest[r], w.highest[r])
+			sum.late[r] += w.late[r]
 		}
 	}
 	return sum
@@ -203,6 +216,10 @@
 				next = level * mostGrowth
 			}
 		}
+		if sum.late[r] >= leastLate && sum.late[r] >= lateFactor*sum.arrivals[r] {
+			m.levels[r] = cassiatally.Level(max(level*mostShrink, min(level, lateLevel)))
+			continue
+		}
 		least := level
 		waiting += sum.waiting[r] / sum.seconds
 		if waiting >= leastBacklog(r)*float64(bound) {
--- a/cassiatally/admitter/queue.go
+++ b/cassiatally/admitter/queue.go
@@ -2,7 +2,6 @@
 
 import (
 	"container/heap"
-	"time"
 
 	"github.com/cassiatally/cassiatally/cassiatally"
 )
@@ -13,8 +12,8 @@
 	rank  cassiatally.Rank
 	// key is the order value scaled by the tenant's use; the lowest goes first.
 	key float64
-	// need is the time before the deadline by which the entry has to start.
-	need   time.Duration
+	// probe marks an entry that starts although its deadline seems out of reach.
+	probe  bool
 	seq    uint64
 	places [placeCount]int
 }
@@ -120,16 +119,17 @@
 
 func dueBefore(a, b *item) bool { return a.entry.Deadline < b.entry.Deadline }
 
-func (q *queue) add(e cassiatally.Entry, r cassiatally.Rank, key float64, need time.Duration) {
+func (q *queue) add(e cassiatally.Entry, r cassiatally.Rank, key float64) *item {
 	it := q.take()
 	q.seq++
-	*it = item{entry: e, rank: r, key: key, need: need, seq: q.seq, places: [placeCount]int{absent, absent, absent}}
+	*it = item{entry: e, rank: r, key: key, seq: q.seq, places: [placeCount]int{absent, absent, absent}}
 	q.byID[e.ID] = it
 	q.first[r].add(it)
 	q.last[r].add(it)
 	if e.Deadline != 0 {
 		q.due[r].add(it)
 	}
+	return it
 }
 
 func (q *queue) take() *item {
--- a/cassiatally/fifo/fifo.go
+++ b/cassiatally/fifo/fifo.go
@@ -63,6 +63,9 @@
 // Done does nothing; the baseline measures nothing.
 func (q *Queue) Done(cassiatally.Instant, cassiatally.Rank, time.Duration) {}
 
+// Cut does nothing; the baseline measures nothing.
+func (q *Queue) Cut(cassiatally.Instant, cassiatally.Rank, time.Duration) {}
+
 // Tick does nothing; the levels of the baseline never change.
 func (q *Queue) Tick(cassiatally.Instant, cassiatally.Concurrency) {}
 
--- a/cassiatally/interfaces.go
+++ b/cassiatally/interfaces.go
@@ -83,6 +83,8 @@
 	Remove(id CallID) bool
 	// Done records the end of a run that occupied the backend server for busy.
 	Done(now Instant, r Rank, busy time.Duration)
+	// Cut records the end of a run that was broken off after busy.
+	Cut(now Instant, r Rank, busy time.Duration)
 	// Tick updates the levels. It is called at least every 100 ms.
 	Tick(now Instant, limit Concurrency)
 	// Levels returns the level of each rank.
@@ -97,7 +99,8 @@
 	Self time.Duration
 	// InFlight is the concurrency at the start of the run.
 	InFlight Concurrency
-	// Failed is set for timeouts, crashes and refusals by the backend server.
+	// Failed is set for crashes and refusals by the backend server. A run that was
+	// cut off at its deadline has not failed; it took at least Self.
 	Failed bool
 }
 
--- a/cassiatally/runner/result.go
+++ b/cassiatally/runner/result.go
@@ -56,11 +56,16 @@
 
 func (r *Runner) observe(now cassiatally.Instant, rec *record, res Result) {
 	self := rec.children.selfTime(rec.started, now)
-	failed := res.Kind != ResultAnswered
+	failed := res.Kind != ResultAnswered && res.Kind != ResultTimedOut
 	if r.tells(res, self) {
 		r.limiter.Observe(now, cassiatally.RunSample{Self: self, InFlight: rec.concurrency, Failed: failed})
 	}
-	r.admitter.Done(now, rec.call.Rank, now.Sub(rec.started))
+	busy := now.Sub(rec.started)
+	if cutOff(res) {
+		r.admitter.Cut(now, rec.call.Rank, busy)
+	} else {
+		r.admitter.Done(now, rec.call.Rank, busy)
+	}
 	switch res.Kind {
 	case ResultBroken:
 		r.recordCrash(now, rec)
@@ -72,18 +77,19 @@
 	}
 }
 
-// stalledFactor is the number of typical self times after which a run that was cut
-// off at its deadline speaks against the backend server. A run that started with
-// little time left says nothing about it.
-const stalledFactor = 3
+// cutOff reports whether a run would have taken longer than it did.
+func cutOff(res Result) bool { return res.Kind == ResultTimedOut || res.Kind == ResultAborted }
 
-// tells reports whether the end of a run says anything about the backend server.
+// tells reports whether the end of a run says anything about the backend server. A
+// run that was cut off early says nothing. One that was cut off late took long,
+// which the limiter tells from queueing by its own test; as a failure it would cut
+// the limit of a backend server that has only become slower.
 func (r *Runner) tells(res Result, self time.Duration) bool {
 	switch res.Kind {
 	case ResultAborted:
 		return false
 	case ResultTimedOut:
-		return self >= stalledFactor*r.limiter.Typical()
+		return self >= r.limiter.Typical()
 	default:
 		return true
 	}
