runner, admitter: give up on runs that a stall leaves no time for

Cause: three quarters of the waste that is left in a slow-down is of runs in flight as it begins. They occupy their slots up to the deadline, and meanwhile the calls that follow them are judged by the speed of before. Change: while at least 8 runs show no progress for two typical run times, idempotent ones with less than a third of their age left are broken off, and calls join only with twice the time since the last progress. With half of the age in place of a third, runs of 1 s with 1.5 s time were broken off just before their end.

--- a/cassiatally/admitter/admitter.go
+++ b/cassiatally/admitter/admitter.go
@@ -64,6 +64,11 @@
 	// unevenness of its own arrivals.
 	leastTokens = 4
 	leastQuota  = 4
+	// stallRuns is the least number of runs in flight, and stallFactor the number of
+	// typical run times without an end, at which a backend server seems to be
+	// stalled. At exponential run times the chance of that is e^-16.
+	stallRuns   = 8
+	stallFactor = 2
 )
 
 // Admitter is the queue in front of one backend server.
@@ -77,6 +82,9 @@
 	ranks [cassiatally.MaxRanks]rankState
 	meter meter
 	times runTimes
+	// progressed is when a run last ended by itself, or when the first of those in
+	// flight began.
+	progressed cassiatally.Instant
 	// starved is set when a call was dropped because of its deadline.
 	starved bool
 }
@@ -263,6 +271,9 @@
 		start = append(start, e.ID)
 	}
 	a.meter.queue(now, a.q)
+	if a.meter.inFlight == 0 {
+		a.progressed = now
+	}
 	a.meter.started(now, len(start))
 	return start, dropped
 }
@@ -368,12 +379,23 @@
 	return true
 }
 
+// stall returns the run time that a backend server seems to have from which nothing
+// returns: as much again as has passed. It is 0 while runs end.
+func (a *Admitter) stall(now cassiatally.Instant) time.Duration {
+	passed := now.Sub(a.progressed)
+	if a.meter.inFlight < stallRuns || passed < stallFactor*a.times.all {
+		return 0
+	}
+	return 2 * passed
+}
+
 // Done records the end of a run. Each end fills the kept shares, so a share is a
 // share of what the backend server completes, whatever its speed.
 func (a *Admitter) Done(now cassiatally.Instant, r cassiatally.Rank, busy time.Duration) {
 	r = min(r, cassiatally.MaxRanks-1)
 	a.times.ended(r, busy, a.ranks[r].probes.taken)
 	a.ranks[r].probes = probes{}
+	a.progressed = now
 	a.ended(now)
 }
 
@@ -442,7 +464,7 @@
 	if e.Deadline == 0 {
 		return 0
 	}
-	typical := a.times.typical(r)
+	typical := max(a.times.typical(r), a.stall(now))
 	most := max(typical, e.Deadline.Sub(now)/2)
 	return min(typical+needSpreads*a.times.spread(r), most)
 }
--- a/cassiatally/admitter/runtimes_test.go
+++ b/cassiatally/admitter/runtimes_test.go
@@ -202,3 +202,36 @@
 	}
 	is.True(windows(1, shortTime, func(l cassiatally.Level) bool { return l == 1 }) <= most)
 }
+
+// Guards against calls that join a stalled backend server although they have less
+// time than those that wait there already have taken, and against a stall that is
+// seen while runs end or while few are in flight.
+func TestStalledServerTakesCallsWithTimeOnly(t *testing.T) {
+	const passed = 3 * usualRun
+	cases := []struct {
+		name    string
+		runs    int
+		ends    bool
+		started bool
+	}{
+		{"stalled", 9, false, false},
+		{"a run ends", 9, true, true},
+		{"few runs", 5, false, true},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			s := &server{}
+			s.usual()
+			for range c.runs {
+				is.True(s.offer(0, longTime))
+			}
+			s.now = s.now.Add(passed)
+			if c.ends {
+				s.Done(s.now, 0, usualRun)
+			}
+			is.Equal(s.offer(0, 2*passed-window), c.started)
+			is.True(s.offer(0, 2*passed+window))
+		})
+	}
+}
--- a/cassiatally/runner/children.go
+++ b/cassiatally/runner/children.go
@@ -206,6 +206,7 @@
 	}
 	parent.children.known[key] = &child{id: id, waiters: []cassiatally.CallID{c.Waiter}, granted: granted}
 	parent.children.begin(now)
+	r.progress(now)
 	r.childRuns[id] = childRef{parent: c.Parent, key: key, made: made}
 	deadline := parent.deadline
 	if c.Remaining > 0 && now.Add(c.Remaining).Before(deadline) {
--- a/cassiatally/runner/result.go
+++ b/cassiatally/runner/result.go
@@ -43,8 +43,14 @@
 		r.late++
 		return nil
 	}
+	if rec.brokenOff && res.Kind == ResultAborted {
+		res.Kind = ResultTimedOut
+	}
 	actions := r.abandonChildren(rec)
 	r.running--
+	if !cutOff(res) {
+		r.progress(now)
+	}
 	r.observe(now, rec, res)
 	a := r.answerTo(rec, res)
 	if a.Outcome == cassiatally.OutcomeNotRun {
@@ -124,7 +130,7 @@
 	case ResultUnreached:
 		return notRun(id, cassiatally.KindUnreachable, "the backend server cannot be reached: "+res.Detail)
 	case ResultTimedOut:
-		return unknown(id, cassiatally.KindExpired, "the deadline passed while the request ran")
+		return unknown(id, cassiatally.KindExpired, "the deadline passed while the request ran, or was out of reach")
 	case ResultAborted:
 		return unknown(id, cassiatally.KindCancelled, "the run was cancelled")
 	default:
--- a/cassiatally/runner/runner.go
+++ b/cassiatally/runner/runner.go
@@ -62,6 +62,9 @@
 	ended       cassiatally.Instant
 	concurrency cassiatally.Concurrency
 	cancelled   bool
+	// brokenOff is set when the run was stopped since its deadline seemed out of
+	// reach.
+	brokenOff bool
 	// held is set while the call waits outside the queue for another suspect.
 	held     bool
 	answer   cassiatally.Answer
@@ -84,13 +87,16 @@
 	finished  []cassiatally.CallID
 	held      []cassiatally.CallID
 	running   int
-	crashedAt cassiatally.Instant
-	crashed   bool
-	leaving   bool
-	late      uint64
-	crashes   uint64
-	sheds     map[shedKey]uint64
-	waited    [cassiatally.MaxRanks]Waited
+	// progressed is when a run last ended or made an onward call, or when the first
+	// of those in flight began.
+	progressed cassiatally.Instant
+	crashedAt  cassiatally.Instant
+	crashed    bool
+	leaving    bool
+	late       uint64
+	crashes    uint64
+	sheds      map[shedKey]uint64
+	waited     [cassiatally.MaxRanks]Waited
 }
 
 // New returns a runner without a backend server. nextID draws ids for onward
@@ -317,7 +323,7 @@
 	}
 	r.forget(now)
 	r.admitter.Tick(now, r.limiter.Limit())
-	return r.pump(now, r.releaseHeld(actions, now))
+	return r.pump(now, r.breakOff(r.releaseHeld(actions, now), now))
 }
 
 func (r *Runner) forget(now cassiatally.Instant) {
@@ -356,6 +362,9 @@
 	rec.phase = phaseRunning
 	rec.started = now
 	r.countStart(now, rec)
+	if r.running == 0 {
+		r.progress(now)
+	}
 	r.running++
 	rec.concurrency = cassiatally.Concurrency(r.running)
 	call := rec.call
