--- a/cassiatally/limiter/limiter.go
+++ b/cassiatally/limiter/limiter.go
@@ -53,6 +53,9 @@
 	furtherCut = 0.7
 	// growth is the factor of a small step.
 	growth = 1.1
+	// rarely is the number of runs of which at most one may find a limit in use
+	// that is rarely reached.
+	rarely = 8
 	// failureCut is the factor of a cut after failures.
 	failureCut = 0.7
 	// failureRate is the part of failed runs that leads to a cut. A lower rate of
@@ -93,6 +96,12 @@
 	// floorWeight is the weight of a window below the floor.
 	floorWeight   = 0.25
 	typicalWeight = 0.05
+	// returnRuns is the least number of runs near the earlier floor that tell that
+	// the backend server has returned to its earlier speed.
+	returnRuns = 8
+	// returnGain is the factor by which the rate of these runs must exceed the rate
+	// before. When lower limits merely end queueing, the rate stays as it was.
+	returnGain = 1.5
 	// defaultRefresh is the time between probes that measure the floor anew while
 	// the limit is in use without a break.
 	defaultRefresh = 30 * time.Second
@@ -127,6 +136,16 @@
 	// the backend server gets faster, until a probe shows where that ends.
 	verified, falling bool
 	refreshed         cassiatally.Instant
+	// concurrency is the smoothed number of runs in flight, with the weight of
+	// typical, so that concurrency / typical is the rate.
+	concurrency float64
+	// normal is the state before the backend server became slower, until it returns
+	// to it or is forgotten.
+	normal normal
+	// fast are the runs that may tell that it has returned.
+	fast fast
+	// fresh is the instant before which runs began that belong to the slow time.
+	fresh cassiatally.Instant
 
 	failures float64
 	failing  bool
@@ -141,6 +160,24 @@
 	steady bool
 }
 
+// normal is a limit and the floor that belongs to it.
+type normal struct {
+	limit, floor float64
+	verified     bool
+	left         cassiatally.Instant
+}
+
+// fast gathers runs near the floor of the normal state that began one after
+// another, without a slow one among them.
+type fast struct {
+	n        int
+	since    cassiatally.Instant
+	self     float64
+	inFlight float64
+	// rate is the rate before the first of them.
+	rate float64
+}
+
 // window gathers the runs that ended from a time on.
 type window struct {
 	since  cassiatally.Instant
@@ -200,9 +237,13 @@
 	}
 	self := float64(s.Self)
 	if l.typical == 0 {
-		l.typical = self
+		l.typical, l.concurrency = self, float64(s.InFlight)
+	}
+	if l.returned(now, s) {
+		l.goBack(now)
 	}
 	l.typical += typicalWeight * (self - l.typical)
+	l.concurrency += typicalWeight * (float64(s.InFlight) - l.concurrency)
 	if !l.counts(now, s) {
 		return
 	}
@@ -217,7 +258,64 @@
 // after a change are of runs that started before it, and mostly of short runs.
 // Runs that started above the limit belong to the time before a cut.
 func (l *Limiter) counts(now cassiatally.Instant, s cassiatally.RunSample) bool {
-	return now.Reached(l.window.since) && s.InFlight <= l.Limit()
+	return now.Reached(l.window.since) && s.InFlight <= l.Limit() && !now.Add(-s.Self).Before(l.fresh)
+}
+
+// leave remembers the state in which the backend server had its normal speed.
+func (l *Limiter) leave(now cassiatally.Instant) {
+	if l.normal.limit > 0 && now.Sub(l.normal.left) < l.refresh() {
+		return
+	}
+	l.normal = normal{limit: l.limit, floor: l.floor, verified: l.verified, left: now}
+	l.fast = fast{}
+}
+
+// returned reports whether the backend server has its normal speed again. A test
+// or the windows of a low limit would tell so too late: a few slots end few runs,
+// and a test that a recovery falls into takes it for the effect of the cut.
+func (l *Limiter) returned(now cassiatally.Instant, s cassiatally.RunSample) bool {
+	if l.normal.limit == 0 || l.normal.floor == 0 {
+		return false
+	}
+	if now.Sub(l.normal.left) >= l.refresh() {
+		l.normal = normal{}
+		return false
+	}
+	self := float64(s.Self)
+	began := now.Add(-s.Self)
+	if self > aboveFloor*l.normal.floor {
+		// Runs that began before the first fast one say nothing about the time since.
+		if l.fast.n > 0 && !began.Before(l.fast.since) {
+			l.fast = fast{}
+		}
+		return false
+	}
+	if l.fast.n == 0 {
+		l.fast = fast{since: began, rate: l.concurrency / l.typical}
+	}
+	l.fast.n++
+	l.fast.self += self
+	l.fast.inFlight += float64(s.InFlight)
+	if l.fast.n < max(returnRuns, int(l.limit)/2) {
+		return false
+	}
+	return l.fast.inFlight/max(l.fast.self, l.normal.floor*float64(l.fast.n)) >= returnGain*l.fast.rate
+}
+
+// goBack takes up the normal state.
+func (l *Limiter) goBack(now cassiatally.Instant) {
+	n := l.normal
+	l.fresh = l.fast.since
+	l.typical = l.fast.self / float64(l.fast.n)
+	l.normal, l.fast, l.earlier = normal{}, fast{}, state{}
+	l.floor, l.ratio, l.refreshed = n.floor, 1, now
+	// At the announced slots, self time near the floor shows all that a probe would,
+	// and a probe soon after the return would halve the limit while the load is back.
+	near := l.typical <= nearFloor*n.floor
+	l.verified, l.falling = n.verified || near && n.limit >= l.bound, false
+	l.failures, l.failing = 0, false
+	l.threshold = max(l.threshold, n.limit)
+	l.set(now, max(n.limit, l.limit))
 }
 
 func (w *window) add(self, inFlight, limit float64) {
@@ -256,10 +354,10 @@
 	deviation := l.deviation()
 	precise := deviation <= precision || l.window.n >= mostSamples
 	inUse := 2*l.window.inUse >= l.window.n
-	// A limit of which half is used may grow, as RFC 7661 has it for a congestion
-	// window. At low load endpoints that keep a lower limit get fewer calls than
-	// their peers, and would never use all of it.
-	mayGrow := 2*l.window.halfUsed >= l.window.n
+	// A limit that is rarely reached may grow while half of it is used, as RFC 7661
+	// has it for a congestion window. At low load endpoints that keep a lower limit
+	// get fewer calls than their peers, and would never use all of it.
+	mayGrow := inUse || 2*l.window.halfUsed >= l.window.n && rarely*l.window.inUse < l.window.n
 	if l.floor == 0 {
 		l.floor = mean
 	}
@@ -273,7 +371,7 @@
 		l.setFloor(mean / l.ratio)
 		l.verified, l.falling, l.refreshed = false, true, now
 		l.restart(now)
-	case l.doubles(mayGrow, mean*(1-deviation)):
+	case l.doubles(inUse, mean*(1-deviation)):
 		l.refine(mean)
 		l.grow(now)
 	case precise, l.window.n >= l.enough() && mean <= nearFloor*l.floor:
@@ -329,8 +427,8 @@
 // doubles reports whether the limit is to be doubled. While it is below the
 // threshold, a mean that may be near the floor is enough, since a limit that is
 // too high is found soon.
-func (l *Limiter) doubles(mayGrow bool, least float64) bool {
-	return mayGrow && !l.falling && l.limit < l.threshold && 2*l.window.n >= int(l.limit) && least <= nearFloor*l.floor
+func (l *Limiter) doubles(inUse bool, least float64) bool {
+	return inUse && !l.falling && l.limit < l.threshold && 2*l.window.n >= int(l.limit) && least <= nearFloor*l.floor
 }
 
 // adjust ends a full window.
@@ -359,15 +457,18 @@
 // probeDue reports whether the floor has to be measured anew. A limit that holds
 // on a wrong floor would neither grow nor fall.
 func (l *Limiter) probeDue(now cassiatally.Instant, near bool) bool {
-	refresh := l.Refresh
-	if refresh <= 0 {
-		refresh = defaultRefresh
-	}
 	age := now.Sub(l.refreshed)
 	if l.falling {
 		return age >= fallingTimes*l.Typical()
 	}
-	return age >= refresh || (!near && !l.verified && age >= settleTime)
+	return age >= l.refresh() || (!near && !l.verified && age >= settleTime)
+}
+
+func (l *Limiter) refresh() time.Duration {
+	if l.Refresh > 0 {
+		return l.Refresh
+	}
+	return defaultRefresh
 }
 
 func (l *Limiter) grow(now cassiatally.Instant) {
@@ -381,6 +482,7 @@
 
 // cut lowers the limit to where self time is expected to be near its floor.
 func (l *Limiter) cut(now cassiatally.Instant, mean float64) {
+	l.leave(now)
 	l.lower(now, mean, cutTarget*l.floor/mean, false)
 }
 
@@ -454,6 +556,7 @@
 		return
 	}
 	l.cutAt = now
+	l.leave(now)
 	l.earlier = state{}
 	l.set(now, l.limit*failureCut)
 	if !l.failing {
--- a/cassiatally/loadtracker/loadtracker.go
+++ b/cassiatally/loadtracker/loadtracker.go
@@ -191,7 +191,7 @@
 		level += (1 - level) * float64(late) / float64(t.drift())
 	}
 	ratio := float64(age) / float64(halfAge)
-	weight = r.weight / (1 + ratio*ratio)
+	weight = r.weight / (1 + ratio*ratio*ratio*ratio)
 	return math.Log(max(level, leastLevel)) * weight, weight
 }
 
--- a/cassiatally/runner/runner.go
+++ b/cassiatally/runner/runner.go
@@ -62,6 +62,9 @@
 	cancelled   bool
 	// era is the number of crashes that were known when the run started.
 	era uint64
+	// brokenOff is set when the run was stopped since its deadline seemed out of
+	// reach.
+	brokenOff bool
 	// held is set while the call waits outside the queue for another suspect.
 	held bool
 	// withheld is set while the answer waits until other nodes know of the crash.
@@ -92,11 +95,14 @@
 	// untold has the crashes that not all peers have acknowledged.
 	untold    []*crash
 	crashedAt cassiatally.Instant
-	leaving   bool
-	late      uint64
-	crashes   uint64
-	sheds     map[shedKey]uint64
-	waited    [cassiatally.MaxRanks]Waited
+	// progressed is when a run last ended or made an onward call, or when the first
+	// of those in flight began.
+	progressed cassiatally.Instant
+	leaving    bool
+	late       uint64
+	crashes    uint64
+	sheds      map[shedKey]uint64
+	waited     [cassiatally.MaxRanks]Waited
 }
 
 // New returns a runner without a backend server. nextID draws ids for onward
@@ -315,7 +321,7 @@
 	r.forget(now)
 	r.admitter.Tick(now, r.limiter.Limit())
 	actions = r.tellAgain(actions, now)
-	return r.pump(now, r.releaseHeld(actions, now))
+	return r.pump(now, r.breakOff(r.releaseHeld(actions, now), now))
 }
 
 func (r *Runner) forget(now cassiatally.Instant) {
@@ -369,6 +375,9 @@
 	rec.started = now
 	rec.era = r.crashes
 	r.countStart(now, rec)
+	if r.running == 0 {
+		r.progress(now)
+	}
 	r.running++
 	rec.concurrency = cassiatally.Concurrency(r.running)
 	call := rec.call
