--- a/scenarios/insist_test.go
+++ b/scenarios/insist_test.go
@@ -48,7 +48,9 @@
 		ts.Check(err)
 		i := &insistence{
 			urls: args[4:], body: args[3], count: count, pause: pause, done: make(chan struct{}),
-			counts: map[string]int{"sent": 0, "ran": 0, "quarantined": 0, "overloaded": 0, "lost": 0},
+			counts: map[string]int{
+				"sent": 0, "ran": 0, "quarantined": 0, "overloaded": 0, "outcome_unknown": 0, "lost": 0,
+			},
 		}
 		f.insistences[args[0]] = i
 		go i.run()
