quarantiner: tell crashes and completed runs in the order in which they count

A receiver that merges a completed run before the crash that it settled takes an innocent request for a suspect; in the other order a crash after the completed run is lost. Change: News tells settled crashes first, then nodes with completed runs, then crashes that still count; a node whose crashes are partly settled is told twice. Gossip (Reports) may still bring reports in any order; a request is then a suspect until its next completed run.

--- a/cassiatally/quarantiner/quarantiner.go
+++ b/cassiatally/quarantiner/quarantiner.go
@@ -168,25 +168,42 @@
 	return suspects, quarantined
 }
 
-// News returns all that is known of the crashes of some requests.
+// News returns all that is known of the crashes of some requests. Who merges the
+// reports in their order comes to the same count: crashes that a completed run has
+// settled stand before that run, and those after it behind it.
 func (q *Quarantiner) News(now cassiatally.Instant, of []cassiatally.Fingerprint) []cassiatally.CrashReport {
 	var out []cassiatally.CrashReport
 	told := map[cassiatally.Fingerprint]bool{}
 	for _, f := range of {
-		r := q.lookup(now, f)
-		if r == nil || told[f] {
-			continue
-		}
-		told[f] = true
-		for ref, t := range r.tallies {
-			if t.clears > 0 || t.crashes > 0 {
-				out = append(out, t.report(f, ref))
-			}
+		if r := q.lookup(now, f); r != nil && !told[f] {
+			told[f] = true
+			out = append(out, r.news(f)...)
 		}
 	}
 	return out
 }
 
+func (r *record) news(f cassiatally.Fingerprint) []cassiatally.CrashReport {
+	var settled, cleared, open []cassiatally.CrashReport
+	refs := slices.SortedFunc(maps.Keys(r.tallies), func(a, b cassiatally.NodeRef) int {
+		return cmp.Compare(a.String(), b.String())
+	})
+	for _, ref := range refs {
+		t := r.tallies[ref]
+		if t.settled > 0 && t.clears == 0 {
+			before := tally{crashes: t.settled}
+			settled = append(settled, before.report(f, ref))
+		}
+		switch {
+		case t.clears > 0:
+			cleared = append(cleared, t.report(f, ref))
+		case t.crashes > t.settled:
+			open = append(open, t.report(f, ref))
+		}
+	}
+	return slices.Concat(settled, cleared, open)
+}
+
 // Reports returns what to tell other nodes: recent changes, those first that
 // were not told for the longest time. The next ones follow after a second.
 func (q *Quarantiner) Reports(now cassiatally.Instant) []cassiatally.CrashReport {
--- a/cassiatally/quarantiner/quarantiner_test.go
+++ b/cassiatally/quarantiner/quarantiner_test.go
@@ -156,3 +156,23 @@
 	is.True(!all[2].Suspect(start, innocent))
 	is.True(!all[2].Suspect(start, 3)) // was not asked about
 }
+
+// Guards against reports in an order in which a completed run settles crashes that
+// came after it, or leaves those that came before it.
+func TestNewsKeepsTheCount(t *testing.T) {
+	for range 20 { // the order of a map varies
+		is := is.New(t)
+		all := nodes("a", "b", "c", "d")
+		all[0].Crashed(start, []cassiatally.Fingerprint{poison})
+		all[1].Merge(start, all[0].Reports(start))
+		all[1].Completed(start, poison)
+		for _, q := range []*quarantiner.Quarantiner{all[2], all[0]} {
+			q.Crashed(start, []cassiatally.Fingerprint{poison})
+			all[1].Merge(start, q.News(start, []cassiatally.Fingerprint{poison}))
+		}
+		all[3].Merge(start, all[1].News(start, []cassiatally.Fingerprint{poison}))
+		is.True(all[1].Suspect(start, poison))
+		is.Equal(all[3].Suspect(start, poison), all[1].Suspect(start, poison))
+		is.Equal(all[3].Blocked(start, poison), all[1].Blocked(start, poison))
+	}
+}
