admitter: give calls time for their answer to travel

Change: a call needs a twentieth of the typical run time more. Measured: go test -race ./admitter ./limiter ./runner/... passes.

--- a/cassiatally/admitter/admitter.go
+++ b/cassiatally/admitter/admitter.go
@@ -41,6 +41,10 @@
 	// dropped for it and none ended. Without it, one slow spell could have every
 	// call dropped and the run time never measured again.
 	typicalDecay = 0.8
+	// needMargin: the part of the typical run time (1/20) that a call is given for its
+	// answer to travel, and for the error of the estimate. Where run times hardly vary,
+	// calls started with just the typical time left, and their answers came late.
+	needMargin = 20
 	// tokenTime is the time for which a rank can save up its kept share. A longer
 	// time would let a rank that was idle hold up urgent work.
 	tokenTime = 250 * time.Millisecond
@@ -465,6 +469,7 @@
 		return 0
 	}
 	typical := max(a.times.typical(r), a.stall(now))
+	typical += typical / needMargin
 	most := max(typical, e.Deadline.Sub(now)/2)
 	return min(typical+needSpreads*a.times.spread(r), most)
 }
