looper, executor, claimkeeper: tick together, report changes only

Cause: with few members most of the processor time is waking up: each of five duties ticked every 100 ms at a time of its own, the executor woke membership at each of its ticks, and claims compared all members with all holders ten times a second (4% of a profile of 64 nodes).

Change: duties tick at multiples of 100 ms of the clock that they share, so that the process wakes up once for all. The executor hands its endpoint over when something changed, while there are crash reports, and once a second in any case. Claims check the holders after a change of members or table.

--- a/cassiatally/looper/looper.go
+++ b/cassiatally/looper/looper.go
@@ -33,7 +33,7 @@
 	Clock  cassiatally.Clock
 	Inbox  *ring.Ring[T]
 	Handle func(now cassiatally.Instant, event T)
-	// Tick is called every Every, and at NextWake when that is set.
+	// Tick is called at multiples of Every, and at NextWake when that is set.
 	Tick     func(now cassiatally.Instant)
 	Every    time.Duration
 	NextWake func() (cassiatally.Instant, bool)
@@ -45,7 +45,7 @@
 
 // Run starts the goroutine of the duty.
 func (l *Looper[T]) Run() {
-	l.next = l.Clock.Now().Add(l.Every)
+	l.next = l.nextTick(l.Clock.Now())
 	l.running.Go(l.loop)
 }
 
@@ -96,6 +96,12 @@
 	return max(wake.Sub(l.Clock.Now()), minWait)
 }
 
+// nextTick returns the next multiple of Every. The duties of a process tick
+// together, so that it wakes up once for all of them.
+func (l *Looper[T]) nextTick(now cassiatally.Instant) cassiatally.Instant {
+	return now.Add(l.Every - time.Duration(now)%l.Every)
+}
+
 func (l *Looper[T]) tickIfDue() {
 	now := l.Clock.Now()
 	due := now.Reached(l.next)
@@ -107,7 +113,7 @@
 		return
 	}
 	if now.Reached(l.next) {
-		l.next = now.Add(l.Every)
+		l.next = l.nextTick(now)
 	}
 	l.Tick(now)
 }
--- a/node/claimkeeper/claimkeeper.go
+++ b/node/claimkeeper/claimkeeper.go
@@ -81,6 +81,9 @@
 	foreign  map[cassiatally.DataCentre]foreignTable
 	pulledAt map[cassiatally.DataCentre]cassiatally.Instant
 	wanted   sync.Map
+	// holdersLive is whether all shards have a live holder; judged tells that
+	// neither members nor table changed since.
+	holdersLive, judged bool
 }
 
 // Run starts the duty, the log reader and the log appender.
@@ -258,6 +261,7 @@
 
 func (e membersEvent) apply(k *Keeper, now cassiatally.Instant) {
 	k.members = e.view
+	k.judged = false
 	live := liveMembers(e.view, k.DataCentre)
 	k.Assigner.MembersChanged(now, live)
 	k.carryOut(now, k.Claimer.MembersChanged(now, live))
--- a/node/claimkeeper/tables.go
+++ b/node/claimkeeper/tables.go
@@ -90,6 +90,7 @@
 
 // tableChanged passes changes of the own table on to the claimer and to gossip.
 func (k *Keeper) tableChanged(now cassiatally.Instant) {
+	k.judged = false
 	changed := k.Assigner.Changed()
 	if len(changed) == 0 {
 		return
@@ -150,6 +151,13 @@
 }
 
 func (k *Keeper) allHoldersLive() bool {
+	if !k.judged {
+		k.holdersLive, k.judged = k.judgeHolders(), true
+	}
+	return k.holdersLive
+}
+
+func (k *Keeper) judgeHolders() bool {
 	live := make(map[cassiatally.NodeRef]struct{}, len(k.members.Local))
 	for _, ref := range k.members.Local {
 		live[ref] = struct{}{}
--- a/node/executor/executor.go
+++ b/node/executor/executor.go
@@ -11,6 +11,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -33,6 +34,8 @@
 	tickEvery = 100 * time.Millisecond
 	queueTick = 20 * time.Millisecond
 	markEvery = time.Second
+	// tellEvery repeats a report that found no room at the receiver.
+	tellEvery = time.Second
 	// MaxWorkers bounds the calls to one backend server.
 	MaxWorkers = 1024
 	// announceTTL is how long an announcement of the backend server holds.
@@ -62,8 +65,8 @@
 	// Waits is called with the time that each started call spent in the queue; it
 	// must not block.
 	Waits func(cassiatally.Rank, time.Duration)
-	// Changed is called by the duty when the announced endpoint changes and with
-	// fresh load at every tick; it must not block.
+	// Changed is called by the duty when the endpoint or its load changed, while
+	// there are crash reports, and once a second in any case; it must not block.
 	Changed func(cassiatally.Endpoint, []cassiatally.CrashReport)
 
 	inbox   *ring.Ring[event]
@@ -84,6 +87,11 @@
 	marked           atomic.Pointer[marked]
 	// markNext is when the suspects are counted next.
 	markNext cassiatally.Instant
+	// told, toldCrashes and tellNext are what Changed was last called with, and when
+	// it is called next in any case.
+	told        cassiatally.Endpoint
+	toldCrashes bool
+	tellNext    cassiatally.Instant
 }
 
 // marked counts the requests that crashed the backend server or may have.
@@ -236,7 +244,17 @@
 		x.state = e.State
 		x.Logger.Info("backend server state changed", "service", e.Service, "state", e.State)
 	}
-	x.Changed(e, x.Quarantine.Reports(now))
+	reports := x.Quarantine.Reports(now)
+	if len(reports) == 0 && !x.toldCrashes && !now.Reached(x.tellNext) && sameEndpoint(e, x.told) {
+		return
+	}
+	x.told, x.toldCrashes, x.tellNext = e, len(reports) > 0, now.Add(tellEvery)
+	x.Changed(e, reports)
+}
+
+func sameEndpoint(a, b cassiatally.Endpoint) bool {
+	return a.Service == b.Service && a.Slots == b.Slots && a.Connections == b.Connections && a.State == b.State &&
+		a.Load == b.Load && slices.Equal(a.Levels, b.Levels)
 }
 
 // countMarked counts once a second, since it looks at every suspect.
