bench: spread the nodes of the capacity measurement over data centres

Cause: the command measured one data centre only, so the cost of links and gossip to others was not seen.

A fleet counts as joined when each node knows all members of its data centre and some of each other one.

--- a/bench/command/capacitycommand/capacitycommand.go
+++ b/bench/command/capacitycommand/capacitycommand.go
@@ -40,14 +40,17 @@
 	Root   string
 	Sizes  string
 	Length time.Duration
+	// DataCentres is the number of data centres of each fleet.
+	DataCentres int
 }
 
 // New returns the command.
 func New(env environment.Environment) cli.Command {
-	o := &Options{Env: env, Root: ".", Sizes: defaultSizes, Length: defaultLength}
+	o := &Options{Env: env, Root: ".", Sizes: defaultSizes, Length: defaultLength, DataCentres: 1}
 	p := flagparser.New("cassiatally-bench capacity")
 	p.Flags.String(&o.Root, "", "root", "folder of the repository, with bin")
 	p.Flags.String(&o.Sizes, "", "sizes", "numbers of nodes, separated by commas")
+	p.Flags.Int(&o.DataCentres, "", "data-centres", "number of data centres over which the nodes of a fleet are spread")
 	p.Flags.Duration(&o.Length, "", "length", "time of each reading")
 	return cli.Command{
 		Name:    "capacity",
@@ -62,6 +65,9 @@
 	if err != nil {
 		return err
 	}
+	if o.DataCentres < 1 {
+		return cassiatally.NewError(cassiatally.KindUsage, "--data-centres %d: at least 1 is needed", o.DataCentres)
+	}
 	folder, err := os.MkdirTemp("", "cassiatally-capacity-")
 	if err != nil {
 		return errors.Wrap(err, "making a folder for logs")
@@ -70,7 +76,7 @@
 	l := &launcher.Launcher{Logs: folder, Environment: launcher.SmallHost()}
 	l.Run()
 	defer l.Close()
-	m := &capacitymeter.Meter{Launcher: l, Bin: filepath.Join(o.Root, "bin"), Folder: folder, Length: o.Length}
+	m := &capacitymeter.Meter{Launcher: l, Bin: filepath.Join(o.Root, "bin"), Folder: folder, Length: o.Length, DataCentres: o.DataCentres}
 	w := tabwriter.NewWriter(o.Env.Stdout, 0, 0, 2, ' ', 0)
 	fmt.Fprintln(w, "NODES\tCORE\tMEMORY\tSENT\tRECEIVED\tMOST SENT\tAPPENDS\tJOINED\tLOAD")
 	for _, size := range sizes {
--- a/bench/statusreader/statusreader.go
+++ b/bench/statusreader/statusreader.go
@@ -21,9 +21,11 @@
 	Sheet struct {
 		Version cassiatally.Version `json:"version"`
 	} `json:"sheet"`
-	Services []ServiceStatus `json:"services"`
-	Members  []struct {
-		Node string `json:"node"`
+	DataCentre string          `json:"data_centre"`
+	Services   []ServiceStatus `json:"services"`
+	Members    []struct {
+		Node       string `json:"node"`
+		DataCentre string `json:"data_centre"`
 	} `json:"members"`
 	Local struct {
 		Limit    int       `json:"limit"`
