--- a/cassiatally/follower/explore_test.go
+++ b/cassiatally/follower/explore_test.go
@@ -213,7 +213,7 @@
 	for range 2 {
 		to, v := w.nodes[w.rand.IntN(len(w.nodes))], n.Version()
 		if to != n && w.rand.Float64() >= w.loss {
-			w.later(to, w.delay(), func() { w.do(to, to.Told(w.now, n.ref.Node, v)) })
+			w.later(to, w.delay(), func() { w.do(to, to.HandleVersion(w.now, n.ref.Node, v)) })
 		}
 	}
 }
--- a/cassiatally/follower/follower.go
+++ b/cassiatally/follower/follower.go
@@ -7,7 +7,7 @@
 //	f := follower.New(follower.Config{Self: self}, rand)
 //	do(f.MembersChanged(now, logReaders))
 //	do(f.HandleBatch(now, batch)) // after a ReadLog action
-//	do(f.Told(now, peer, version))
+//	do(f.HandleVersion(now, peer, version))
 //	do(f.Tick(now))               // every 100 ms
 //
 // Actions are ReadLog, AppendSheet, AdoptSheet, and Send of SheetPull and
@@ -181,8 +181,8 @@
 	return f.adopt()
 }
 
-// Told takes the version that a peer has in force.
-func (f *Follower) Told(now cassiatally.Instant, from cassiatally.NodeID, v cassiatally.Version) []cassiatally.Action {
+// HandleVersion takes the version that a peer has in force.
+func (f *Follower) HandleVersion(now cassiatally.Instant, from cassiatally.NodeID, v cassiatally.Version) []cassiatally.Action {
 	_, offered := f.offers[from]
 	missing := v > f.inForce || (!f.settled && v > 0 && !offered)
 	if !missing || (f.settled && !now.Reached(f.pulledAt.Add(pullPause))) {
--- a/cassiatally/follower/follower_test.go
+++ b/cassiatally/follower/follower_test.go
@@ -116,10 +116,10 @@
 	actions := f.Tick(at(2 * time.Second))
 	is.Equal(adopted(actions), []cassiatally.Version{1})
 	is.Equal(len(actions), 1)
-	is.Equal(f.Told(at(3*time.Second), "b", 2), []cassiatally.Action{
+	is.Equal(f.HandleVersion(at(3*time.Second), "b", 2), []cassiatally.Action{
 		cassiatally.Send{To: "b", Message: cassiatally.SheetPull{Have: 1}},
 	})
-	is.Equal(len(f.Told(at(3*time.Second), "c", 2)), 0) // one pull at a time
+	is.Equal(len(f.HandleVersion(at(3*time.Second), "c", 2)), 0) // one pull at a time
 	is.Equal(len(f.HandlePull(at(3*time.Second), "c", cassiatally.SheetPull{Have: 0})), 1)
 	is.Equal(len(f.HandlePull(at(3*time.Second), "c", cassiatally.SheetPull{Have: 1})), 0)
 }
--- a/node/claimkeeper/claimkeeper.go
+++ b/node/claimkeeper/claimkeeper.go
@@ -176,9 +176,9 @@
 // Members hands over a new view of the members.
 func (k *Keeper) Members(v *registrar.View) { k.inbox.Offer(membersEvent{view: v}, 0) }
 
-// ToldEpochs hands over the sum of epochs that another node of this data centre
+// PeerEpochs hands over the sum of epochs that another node of this data centre
 // told.
-func (k *Keeper) ToldEpochs(from cassiatally.NodeRef, sum cassiatally.Epoch) {
+func (k *Keeper) PeerEpochs(from cassiatally.NodeRef, sum cassiatally.Epoch) {
 	k.inbox.Offer(epochsEvent{from: from, sum: sum}, 0)
 }
 
--- a/node/sheetkeeper/sheetkeeper.go
+++ b/node/sheetkeeper/sheetkeeper.go
@@ -73,7 +73,7 @@
 		from cassiatally.NodeRef
 		m    cassiatally.Message
 	}
-	toldEvent struct {
+	versionEvent struct {
 		from    cassiatally.NodeRef
 		version cassiatally.Version
 	}
@@ -144,9 +144,9 @@
 	k.inbox.Offer(messageEvent{from: from, m: m}, batchReserve)
 }
 
-// Told hands over the version that another node has in force.
-func (k *Keeper) Told(from cassiatally.NodeRef, v cassiatally.Version) {
-	k.inbox.Offer(toldEvent{from: from, version: v}, batchReserve)
+// PeerVersion hands over the version that another node has in force.
+func (k *Keeper) PeerVersion(from cassiatally.NodeRef, v cassiatally.Version) {
+	k.inbox.Offer(versionEvent{from: from, version: v}, batchReserve)
 }
 
 // Members hands over a new view of the members.
@@ -164,8 +164,8 @@
 	}
 }
 
-func (e toldEvent) apply(k *Keeper, now cassiatally.Instant) {
-	k.carryOut(k.Follower.Told(now, e.from.Node, e.version))
+func (e versionEvent) apply(k *Keeper, now cassiatally.Instant) {
+	k.carryOut(k.Follower.HandleVersion(now, e.from.Node, e.version))
 }
 
 func (e membersEvent) apply(k *Keeper, now cassiatally.Instant) {
--- a/node/supervisor/routes.go
+++ b/node/supervisor/routes.go
@@ -100,12 +100,12 @@
 
 // gossiped passes on what gossip carries besides members.
 func (s *Supervisor) gossiped(g cassiatally.Gossip) {
-	s.sheets.Told(g.From, g.Sheet)
+	s.sheets.PeerVersion(g.From, g.Sheet)
 	if len(g.Crashes) > 0 {
 		s.executor.Crashes(g.Crashes)
 	}
 	if s.sameDataCentre(g.From.Node) {
-		s.claims.ToldEpochs(g.From, g.ShardEpochs)
+		s.claims.PeerEpochs(g.From, g.ShardEpochs)
 	}
 }
 
