--- a/cassiatally/admitter/meter.go
+++ b/cassiatally/admitter/meter.go
@@ -28,8 +28,8 @@
 	leastArrivals = 8
 	// A rank loses its level when at least leastLate of its calls, and lateFactor times
 	// as many as the others, have less time left than a run takes. Work done for them
-	// further up is lost. lateLevel lets enough pass to see when that ends, and is
-	// reached again from below in 6 windows.
+	// further up is lost. lateLevel lets enough pass to see when that ends, and a level
+	// returns from it to 1 in 4 windows.
 	leastLate  = 4
 	lateFactor = 9
 	lateLevel  = 0.2
--- a/cassiatally/ids.go
+++ b/cassiatally/ids.go
@@ -59,6 +59,10 @@
 	return fmt.Sprintf("%s/%x", r.Node, uint64(r.Incarnation))
 }
 
+// CrashNumber is the place of a crash among those of one incarnation of a node,
+// from 1.
+type CrashNumber uint64
+
 // CallID identifies a call from one node to another. It is unique across
 // incarnations, so a late answer to an earlier incarnation matches nothing.
 type CallID struct {
--- a/cassiatally/message.go
+++ b/cassiatally/message.go
@@ -177,8 +177,8 @@
 	// CrashNews is the number of a crash at the sender, which the receiver
 	// acknowledges with CrashAck once it knows the crash reports. Such a message
 	// carries nothing else.
-	CrashNews uint64
-	CrashAck  uint64
+	CrashNews CrashNumber
+	CrashAck  CrashNumber
 }
 
 // CrashReport counts the backend server crashes that one node saw while a
--- a/cassiatally/protocol/wire.go
+++ b/cassiatally/protocol/wire.go
@@ -438,8 +438,8 @@
 		Sheet:       m.Sheet,
 		Crashes:     each(m.Crashes, toCrashReport),
 		ShardEpochs: m.ShardEpochs,
-		CrashNews:   m.CrashNews,
-		CrashAck:    m.CrashAck,
+		CrashNews:   uint64(m.CrashNews),
+		CrashAck:    uint64(m.CrashAck),
 	}
 }
 
@@ -451,8 +451,8 @@
 		Sheet:       w.Sheet,
 		Crashes:     each(w.Crashes, fromCrashReport),
 		ShardEpochs: w.ShardEpochs,
-		CrashNews:   w.CrashNews,
-		CrashAck:    w.CrashAck,
+		CrashNews:   cassiatally.CrashNumber(w.CrashNews),
+		CrashAck:    cassiatally.CrashNumber(w.CrashAck),
 	}
 }
 
--- a/cassiatally/runner/counts.go
+++ b/cassiatally/runner/counts.go
@@ -39,7 +39,7 @@
 
 // Counts returns a copy of the totals so far.
 func (r *Runner) Counts() Counts {
-	c := Counts{Waited: r.waited, LateResults: r.late, Crashes: r.crashes}
+	c := Counts{Waited: r.waited, LateResults: r.late, Crashes: uint64(r.crashes)}
 	for k, n := range r.sheds {
 		c.Sheds = append(c.Sheds, Shed{Kind: k.kind, Rank: k.rank, Count: n})
 	}
--- a/cassiatally/runner/crash.go
+++ b/cassiatally/runner/crash.go
@@ -24,8 +24,7 @@
 // those are told whose runs it broke off. Otherwise the cause could be sent again
 // to a node that has not heard of it.
 type crash struct {
-	// number is the place of the crash among those of this node, from 1.
-	number  uint64
+	number  cassiatally.CrashNumber
 	news    []cassiatally.CrashReport
 	waiting []cassiatally.NodeID
 	until   cassiatally.Instant
@@ -51,7 +50,7 @@
 }
 
 // HandleCrashAck takes the acknowledgement of a crash.
-func (r *Runner) HandleCrashAck(now cassiatally.Instant, from cassiatally.NodeID, number uint64) []cassiatally.Action {
+func (r *Runner) HandleCrashAck(now cassiatally.Instant, from cassiatally.NodeID, number cassiatally.CrashNumber) []cassiatally.Action {
 	for _, c := range r.untold {
 		if c.number == number {
 			c.waiting = slices.DeleteFunc(c.waiting, func(n cassiatally.NodeID) bool { return n == from })
@@ -63,11 +62,11 @@
 // concludeBroken records the crash that broke off a run. The answer waits until
 // the peers know of it.
 func (r *Runner) concludeBroken(actions []cassiatally.Action, now cassiatally.Instant, rec *record, a cassiatally.Answer) []cassiatally.Action {
-	if rec.era == r.crashes || now.Sub(r.crashedAt) > crashWindow {
+	if rec.lastCrash == r.crashes || now.Sub(r.crashedAt) > crashWindow {
 		actions = r.recordCrash(actions, now, rec)
 	}
 	for _, c := range r.untold {
-		if rec.era < c.number {
+		if rec.lastCrash < c.number {
 			r.settle(now, rec, a)
 			rec.withheld = true
 			c.broken = append(c.broken, rec)
--- a/cassiatally/runner/crashfleet_test.go
+++ b/cassiatally/runner/crashfleet_test.go
@@ -91,7 +91,7 @@
 // newsID names the messages, or the acknowledgements, of a crash to one peer.
 type newsID struct {
 	from, to  cassiatally.NodeID
-	news, ack uint64
+	news, ack cassiatally.CrashNumber
 }
 
 type fleetNode struct {
--- a/cassiatally/runner/runner.go
+++ b/cassiatally/runner/runner.go
@@ -60,8 +60,8 @@
 	ended       cassiatally.Instant
 	concurrency cassiatally.Concurrency
 	cancelled   bool
-	// era is the number of crashes that were known when the run started.
-	era uint64
+	// lastCrash is the last crash before the run started.
+	lastCrash cassiatally.CrashNumber
 	// brokenOff is set when the run was stopped since its deadline seemed out of
 	// reach.
 	brokenOff bool
@@ -100,7 +100,7 @@
 	progressed cassiatally.Instant
 	leaving    bool
 	late       uint64
-	crashes    uint64
+	crashes    cassiatally.CrashNumber
 	sheds      map[shedKey]uint64
 	waited     [cassiatally.MaxRanks]Waited
 }
@@ -373,7 +373,7 @@
 	}
 	rec.phase = phaseRunning
 	rec.started = now
-	rec.era = r.crashes
+	rec.lastCrash = r.crashes
 	r.countStart(now, rec)
 	if r.running == 0 {
 		r.progress(now)
--- a/cassiatally/runner/runner_test.go
+++ b/cassiatally/runner/runner_test.go
@@ -222,7 +222,7 @@
 }
 
 // toldTo returns the nodes that are told of a crash, and its number.
-func toldTo(actions []cassiatally.Action) (to []cassiatally.NodeID, number uint64) {
+func toldTo(actions []cassiatally.Action) (to []cassiatally.NodeID, number cassiatally.CrashNumber) {
 	for _, a := range actions {
 		if s, ok := a.(cassiatally.Send); ok {
 			if g, ok := s.Message.(cassiatally.Gossip); ok {
@@ -239,15 +239,15 @@
 	peers := map[cassiatally.Service][]cassiatally.NodeID{"depot-svc": {"b", "c"}, "other-svc": {"d"}}
 	for _, c := range []struct {
 		name  string
-		learn func(h *harness, number uint64) []cassiatally.Action
+		learn func(h *harness, number cassiatally.CrashNumber) []cassiatally.Action
 	}{
-		{"acknowledged", func(h *harness, number uint64) []cassiatally.Action {
+		{"acknowledged", func(h *harness, number cassiatally.CrashNumber) []cassiatally.Action {
 			return h.HandleCrashAck(start, "c", number)
 		}},
-		{"the peer is gone", func(h *harness, _ uint64) []cassiatally.Action {
+		{"the peer is gone", func(h *harness, _ cassiatally.CrashNumber) []cassiatally.Action {
 			return h.SetPeers(start, map[cassiatally.Service][]cassiatally.NodeID{"depot-svc": {"b"}})
 		}},
-		{"the peer is silent", func(h *harness, _ uint64) []cassiatally.Action {
+		{"the peer is silent", func(h *harness, _ cassiatally.CrashNumber) []cassiatally.Action {
 			return h.Tick(start.Add(500 * time.Millisecond))
 		}},
 	} {
