--- /dev/null
+++ b/cassiatally/backend.go
@@ -0,0 +1,87 @@
+package cassiatally
+
+import (
+	"context"
+	"time"
+)
+
+// InstanceID names one start of a backend server.
+type InstanceID string
+
+// BackendTarget tells where the backend server of this host listens and which
+// instance of it is meant.
+type BackendTarget struct {
+	Address     Address
+	Instance    InstanceID
+	Connections Concurrency
+}
+
+// RunResultKind tells how a run at the backend server ended.
+type RunResultKind uint8
+
+const (
+	// ResultAnswered means that a whole answer arrived.
+	ResultAnswered RunResultKind = iota
+	// ResultRefused means that the backend server stated that it did not run the
+	// request.
+	ResultRefused
+	// ResultUnreached means that no connection could be opened.
+	ResultUnreached
+	// ResultBroken means that the connection ended before the whole answer and that
+	// the backend server seems to have crashed.
+	ResultBroken
+	// ResultTimedOut means that the deadline passed before the answer.
+	ResultTimedOut
+	// ResultAborted means that the run was cancelled.
+	ResultAborted
+	// ResultLost means that no whole answer came although the backend server still
+	// accepts connections.
+	ResultLost
+	// ResultReplaced means that another instance has the address; it did not run
+	// the request.
+	ResultReplaced
+)
+
+// RunResult is the end of a run at the backend server.
+type RunResult struct {
+	Kind        RunResultKind
+	Status      int
+	ContentType string
+	Fields      []Field
+	Body        []byte
+	Detail      string
+}
+
+// BackendClient sends calls to the backend server of this host.
+type BackendClient interface {
+	// Do runs a call and returns how it ended. It breaks the run off when ctx ends.
+	Do(ctx context.Context, t BackendTarget, c Call) RunResult
+}
+
+// BackendHealth is the answer of a backend server to a health check.
+type BackendHealth struct {
+	Instance InstanceID
+	Healthy  bool
+	Slots    Concurrency
+}
+
+// BackendProber checks the health of the backend server of this host.
+type BackendProber interface {
+	Probe(ctx context.Context, a Address, path string) (BackendHealth, error)
+}
+
+// InstanceReport is what an instance of a backend server says about itself.
+type InstanceReport struct {
+	Instance InstanceID
+	// Born is when the instance started, in milliseconds of the Unix epoch; 0 when
+	// that is unknown.
+	Born int64
+	// Sequence grows with each report of an instance.
+	Sequence uint64
+	Service  Service
+	Address  Address
+	Slots    Concurrency
+	State    EndpointState
+	// Cold is how much longer the instance stays slow after its start.
+	Cold time.Duration
+}
--- a/cassiatally/ids.go
+++ b/cassiatally/ids.go
@@ -38,6 +38,8 @@
 	Stream string
 	// Key is an idempotency key as callers send it.
 	Key string
+	// RequestName is a caller's own id of a request.
+	RequestName string
 	// Fingerprint identifies equal requests: service, kind of work and body.
 	Fingerprint uint64
 	// RequestTag ties an answer to the request that it is for: a digest of the call
--- a/cassiatally/interfaces.go
+++ b/cassiatally/interfaces.go
@@ -209,3 +209,17 @@
 type ShardView interface {
 	HolderOf(s ShardRef) (NodeRef, Epoch, bool)
 }
+
+// RouteSource is where operators publish route tables.
+type RouteSource interface {
+	// Next waits for a table that was published after the one that it returned last,
+	// and returns the newest.
+	Next(ctx context.Context) (RouteTable, error)
+}
+
+// MemberStore keeps where nodes can be found, so that a node that starts finds
+// the others.
+type MemberStore interface {
+	Load(ctx context.Context) ([]Member, error)
+	Save(ctx context.Context, m Member) error
+}
--- /dev/null
+++ b/cassiatally/matcher/matcher.go
@@ -0,0 +1,65 @@
+// Package matcher finds the route of a request: among the routes of its host, the
+// one with the longest prefix that begins its path.
+//
+// # Usage
+//
+//	m := matcher.New(table)
+//	if route, ok := m.Match("hulo84.example", "/stock/17"); ok { ... }
+//
+// A Matcher is immutable and safe for concurrent use.
+package matcher
+
+import (
+	"cmp"
+	"net"
+	"slices"
+	"strings"
+
+	"github.com/cassiatally/cassiatally/cassiatally"
+)
+
+// Matcher finds routes in one version of the route table.
+type Matcher struct {
+	table cassiatally.RouteTable
+	// hosts has the routes of each host, the longest prefix first.
+	hosts map[string][]*cassiatally.Route
+}
+
+// New returns a matcher for a table, which must not be changed afterwards.
+func New(t cassiatally.RouteTable) *Matcher {
+	m := &Matcher{table: t, hosts: make(map[string][]*cassiatally.Route)}
+	for i := range m.table.Routes {
+		r := &m.table.Routes[i]
+		host := strings.ToLower(r.Host)
+		m.hosts[host] = append(m.hosts[host], r)
+	}
+	for _, routes := range m.hosts {
+		slices.SortStableFunc(routes, func(a, b *cassiatally.Route) int {
+			return cmp.Compare(len(b.Prefix), len(a.Prefix))
+		})
+	}
+	return m
+}
+
+// Table returns the table that the matcher was made for.
+func (m *Matcher) Table() *cassiatally.RouteTable { return &m.table }
+
+// Match returns the route of a request. The host may name a port.
+func (m *Matcher) Match(host, path string) (*cassiatally.Route, bool) {
+	for _, r := range m.hosts[bare(host)] {
+		if strings.HasPrefix(path, r.Prefix) {
+			return r, true
+		}
+	}
+	return nil, false
+}
+
+// bare returns a host name in lower case without its port.
+func bare(host string) string {
+	if strings.Contains(host, ":") {
+		if h, _, err := net.SplitHostPort(host); err == nil {
+			host = h
+		}
+	}
+	return strings.ToLower(host)
+}
--- a/cassiatally/message.go
+++ b/cassiatally/message.go
@@ -44,8 +44,18 @@
 	Retries   RetryCount
 	Depth     Depth
 	Attempt   uint16
-	Body      []byte
-	Digest    Digest
+	// Head and Caller are empty for requests of the product's own front end. Caller
+	// is the service on the host where the request began.
+	Head   Head
+	Caller Service
+	Name   RequestName
+	Body   []byte
+	Digest Digest
+}
+
+// Fingerprint identifies equal requests.
+func (c Call) Fingerprint() Fingerprint {
+	return FingerprintOf(c.Service, c.Work+WorkKind(c.Head.Target), c.Body)
 }
 
 // Tag returns the tag that the answer to the call repeats.
@@ -65,6 +75,7 @@
 	Detail      string
 	Status      int
 	ContentType string
+	Fields      []Field
 	Body        []byte
 	Digest      Digest
 	RetryAfter  time.Duration
--- a/cassiatally/protocol/codec_test.go
+++ b/cassiatally/protocol/codec_test.go
@@ -22,7 +22,7 @@
 	answer := cassiatally.Answer{
 		ID: id, Request: 11, Outcome: cassiatally.OutcomeRan, Status: 200, ContentType: "text/plain",
 		Body: []byte("ok"), Digest: cassiatally.DigestOf([]byte("ok")), RetryAfter: time.Second,
-		RetriesSpent: 1, Endpoint: load, Loads: []cassiatally.ServiceLoad{levels},
+		RetriesSpent: 1, Fields: []cassiatally.Field{{Name: "A", Value: "b"}}, Endpoint: load, Loads: []cassiatally.ServiceLoad{levels},
 	}
 	member := cassiatally.Member{
 		Ref: ref, DataCentre: "north", Address: "127.0.0.1:1", Heartbeat: 4, Revision: 2, Leaving: true, Sheet: 3,
@@ -33,7 +33,7 @@
 	return []cassiatally.Message{
 		cassiatally.Hello{From: ref, DataCentre: "north", Address: "127.0.0.1:1"},
 		cassiatally.Ping{Seq: 1},
-		cassiatally.Call{ID: id, Stage: cassiatally.StageClaim, Root: cassiatally.RootID{1}, Service: "avail-svc", Work: "check", Tenant: "t", Rank: 1, Order: 0.25, Idempotent: true, Key: claim.Key, Remaining: time.Second, Retries: 2, Depth: 3, Attempt: 1, Body: []byte("x"), Digest: cassiatally.DigestOf([]byte("x"))},
+		cassiatally.Call{ID: id, Stage: cassiatally.StageClaim, Root: cassiatally.RootID{1}, Service: "avail-svc", Work: "check", Tenant: "t", Rank: 1, Order: 0.25, Idempotent: true, Key: claim.Key, Remaining: time.Second, Retries: 2, Depth: 3, Attempt: 1, Head: cassiatally.Head{Method: "GET", Target: "/a?b", Fields: []cassiatally.Field{{Name: "A", Value: "b"}}}, Caller: "depot-svc", Name: "n", Body: []byte("x"), Digest: cassiatally.DigestOf([]byte("x"))},
 		answer,
 		cassiatally.Cancel{ID: id},
 		cassiatally.RunQuery{ID: id, Target: 7, Request: 11},
@@ -46,6 +46,13 @@
 		cassiatally.ClaimUpdate{Shard: shard, Epoch: 2, From: ref, Seq: 1, Claim: claim},
 		cassiatally.ClaimAck{Shard: shard, Epoch: 2, From: ref, Seq: 1, Sealed: true},
 		cassiatally.ClaimCopy{Shard: shard, Epoch: 2, From: ref, Seq: 1, CompleteFrom: 1, Claims: []cassiatally.Claim{claim}, Last: true},
+		cassiatally.RoutePull{Have: 4},
+		cassiatally.RouteUpdate{Table: cassiatally.RouteTable{
+			Version:  5,
+			Routes:   []cassiatally.Route{{Name: "r", Host: "h", Prefix: "/a/", Services: []cassiatally.WeightedService{{Service: "s", Weight: 0.5}}, Idempotent: true, Timeout: time.Second, Target: time.Minute, Rank: 1, Attempts: 2}},
+			Services: []cassiatally.ServiceSpec{{Name: "s", HealthPath: "/health", Connections: 9}},
+			Limits:   cassiatally.RequestLimits{HeaderBytes: 1, BodyBytes: 2, HeaderTimeout: 3, IdleTimeout: 4},
+		}},
 	}
 }
 
--- a/cassiatally/protocol/types.go
+++ b/cassiatally/protocol/types.go
@@ -27,6 +27,8 @@
 	typeClaimUpdate
 	typeClaimAck
 	typeClaimCopy
+	typeRoutePull
+	typeRouteUpdate
 )
 
 func toWire(m cassiatally.Message) (messageType, any) {
@@ -61,6 +63,10 @@
 		return typeClaimAck, toClaimAck(m)
 	case cassiatally.ClaimCopy:
 		return typeClaimCopy, toClaimCopy(m)
+	case cassiatally.RoutePull:
+		return typeRoutePull, toRoutePull(m)
+	case cassiatally.RouteUpdate:
+		return typeRouteUpdate, toRouteUpdate(m)
 	default:
 		return typeNone, nil
 	}
@@ -84,6 +90,8 @@
 	typeClaimUpdate: decodeWith(fromClaimUpdate),
 	typeClaimAck:    decodeWith(fromClaimAck),
 	typeClaimCopy:   decodeWith(fromClaimCopy),
+	typeRoutePull:   decodeWith(fromRoutePull),
+	typeRouteUpdate: decodeWith(fromRouteUpdate),
 }
 
 func decodeWith[W any, M cassiatally.Message](from func(W) M) decoder {
--- a/cassiatally/protocol/wire.go
+++ b/cassiatally/protocol/wire.go
@@ -6,6 +6,16 @@
 	"github.com/cassiatally/cassiatally/cassiatally"
 )
 
+type wireField struct {
+	_     struct{} `cbor:",toarray"`
+	Name  string
+	Value string
+}
+
+func toField(m cassiatally.Field) wireField { return wireField{Name: m.Name, Value: m.Value} }
+
+func fromField(w wireField) cassiatally.Field { return cassiatally.Field{Name: w.Name, Value: w.Value} }
+
 type wireNodeRef struct {
 	_           struct{} `cbor:",toarray"`
 	Node        cassiatally.NodeID
@@ -258,22 +268,27 @@
 func fromPing(w wirePing) cassiatally.Ping { return cassiatally.Ping(w) }
 
 type wireCall struct {
-	ID         wireCallID             `cbor:"1,keyasint,omitempty"`
-	Stage      cassiatally.Stage      `cbor:"2,keyasint,omitempty"`
-	Root       cassiatally.RootID     `cbor:"3,keyasint,omitempty"`
-	Service    cassiatally.Service    `cbor:"4,keyasint,omitempty"`
-	Work       cassiatally.WorkKind   `cbor:"5,keyasint,omitempty"`
-	Tenant     cassiatally.Tenant     `cbor:"6,keyasint,omitempty"`
-	Rank       cassiatally.Rank       `cbor:"7,keyasint,omitempty"`
-	Order      cassiatally.Order      `cbor:"8,keyasint,omitempty"`
-	Idempotent bool                   `cbor:"9,keyasint,omitempty"`
-	Key        cassiatally.Key        `cbor:"10,keyasint,omitempty"`
-	Remaining  time.Duration          `cbor:"11,keyasint,omitempty"`
-	Retries    cassiatally.RetryCount `cbor:"12,keyasint,omitempty"`
-	Depth      cassiatally.Depth      `cbor:"13,keyasint,omitempty"`
-	Attempt    uint16                 `cbor:"14,keyasint,omitempty"`
-	Body       []byte                 `cbor:"15,keyasint,omitempty"`
-	Digest     cassiatally.Digest     `cbor:"16,keyasint,omitempty"`
+	ID         wireCallID              `cbor:"1,keyasint,omitempty"`
+	Stage      cassiatally.Stage       `cbor:"2,keyasint,omitempty"`
+	Root       cassiatally.RootID      `cbor:"3,keyasint,omitempty"`
+	Service    cassiatally.Service     `cbor:"4,keyasint,omitempty"`
+	Work       cassiatally.WorkKind    `cbor:"5,keyasint,omitempty"`
+	Tenant     cassiatally.Tenant      `cbor:"6,keyasint,omitempty"`
+	Rank       cassiatally.Rank        `cbor:"7,keyasint,omitempty"`
+	Order      cassiatally.Order       `cbor:"8,keyasint,omitempty"`
+	Idempotent bool                    `cbor:"9,keyasint,omitempty"`
+	Key        cassiatally.Key         `cbor:"10,keyasint,omitempty"`
+	Remaining  time.Duration           `cbor:"11,keyasint,omitempty"`
+	Retries    cassiatally.RetryCount  `cbor:"12,keyasint,omitempty"`
+	Depth      cassiatally.Depth       `cbor:"13,keyasint,omitempty"`
+	Attempt    uint16                  `cbor:"14,keyasint,omitempty"`
+	Body       []byte                  `cbor:"15,keyasint,omitempty"`
+	Digest     cassiatally.Digest      `cbor:"16,keyasint,omitempty"`
+	Method     string                  `cbor:"17,keyasint,omitempty"`
+	Target     string                  `cbor:"18,keyasint,omitempty"`
+	Fields     []wireField             `cbor:"19,keyasint,omitempty"`
+	Caller     cassiatally.Service     `cbor:"20,keyasint,omitempty"`
+	Name       cassiatally.RequestName `cbor:"21,keyasint,omitempty"`
 }
 
 func toCall(m cassiatally.Call) wireCall {
@@ -294,6 +309,11 @@
 		Attempt:    m.Attempt,
 		Body:       m.Body,
 		Digest:     m.Digest,
+		Method:     m.Head.Method,
+		Target:     m.Head.Target,
+		Fields:     each(m.Head.Fields, toField),
+		Caller:     m.Caller,
+		Name:       m.Name,
 	}
 }
 
@@ -313,6 +333,9 @@
 		Retries:    w.Retries,
 		Depth:      w.Depth,
 		Attempt:    w.Attempt,
+		Head:       cassiatally.Head{Method: w.Method, Target: w.Target, Fields: each(w.Fields, fromField)},
+		Caller:     w.Caller,
+		Name:       w.Name,
 		Body:       w.Body,
 		Digest:     w.Digest,
 	}
@@ -332,6 +355,7 @@
 	Endpoint     wireEndpointLoad       `cbor:"11,keyasint,omitempty"`
 	Loads        []wireServiceLoad      `cbor:"12,keyasint,omitempty"`
 	Request      cassiatally.RequestTag `cbor:"13,keyasint,omitempty"`
+	Fields       []wireField            `cbor:"14,keyasint,omitempty"`
 }
 
 func toAnswer(m cassiatally.Answer) wireAnswer {
@@ -349,6 +373,7 @@
 		Endpoint:     toEndpointLoad(m.Endpoint),
 		Loads:        each(m.Loads, toServiceLoad),
 		Request:      m.Request,
+		Fields:       each(m.Fields, toField),
 	}
 }
 
@@ -367,6 +392,7 @@
 		Endpoint:     fromEndpointLoad(w.Endpoint),
 		Loads:        each(w.Loads, fromServiceLoad),
 		Request:      w.Request,
+		Fields:       each(w.Fields, fromField),
 	}
 }
 
@@ -593,3 +619,101 @@
 		Last:         w.Last,
 	}
 }
+
+type wireWeighted struct {
+	_       struct{} `cbor:",toarray"`
+	Service cassiatally.Service
+	Weight  float64
+}
+
+func toWeighted(m cassiatally.WeightedService) wireWeighted {
+	return wireWeighted{Service: m.Service, Weight: m.Weight}
+}
+
+func fromWeighted(w wireWeighted) cassiatally.WeightedService {
+	return cassiatally.WeightedService{Service: w.Service, Weight: w.Weight}
+}
+
+type wireRoute struct {
+	Name       cassiatally.WorkKind `cbor:"1,keyasint,omitempty"`
+	Host       string               `cbor:"2,keyasint,omitempty"`
+	Prefix     string               `cbor:"3,keyasint,omitempty"`
+	Services   []wireWeighted       `cbor:"4,keyasint,omitempty"`
+	Idempotent bool                 `cbor:"5,keyasint,omitempty"`
+	Timeout    time.Duration        `cbor:"6,keyasint,omitempty"`
+	Target     time.Duration        `cbor:"7,keyasint,omitempty"`
+	Rank       cassiatally.Rank     `cbor:"8,keyasint,omitempty"`
+	Attempts   int                  `cbor:"9,keyasint,omitempty"`
+}
+
+func toRoute(m cassiatally.Route) wireRoute {
+	return wireRoute{
+		Name: m.Name, Host: m.Host, Prefix: m.Prefix, Services: each(m.Services, toWeighted), Idempotent: m.Idempotent,
+		Timeout: m.Timeout, Target: m.Target, Rank: m.Rank, Attempts: m.Attempts,
+	}
+}
+
+func fromRoute(w wireRoute) cassiatally.Route {
+	return cassiatally.Route{
+		Name: w.Name, Host: w.Host, Prefix: w.Prefix, Services: each(w.Services, fromWeighted), Idempotent: w.Idempotent,
+		Timeout: w.Timeout, Target: w.Target, Rank: w.Rank, Attempts: w.Attempts,
+	}
+}
+
+type wireServiceSpec struct {
+	_           struct{} `cbor:",toarray"`
+	Name        cassiatally.Service
+	HealthPath  string
+	Connections cassiatally.Concurrency
+}
+
+func toServiceSpec(m cassiatally.ServiceSpec) wireServiceSpec {
+	return wireServiceSpec{Name: m.Name, HealthPath: m.HealthPath, Connections: m.Connections}
+}
+
+func fromServiceSpec(w wireServiceSpec) cassiatally.ServiceSpec {
+	return cassiatally.ServiceSpec{Name: w.Name, HealthPath: w.HealthPath, Connections: w.Connections}
+}
+
+type wireRequestLimits struct {
+	_             struct{} `cbor:",toarray"`
+	HeaderBytes   int
+	BodyBytes     int64
+	HeaderTimeout time.Duration
+	IdleTimeout   time.Duration
+}
+
+type wireRouteUpdate struct {
+	Version  cassiatally.Version `cbor:"1,keyasint,omitempty"`
+	Routes   []wireRoute         `cbor:"2,keyasint,omitempty"`
+	Services []wireServiceSpec   `cbor:"3,keyasint,omitempty"`
+	Limits   wireRequestLimits   `cbor:"4,keyasint,omitempty"`
+}
+
+func toRouteUpdate(m cassiatally.RouteUpdate) wireRouteUpdate {
+	l := m.Table.Limits
+	return wireRouteUpdate{
+		Version:  m.Table.Version,
+		Routes:   each(m.Table.Routes, toRoute),
+		Services: each(m.Table.Services, toServiceSpec),
+		Limits:   wireRequestLimits{HeaderBytes: l.HeaderBytes, BodyBytes: l.BodyBytes, HeaderTimeout: l.HeaderTimeout, IdleTimeout: l.IdleTimeout},
+	}
+}
+
+func fromRouteUpdate(w wireRouteUpdate) cassiatally.RouteUpdate {
+	l := w.Limits
+	return cassiatally.RouteUpdate{Table: cassiatally.RouteTable{
+		Version:  w.Version,
+		Routes:   each(w.Routes, fromRoute),
+		Services: each(w.Services, fromServiceSpec),
+		Limits:   cassiatally.RequestLimits{HeaderBytes: l.HeaderBytes, BodyBytes: l.BodyBytes, HeaderTimeout: l.HeaderTimeout, IdleTimeout: l.IdleTimeout},
+	}}
+}
+
+type wireRoutePull struct {
+	Have cassiatally.Version `cbor:"1,keyasint,omitempty"`
+}
+
+func toRoutePull(m cassiatally.RoutePull) wireRoutePull { return wireRoutePull(m) }
+
+func fromRoutePull(w wireRoutePull) cassiatally.RoutePull { return cassiatally.RoutePull(w) }
--- a/cassiatally/registrar/view.go
+++ b/cassiatally/registrar/view.go
@@ -61,6 +61,21 @@
 	return v.Members[i].Address, true
 }
 
+// Peers returns the nodes other than self that have an endpoint of each service,
+// those included whose backend server is about to start again.
+func (v *View) Peers(self cassiatally.NodeRef) map[cassiatally.Service][]cassiatally.NodeID {
+	peers := make(map[cassiatally.Service][]cassiatally.NodeID)
+	for i := range v.Members {
+		m := &v.Members[i]
+		service := m.Endpoint.Service
+		if service == "" || m.Leaving || m.Ref == self || slices.Contains(v.Suspects, m.Ref) {
+			continue
+		}
+		peers[service] = append(peers[service], m.Ref.Node)
+	}
+	return peers
+}
+
 // View returns a snapshot. Entries are kept in order, so that it is one pass.
 func (r *Registrar) View(now cassiatally.Instant) *View {
 	v := &View{
--- a/cassiatally/request.go
+++ b/cassiatally/request.go
@@ -29,5 +29,12 @@
 	Attempt  uint16
 	// Parent is the service whose backend server makes the call; empty at the entry.
 	Parent Service
-	Body   []byte
+	Head   Head
+	Caller Service
+	// Name is the caller's own id of the request, for logs.
+	Name RequestName
+	// Route has the services among which the request is divided; Service is chosen
+	// when it is submitted. It is nil when Service is set already.
+	Route *Route
+	Body  []byte
 }
--- a/cassiatally/router/router.go
+++ b/cassiatally/router/router.go
@@ -239,6 +239,9 @@
 		Retries:    p.given,
 		Depth:      p.req.Depth,
 		Attempt:    p.req.Attempt,
+		Head:       p.req.Head,
+		Caller:     p.req.Caller,
+		Name:       p.req.Name,
 		Body:       p.req.Body,
 		Digest:     cassiatally.DigestOf(p.req.Body),
 	}
--- a/cassiatally/runner/crashfleet_test.go
+++ b/cassiatally/runner/crashfleet_test.go
@@ -282,7 +282,7 @@
 	}
 	n.m.after(fleetRun/2+time.Duration(n.m.rand.Int64N(int64(fleetRun))), func() {
 		if n.life == life && n.up {
-			n.finish(c.ID, runner.Result{Kind: runner.ResultAnswered, Status: 200})
+			n.finish(c.ID, cassiatally.RunResult{Kind: cassiatally.ResultAnswered, Status: 200})
 		}
 	})
 }
@@ -299,7 +299,7 @@
 	n.m.note("crash at %s with %d in flight, call %v", n.ref.Node, len(n.runs), cause.ID.Seq)
 	for _, id := range n.inFlight() {
 		n.m.after(time.Duration(n.m.rand.Int64N(int64(2*time.Millisecond))), func() {
-			n.finish(id, runner.Result{Kind: runner.ResultBroken})
+			n.finish(id, cassiatally.RunResult{Kind: cassiatally.ResultBroken})
 			n.report()
 		})
 	}
@@ -315,7 +315,7 @@
 	return ids
 }
 
-func (n *fleetNode) finish(id cassiatally.CallID, res runner.Result) {
+func (n *fleetNode) finish(id cassiatally.CallID, res cassiatally.RunResult) {
 	delete(n.runs, id)
 	n.carryOut(n.Finished(n.m.now, id, res))
 }
--- a/cassiatally/runner/recoverytest/fleet_test.go
+++ b/cassiatally/runner/recoverytest/fleet_test.go
@@ -227,7 +227,7 @@
 			h.start(a.Call)
 		case cassiatally.AbortRun:
 			if x := h.runs[a.Call]; x != nil {
-				f.after(0, func() { h.end(x, runner.Result{Kind: runner.ResultAborted}) })
+				f.after(0, func() { h.end(x, cassiatally.RunResult{Kind: cassiatally.ResultAborted}) })
 			}
 		case cassiatally.Submit:
 			h.replies[a.Request.ID] = func(answer cassiatally.Answer) {
@@ -269,13 +269,13 @@
 	if h.served.name == narrow {
 		took = time.Duration(float64(took) * f.slow(f.now))
 	}
-	f.after(c.Remaining, func() { h.end(x, runner.Result{Kind: runner.ResultTimedOut}) })
+	f.after(c.Remaining, func() { h.end(x, cassiatally.RunResult{Kind: cassiatally.ResultTimedOut}) })
 	f.after(took, func() {
 		if x.ended {
 			return
 		}
 		if h.served.calls == "" {
-			h.end(x, runner.Result{Kind: runner.ResultAnswered, Status: 200})
+			h.end(x, cassiatally.RunResult{Kind: cassiatally.ResultAnswered, Status: 200})
 			return
 		}
 		waiter := h.nextID()
@@ -284,7 +284,7 @@
 			if a.Kind != cassiatally.KindNone {
 				status = 502
 			}
-			f.after(0, func() { h.end(x, runner.Result{Kind: runner.ResultAnswered, Status: status}) })
+			f.after(0, func() { h.end(x, cassiatally.RunResult{Kind: cassiatally.ResultAnswered, Status: status}) })
 		}
 		h.carryOut(h.runner.BeginChild(f.now, runner.ChildCall{
 			Waiter: waiter, Parent: c.ID, Service: h.served.calls, Work: "check", Name: "1", Idempotent: true,
@@ -292,7 +292,7 @@
 	})
 }
 
-func (h *host) end(x *execution, res runner.Result) {
+func (h *host) end(x *execution, res cassiatally.RunResult) {
 	if x.ended {
 		return
 	}
@@ -308,7 +308,7 @@
 	r.work += took
 	if h.served.name == narrow {
 		r.runs++
-		if res.Kind != runner.ResultAnswered {
+		if res.Kind != cassiatally.ResultAnswered {
 			h.cut++
 			r.lost[x.began.Sub(0)] += took
 		}
--- a/cassiatally/runner/result.go
+++ b/cassiatally/runner/result.go
@@ -6,45 +6,17 @@
 	"github.com/cassiatally/cassiatally/cassiatally"
 )
 
-// ResultKind tells how a call to the backend server ended.
-type ResultKind uint8
-
-const (
-	// ResultAnswered means that a whole answer arrived.
-	ResultAnswered ResultKind = iota
-	// ResultRefused means that the backend server stated that it did not run the
-	// request.
-	ResultRefused
-	// ResultUnreached means that no connection could be opened.
-	ResultUnreached
-	// ResultBroken means that the connection ended before the whole answer.
-	ResultBroken
-	// ResultTimedOut means that the deadline passed before the answer.
-	ResultTimedOut
-	// ResultAborted means that the run was cancelled.
-	ResultAborted
-)
-
-// Result is the end of a call to the backend server.
-type Result struct {
-	Kind        ResultKind
-	Status      int
-	ContentType string
-	Body        []byte
-	Detail      string
-}
-
 const firstServerError = 500
 
 // Finished takes the result of a run.
-func (r *Runner) Finished(now cassiatally.Instant, id cassiatally.CallID, res Result) []cassiatally.Action {
+func (r *Runner) Finished(now cassiatally.Instant, id cassiatally.CallID, res cassiatally.RunResult) []cassiatally.Action {
 	rec, ok := r.records[id]
 	if !ok || rec.phase != phaseRunning {
 		r.late++
 		return nil
 	}
-	if rec.brokenOff && res.Kind == ResultAborted {
-		res.Kind = ResultTimedOut
+	if rec.brokenOff && res.Kind == cassiatally.ResultAborted {
+		res.Kind = cassiatally.ResultTimedOut
 	}
 	actions := r.abandonChildren(rec)
 	r.running--
@@ -56,7 +28,7 @@
 	if a.Outcome == cassiatally.OutcomeNotRun {
 		r.countShed(rec.call.Rank, a.Kind)
 	}
-	if res.Kind == ResultBroken {
+	if res.Kind == cassiatally.ResultBroken {
 		actions = r.concludeBroken(actions, now, rec, a)
 	} else {
 		actions = r.conclude(actions, now, rec, a)
@@ -69,9 +41,9 @@
 	return r.pump(now, r.releaseHeld(actions, now))
 }
 
-func (r *Runner) observe(now cassiatally.Instant, rec *record, res Result) {
+func (r *Runner) observe(now cassiatally.Instant, rec *record, res cassiatally.RunResult) {
 	self := rec.children.selfTime(rec.started, now)
-	failed := res.Kind != ResultAnswered && res.Kind != ResultTimedOut
+	failed := res.Kind != cassiatally.ResultAnswered && res.Kind != cassiatally.ResultTimedOut
 	if r.tells(res, self) {
 		r.limiter.Observe(now, cassiatally.RunSample{Self: self, InFlight: rec.concurrency, Failed: failed})
 	}
@@ -82,58 +54,61 @@
 		r.admitter.Done(now, rec.call.Rank, busy)
 	}
 	switch res.Kind {
-	case ResultTimedOut, ResultAborted:
+	case cassiatally.ResultTimedOut, cassiatally.ResultAborted:
 		rec.cutOff = true
-	case ResultAnswered:
+	case cassiatally.ResultAnswered:
 		r.quarantine.Completed(now, rec.fingerprint)
-	case ResultUnreached:
+	case cassiatally.ResultUnreached:
 		r.endpoint.State = cassiatally.EndpointNone
 	default:
 	}
 }
 
 // cutOff reports whether a run would have taken longer than it did.
-func cutOff(res Result) bool { return res.Kind == ResultTimedOut || res.Kind == ResultAborted }
+func cutOff(res cassiatally.RunResult) bool {
+	return res.Kind == cassiatally.ResultTimedOut || res.Kind == cassiatally.ResultAborted
+}
 
 // tells reports whether the end of a run says anything about the backend server. A
 // run that was cut off early says nothing. One that was cut off late took long,
 // which the limiter tells from queueing by its own test; as a failure it would cut
 // the limit of a backend server that has only become slower.
-func (r *Runner) tells(res Result, self time.Duration) bool {
+func (r *Runner) tells(res cassiatally.RunResult, self time.Duration) bool {
 	switch res.Kind {
-	case ResultAborted:
+	case cassiatally.ResultAborted:
 		return false
-	case ResultTimedOut:
+	case cassiatally.ResultTimedOut:
 		return self >= r.limiter.Typical()
 	default:
 		return true
 	}
 }
 
-func (r *Runner) answerTo(rec *record, res Result) cassiatally.Answer {
+func (r *Runner) answerTo(rec *record, res cassiatally.RunResult) cassiatally.Answer {
 	id := rec.call.ID
 	switch res.Kind {
-	case ResultAnswered:
+	case cassiatally.ResultAnswered:
 		return ranAnswer(id, res)
-	case ResultRefused:
+	case cassiatally.ResultRefused:
 		return notRun(id, cassiatally.KindOverloaded, "the backend server shed the request")
-	case ResultUnreached:
+	case cassiatally.ResultUnreached:
 		return notRun(id, cassiatally.KindUnreachable, "the backend server cannot be reached: "+res.Detail)
-	case ResultTimedOut:
+	case cassiatally.ResultTimedOut:
 		return unknown(id, cassiatally.KindExpired, "the deadline passed while the request ran, or was out of reach")
-	case ResultAborted:
+	case cassiatally.ResultAborted:
 		return unknown(id, cassiatally.KindCancelled, "the run was cancelled")
 	default:
 		return unknown(id, cassiatally.KindOutcomeUnknown, "the backend server broke off: "+res.Detail)
 	}
 }
 
-func ranAnswer(id cassiatally.CallID, res Result) cassiatally.Answer {
+func ranAnswer(id cassiatally.CallID, res cassiatally.RunResult) cassiatally.Answer {
 	a := cassiatally.Answer{
 		ID:          id,
 		Outcome:     cassiatally.OutcomeRan,
 		Status:      res.Status,
 		ContentType: res.ContentType,
+		Fields:      res.Fields,
 		Body:        res.Body,
 		Digest:      cassiatally.DigestOf(res.Body),
 	}
--- a/cassiatally/runner/runner.go
+++ b/cassiatally/runner/runner.go
@@ -189,7 +189,7 @@
 	rec := &record{
 		call:        c,
 		from:        from,
-		fingerprint: cassiatally.FingerprintOf(c.Service, c.Work, c.Body),
+		fingerprint: c.Fingerprint(),
 		deadline:    now.Add(c.Remaining),
 		queued:      now,
 	}
@@ -250,7 +250,7 @@
 	case c.Remaining <= 0:
 		return cassiatally.KindExpired, "the deadline passed on the way"
 	}
-	f := cassiatally.FingerprintOf(c.Service, c.Work, c.Body)
+	f := c.Fingerprint()
 	switch {
 	case r.quarantine.Blocked(now, f):
 		return cassiatally.KindQuarantined, quarantinedDetail
--- a/cassiatally/runner/runner_test.go
+++ b/cassiatally/runner/runner_test.go
@@ -108,16 +108,16 @@
 func TestResultsAndOutcomes(t *testing.T) {
 	cases := []struct {
 		name    string
-		result  runner.Result
+		result  cassiatally.RunResult
 		outcome cassiatally.Outcome
 		kind    cassiatally.ErrorKind
 	}{
-		{"whole answer", runner.Result{Kind: runner.ResultAnswered, Status: 200}, cassiatally.OutcomeRan, cassiatally.KindNone},
-		{"failure reported", runner.Result{Kind: runner.ResultAnswered, Status: 500}, cassiatally.OutcomeRan, cassiatally.KindBackendFailed},
-		{"shed by the backend server", runner.Result{Kind: runner.ResultRefused}, cassiatally.OutcomeNotRun, cassiatally.KindOverloaded},
-		{"no connection", runner.Result{Kind: runner.ResultUnreached}, cassiatally.OutcomeNotRun, cassiatally.KindUnreachable},
-		{"connection broke", runner.Result{Kind: runner.ResultBroken}, cassiatally.OutcomeUnknown, cassiatally.KindOutcomeUnknown},
-		{"deadline passed", runner.Result{Kind: runner.ResultTimedOut}, cassiatally.OutcomeUnknown, cassiatally.KindExpired},
+		{"whole answer", cassiatally.RunResult{Kind: cassiatally.ResultAnswered, Status: 200}, cassiatally.OutcomeRan, cassiatally.KindNone},
+		{"failure reported", cassiatally.RunResult{Kind: cassiatally.ResultAnswered, Status: 500}, cassiatally.OutcomeRan, cassiatally.KindBackendFailed},
+		{"shed by the backend server", cassiatally.RunResult{Kind: cassiatally.ResultRefused}, cassiatally.OutcomeNotRun, cassiatally.KindOverloaded},
+		{"no connection", cassiatally.RunResult{Kind: cassiatally.ResultUnreached}, cassiatally.OutcomeNotRun, cassiatally.KindUnreachable},
+		{"connection broke", cassiatally.RunResult{Kind: cassiatally.ResultBroken}, cassiatally.OutcomeUnknown, cassiatally.KindOutcomeUnknown},
+		{"deadline passed", cassiatally.RunResult{Kind: cassiatally.ResultTimedOut}, cassiatally.OutcomeUnknown, cassiatally.KindExpired},
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
@@ -142,7 +142,7 @@
 	is.Equal(len(started(h.HandleCall(start, entry, c))), 1)
 	is.Equal(len(started(h.HandleCall(start, "other", c))), 0)
 	is.Equal(len(h.HandleRunQuery(start, entry, query)), 0) // still running: the answer follows
-	h.Finished(start, c.ID, runner.Result{Kind: runner.ResultAnswered, Status: 200})
+	h.Finished(start, c.ID, cassiatally.RunResult{Kind: cassiatally.ResultAnswered, Status: 200})
 	is.Equal(answers(h.HandleRunQuery(start, entry, query))[0].Outcome, cassiatally.OutcomeRan)
 
 	unseen := call(2, "b")
@@ -173,7 +173,7 @@
 			got := answers(h.HandleCall(start, entry, call(2, "b")))
 			is.Equal(got[0].Kind, cassiatally.KindDraining)
 			is.Equal(got[0].Outcome, cassiatally.OutcomeNotRun)
-			got = answers(h.Finished(start, call(1, "a").ID, runner.Result{Kind: runner.ResultAnswered, Status: 200}))
+			got = answers(h.Finished(start, call(1, "a").ID, cassiatally.RunResult{Kind: cassiatally.ResultAnswered, Status: 200}))
 			is.Equal(got[0].Outcome, cassiatally.OutcomeRan)
 		})
 	}
@@ -186,8 +186,8 @@
 	h := newHarness(4)
 	h.HandleCall(start, entry, call(1, "poison"))
 	h.HandleCall(start, entry, call(2, "innocent"))
-	h.Finished(start, call(1, "").ID, runner.Result{Kind: runner.ResultBroken})
-	h.Finished(start.Add(time.Millisecond), call(2, "").ID, runner.Result{Kind: runner.ResultBroken})
+	h.Finished(start, call(1, "").ID, cassiatally.RunResult{Kind: cassiatally.ResultBroken})
+	h.Finished(start.Add(time.Millisecond), call(2, "").ID, cassiatally.RunResult{Kind: cassiatally.ResultBroken})
 	is.Equal(len(h.quarantine.crashes), 1)
 	is.Equal(len(h.quarantine.crashes[0]), 2)
 
@@ -212,8 +212,8 @@
 }
 
 var (
-	broken = runner.Result{Kind: runner.ResultBroken}
-	done   = runner.Result{Kind: runner.ResultAnswered, Status: 200}
+	broken = cassiatally.RunResult{Kind: cassiatally.ResultBroken}
+	done   = cassiatally.RunResult{Kind: cassiatally.ResultAnswered, Status: 200}
 	ready  = cassiatally.Endpoint{Service: "depot-svc", Slots: 10, State: cassiatally.EndpointReady}
 )
 
@@ -316,12 +316,12 @@
 // Guards against queued calls that wait behind a backend server that is gone, up to
 // the time when its announcement lapses.
 func TestQueuedCallsGoOnWhenTheBackendServerIsLost(t *testing.T) {
-	for _, kind := range []runner.ResultKind{runner.ResultBroken, runner.ResultUnreached} {
+	for _, kind := range []cassiatally.RunResultKind{cassiatally.ResultBroken, cassiatally.ResultUnreached} {
 		is := is.New(t)
 		h := newHarness(1)
 		h.HandleCall(start, entry, call(1, "a"))
 		h.HandleCall(start, entry, call(2, "b"))
-		got := answers(h.Finished(start, call(1, "").ID, runner.Result{Kind: kind}))
+		got := answers(h.Finished(start, call(1, "").ID, cassiatally.RunResult{Kind: kind}))
 		is.Equal(len(got), 2)
 		is.Equal(got[1].ID, call(2, "").ID)
 		is.Equal(got[1].Kind, cassiatally.KindDraining) // moves on without a retry
@@ -337,7 +337,7 @@
 	h := newHarness(4)
 	h.HandleCall(start, entry, call(1, "a"))
 	h.HandleCall(start, entry, call(2, "cut off"))
-	h.Finished(start, call(2, "").ID, runner.Result{Kind: runner.ResultTimedOut})
+	h.Finished(start, call(2, "").ID, cassiatally.RunResult{Kind: cassiatally.ResultTimedOut})
 	h.Finished(start, call(1, "").ID, broken)
 	is.Equal(h.quarantine.crashes[0], []cassiatally.Fingerprint{fingerprint("a"), fingerprint("cut off")})
 	soon := start.Add(50 * time.Millisecond)
@@ -379,7 +379,7 @@
 	late := h.BeginChild(start, childOf(parent, 4, false))
 	is.Equal(late[0].(cassiatally.Deliver).Answer.Outcome, cassiatally.OutcomeRan)
 
-	got := answers(h.Finished(start, parent.ID, runner.Result{Kind: runner.ResultAnswered, Status: 200}))
+	got := answers(h.Finished(start, parent.ID, cassiatally.RunResult{Kind: cassiatally.ResultAnswered, Status: 200}))
 	is.Equal(got[0].RetriesSpent, cassiatally.RetryCount(1))
 }
 
@@ -420,7 +420,7 @@
 				}
 			}
 			is.Equal(submitted, c.submitted)
-			got := answers(h.Finished(start, parent.ID, runner.Result{Kind: runner.ResultAnswered, Status: 200}))
+			got := answers(h.Finished(start, parent.ID, cassiatally.RunResult{Kind: cassiatally.ResultAnswered, Status: 200}))
 			is.True(got[0].RetriesSpent <= parent.Retries)
 		})
 	}
@@ -467,9 +467,9 @@
 	h.HandleCall(start, entry, first)
 	h.HandleCall(start, entry, second)
 	h.HandleCall(start, entry, expired)
-	h.Finished(start.Add(time.Second/4), first.ID, runner.Result{Kind: runner.ResultAnswered, Status: 200})
-	h.Finished(start.Add(time.Second/2), second.ID, runner.Result{Kind: runner.ResultRefused})
-	h.Finished(start.Add(time.Second/2), second.ID, runner.Result{Kind: runner.ResultRefused})
+	h.Finished(start.Add(time.Second/4), first.ID, cassiatally.RunResult{Kind: cassiatally.ResultAnswered, Status: 200})
+	h.Finished(start.Add(time.Second/2), second.ID, cassiatally.RunResult{Kind: cassiatally.ResultRefused})
+	h.Finished(start.Add(time.Second/2), second.ID, cassiatally.RunResult{Kind: cassiatally.ResultRefused})
 
 	c := h.Counts()
 	is.Equal(c.Sheds, []runner.Shed{
--- a/cassiatally/runner/stall_test.go
+++ b/cassiatally/runner/stall_test.go
@@ -20,7 +20,7 @@
 	now := start.Add(-stallRun)
 	c := call(1, "a")
 	h.HandleCall(now, entry, c)
-	h.Finished(start, c.ID, runner.Result{Kind: runner.ResultAnswered, Status: 200})
+	h.Finished(start, c.ID, cassiatally.RunResult{Kind: cassiatally.ResultAnswered, Status: 200})
 	for i := range n {
 		c := call(uint64(100+i), fmt.Sprint(i))
 		c.Idempotent, c.Remaining = true, 4*stallRun
@@ -77,7 +77,7 @@
 		progress func(h *harness, now cassiatally.Instant)
 	}{
 		{"a run ends", func(h *harness, now cassiatally.Instant) {
-			h.Finished(now, call(100, "").ID, runner.Result{Kind: runner.ResultAnswered, Status: 200})
+			h.Finished(now, call(100, "").ID, cassiatally.RunResult{Kind: cassiatally.ResultAnswered, Status: 200})
 		}},
 		{"a run makes an onward call", func(h *harness, now cassiatally.Instant) {
 			h.BeginChild(now, runner.ChildCall{Parent: call(100, "").ID, Service: "avail-svc", Work: "check", Idempotent: true})
@@ -100,7 +100,7 @@
 	now := start.Add(3*stallRun + time.Millisecond)
 	ids := aborted(h.Tick(now))
 	is.Equal(len(ids), 10)
-	got := answers(h.Finished(now, ids[0], runner.Result{Kind: runner.ResultAborted}))
+	got := answers(h.Finished(now, ids[0], cassiatally.RunResult{Kind: cassiatally.ResultAborted}))
 	is.Equal(got[0].Kind, cassiatally.KindExpired)
 	is.Equal(got[0].Outcome, cassiatally.OutcomeUnknown)
 }
--- a/node/dispatcher/dispatcher.go
+++ b/node/dispatcher/dispatcher.go
@@ -21,6 +21,7 @@
 	"github.com/cassiatally/cassiatally/cassiatally/looper"
 	"github.com/cassiatally/cassiatally/cassiatally/ring"
 	"github.com/cassiatally/cassiatally/cassiatally/router"
+	"github.com/cassiatally/cassiatally/cassiatally/splitter"
 )
 
 const (
@@ -42,6 +43,8 @@
 	Loads     cassiatally.LoadTracker
 	Clock     cassiatally.Clock
 	Transport cassiatally.Transport
+	// Splitter chooses the service of requests whose route has several.
+	Splitter *splitter.Splitter
 
 	inbox *ring.Ring[event]
 	duty  looper.Looper[event]
@@ -180,6 +183,9 @@
 
 func (e submitEvent) apply(d *Dispatcher, now cassiatally.Instant) {
 	d.waits[e.req.ID] = e.reply
+	if e.req.Route != nil {
+		e.req.Service = d.Splitter.Choose(e.req.Policy.Version, e.req.Route)
+	}
 	d.carryOut(now, d.Router.Submit(now, e.req))
 }
 
--- a/node/executor/executor.go
+++ b/node/executor/executor.go
@@ -37,9 +37,8 @@
 	// tellEvery repeats a report that found no room at the receiver.
 	tellEvery = time.Second
 	// MaxWorkers bounds the calls to one backend server.
-	MaxWorkers = 1024
-	// announceTTL is how long an announcement of the backend server holds.
-	announceTTL = 3 * time.Second
+	MaxWorkers         = 1024
+	defaultAnnounceTTL = 3 * time.Second
 )
 
 // Requests takes onward calls; the dispatcher implements it.
@@ -51,6 +50,7 @@
 // Announcement is what the backend server says about itself.
 type Announcement struct {
 	Address  cassiatally.Address
+	Instance cassiatally.InstanceID
 	Endpoint cassiatally.Endpoint
 }
 
@@ -61,7 +61,11 @@
 	Clock      cassiatally.Clock
 	Transport  cassiatally.Transport
 	Requests   Requests
-	Logger     loglimiter.Logger
+	Backend    cassiatally.BackendClient
+	// AnnounceTTL is how long an announcement of the backend server holds; 0 means
+	// 3 s.
+	AnnounceTTL time.Duration
+	Logger      loglimiter.Logger
 	// Waits is called with the time that each started call spent in the queue; it
 	// must not block.
 	Waits func(cassiatally.Rank, time.Duration)
@@ -74,7 +78,7 @@
 	work    *ring.Ring[job]
 	workers sync.WaitGroup
 	started int
-	backend atomic.Pointer[client]
+	target  atomic.Pointer[cassiatally.BackendTarget]
 	waits   map[cassiatally.CallID]func(cassiatally.Answer)
 	cancels map[cassiatally.CallID]context.CancelFunc
 	ctx     context.Context
@@ -118,7 +122,7 @@
 	}
 	resultEvent struct {
 		id  cassiatally.CallID
-		res runner.Result
+		res cassiatally.RunResult
 	}
 	announceEvent struct{ a Announcement }
 	withdrawEvent struct{}
@@ -146,6 +150,9 @@
 
 // Run starts the duty.
 func (x *Executor) Run() {
+	if x.AnnounceTTL == 0 {
+		x.AnnounceTTL = defaultAnnounceTTL
+	}
 	x.ctx, x.cancel = context.WithCancel(context.Background())
 	x.inbox = ring.New[event](inboxSize, ring.Wait)
 	x.work = ring.New[job](MaxWorkers, ring.RefuseNewest)
@@ -303,21 +310,21 @@
 		cancel()
 		delete(x.cancels, e.id)
 	}
-	if e.res.Kind == runner.ResultBroken {
+	if e.res.Kind == cassiatally.ResultBroken {
 		x.Logger.Warn("backend server broke off a run", "call", e.id, "detail", e.res.Detail)
 	}
 	x.carryOut(now, x.Runner.Finished(now, e.id, e.res))
-	if e.res.Kind == runner.ResultBroken {
+	if e.res.Kind == cassiatally.ResultBroken {
 		x.report(now) // the loss of the endpoint and the crash go to all members
 	}
 }
 
 func (e announceEvent) apply(x *Executor, now cassiatally.Instant) {
-	if c := x.backend.Load(); c == nil || c.address != e.a.Address || c.connections != e.a.Endpoint.Connections {
-		x.backend.Store(newClient(e.a.Address, e.a.Endpoint.Connections))
-	}
+	x.target.Store(&cassiatally.BackendTarget{
+		Address: e.a.Address, Instance: e.a.Instance, Connections: e.a.Endpoint.Connections,
+	})
 	x.addWorkers(int(e.a.Endpoint.Slots))
-	x.carryOut(now, x.Runner.Announce(now, e.a.Endpoint, announceTTL))
+	x.carryOut(now, x.Runner.Announce(now, e.a.Endpoint, x.AnnounceTTL))
 	x.report(now)
 }
 
@@ -407,7 +414,7 @@
 	}
 	cancel()
 	delete(x.cancels, c.ID)
-	x.carryOut(now, x.Runner.Finished(now, c.ID, runner.Result{Kind: runner.ResultRefused, Detail: "no worker is free"}))
+	x.carryOut(now, x.Runner.Finished(now, c.ID, cassiatally.RunResult{Kind: cassiatally.ResultRefused, Detail: "no worker is free"}))
 }
 
 func (x *Executor) submit(now cassiatally.Instant, req cassiatally.Request) {
@@ -428,8 +435,7 @@
 		if !ok {
 			return
 		}
-		c := x.backend.Load()
-		res := c.do(j.ctx, j.call)
+		res := x.Backend.Do(j.ctx, *x.target.Load(), j.call)
 		x.inbox.Push(x.ctx, resultEvent{id: j.call.ID, res: res})
 	}
 }
--- /dev/null
+++ b/node/forwarder/forwarder.go
@@ -0,0 +1,167 @@
+// Package forwarder takes requests of front ends into the mesh: it finds the route,
+// submits the request to the dispatcher and waits for the answer.
+//
+// # Usage
+//
+//	f := &forwarder.Forwarder{Routes: routes.Routes, Requests: dispatcher, Clock: clock, ...}
+//	answer := f.Forward(ctx, inbound)
+package forwarder
+
+import (
+	"context"
+	"crypto/rand"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	"github.com/cassiatally/cassiatally/cassiatally"
+	"github.com/cassiatally/cassiatally/cassiatally/matcher"
+	"github.com/cassiatally/cassiatally/node/loglimiter"
+	"github.com/cassiatally/cassiatally/node/waiter"
+)
+
+const (
+	// replyGrace is how long a request waits for the dispatcher after its deadline.
+	replyGrace = 200 * time.Millisecond
+	// defaultTimeout applies to requests without a deadline on routes without a timeout.
+	defaultTimeout = 30 * time.Second
+	// comeBack tells callers when to send again while the node has no routes.
+	comeBack = 500 * time.Millisecond
+)
+
+// Inbound is a request as a front end received it.
+type Inbound struct {
+	Name cassiatally.RequestName
+	Host string
+	Head cassiatally.Head
+	Body []byte
+	// Remaining is the time that the caller will wait; 0 when it did not say.
+	Remaining time.Duration
+	// Onward marks a call of the backend server of this host.
+	Onward bool
+}
+
+// Requests takes requests; the dispatcher implements it.
+type Requests interface {
+	Submit(req cassiatally.Request, reply func(cassiatally.Answer)) bool
+	Withdraw(id cassiatally.CallID)
+}
+
+// Observer records how requests end.
+type Observer interface {
+	Request(p cassiatally.Policy, t cassiatally.Tenant, a cassiatally.Answer, took time.Duration)
+}
+
+// Forwarder forwards requests. Its fields are set before the first Forward.
+type Forwarder struct {
+	Routes   func() (*matcher.Matcher, bool)
+	Requests Requests
+	Clock    cassiatally.Clock
+	Observer Observer
+	Logger   loglimiter.Logger
+	NextID   func() cassiatally.CallID
+	// LocalService returns the service of the backend server of this host.
+	LocalService func() cassiatally.Service
+
+	inFlight atomic.Int64
+}
+
+// InFlight returns the number of requests that wait for an answer.
+func (f *Forwarder) InFlight() int { return int(f.inFlight.Load()) }
+
+// Forward returns the answer to a request, or one of KindCancelled when ctx ends
+// first.
+func (f *Forwarder) Forward(ctx context.Context, in Inbound) cassiatally.Answer {
+	arrived := f.Clock.Now()
+	f.inFlight.Add(1)
+	defer f.inFlight.Add(-1)
+	routes, ok := f.Routes()
+	if !ok {
+		return refuse(cassiatally.KindNoBackend, "no route table is in force yet", comeBack)
+	}
+	path, _, _ := strings.Cut(in.Head.Target, "?")
+	route, ok := routes.Match(in.Host, path)
+	if !ok {
+		f.Logger.Info("request without a route", "request", in.Name, "host", in.Host, "path", path, "version", routes.Table().Version)
+		return refuse(cassiatally.KindUnknownKind, "no route matches", 0)
+	}
+	req := f.request(in, route, routes.Table().Version, arrived)
+	a := f.await(ctx, req, arrived)
+	took := f.Clock.Now().Sub(arrived)
+	f.Observer.Request(req.Policy, "", a, took)
+	f.log(req, a, took)
+	return a
+}
+
+func refuse(kind cassiatally.ErrorKind, detail string, after time.Duration) cassiatally.Answer {
+	return cassiatally.Answer{Outcome: cassiatally.OutcomeNotRun, Kind: kind, Detail: detail, RetryAfter: after}
+}
+
+func (f *Forwarder) request(in Inbound, route *cassiatally.Route, v cassiatally.Version, arrived cassiatally.Instant) cassiatally.Request {
+	var root cassiatally.RootID
+	_, _ = rand.Read(root[:]) // crypto/rand.Read never fails
+	req := cassiatally.Request{
+		ID:      f.NextID(),
+		Root:    root,
+		Service: route.Services[0].Service,
+		Route:   route,
+		Work:    route.Name,
+		Policy: cassiatally.Policy{
+			Rank: route.Rank, Target: route.Target, Idempotent: route.Idempotent, Version: v,
+		},
+		Order:    root.Order(),
+		Deadline: arrived.Add(timeoutOf(in, route)),
+		Retries:  cassiatally.RetryCount(max(route.Attempts-1, 0)),
+		Attempt:  1,
+		Head:     in.Head,
+		Caller:   f.LocalService(),
+		Name:     in.Name,
+		Body:     in.Body,
+	}
+	if in.Onward {
+		req.Parent = req.Caller
+		req.Depth = 1
+	}
+	return req
+}
+
+func timeoutOf(in Inbound, route *cassiatally.Route) time.Duration {
+	timeout := defaultTimeout
+	if route.Timeout > 0 {
+		timeout = route.Timeout
+	}
+	if in.Remaining > 0 {
+		timeout = min(timeout, in.Remaining)
+	}
+	return timeout
+}
+
+func (f *Forwarder) await(ctx context.Context, req cassiatally.Request, arrived cassiatally.Instant) cassiatally.Answer {
+	w := waiter.New()
+	if !f.Requests.Submit(req, w.Deliver) {
+		return refuse(cassiatally.KindOverloaded, "the node has too many requests in flight", comeBack)
+	}
+	ctx, cancel := context.WithTimeout(ctx, req.Deadline.Sub(arrived)+replyGrace)
+	defer cancel()
+	a, ok := w.Wait(ctx)
+	if ok {
+		return a
+	}
+	f.Requests.Withdraw(req.ID)
+	return cassiatally.Answer{Outcome: cassiatally.OutcomeUnknown, Kind: cassiatally.KindCancelled, Detail: "the caller left"}
+}
+
+func (f *Forwarder) log(req cassiatally.Request, a cassiatally.Answer, took time.Duration) {
+	fields := []any{
+		"request", req.Name, "route", req.Work, "version", req.Policy.Version, "rank", req.Policy.Rank, "onward", req.Depth > 0,
+		"kind", a.Kind, "outcome", a.Outcome, "status", a.Status, "endpoint", a.Endpoint.Node, "retries", a.RetriesSpent, "took", took, "detail", a.Detail,
+	}
+	switch {
+	case a.Kind == cassiatally.KindNone:
+		f.Logger.Info("request answered", fields...)
+	case a.Outcome == cassiatally.OutcomeNotRun:
+		f.Logger.Info("request refused", fields...)
+	default:
+		f.Logger.Info("request failed", fields...)
+	}
+}
--- /dev/null
+++ b/node/gatekeeper/flusher.go
@@ -0,0 +1,29 @@
+package gatekeeper
+
+import (
+	"github.com/cassiatally/cassiatally/cassiatally"
+	"github.com/cassiatally/cassiatally/cassiatally/looper"
+	"github.com/cassiatally/cassiatally/cassiatally/ring"
+)
+
+// flusher is the duty that writes how many log lines were left out.
+type flusher struct {
+	clock cassiatally.Clock
+	flush func()
+	duty  looper.Looper[struct{}]
+}
+
+// Run starts the duty.
+func (f *flusher) Run() {
+	f.duty = looper.Looper[struct{}]{
+		Clock:  f.clock,
+		Inbox:  ring.New[struct{}](1, ring.RefuseNewest),
+		Handle: func(cassiatally.Instant, struct{}) {},
+		Tick:   func(cassiatally.Instant) { f.flush() },
+		Every:  flushEvery,
+	}
+	f.duty.Run()
+}
+
+// Close stops the duty and waits for it.
+func (f *flusher) Close() { f.duty.Close() }
--- /dev/null
+++ b/node/gatekeeper/routes.go
@@ -0,0 +1,91 @@
+package gatekeeper
+
+import (
+	"slices"
+
+	"github.com/cassiatally/cassiatally/cassiatally"
+	"github.com/cassiatally/cassiatally/cassiatally/matcher"
+	"github.com/cassiatally/cassiatally/cassiatally/registrar"
+	"github.com/cassiatally/cassiatally/node/dispatcher"
+)
+
+// storeNode stands for the store in gossip that comes from it.
+const storeNode cassiatally.NodeID = "member-store"
+
+// inbound passes a message to the duty that it is for. It runs in the reader of a
+// link and does not block.
+func (g *Gatekeeper) inbound(from cassiatally.NodeRef, m cassiatally.Message) {
+	switch m := m.(type) {
+	case cassiatally.Call:
+		g.inboundCall(from, m)
+	case cassiatally.Answer:
+		g.dispatcher.Answer(from.Node, m)
+	case cassiatally.Cancel:
+		g.executor.Cancel(m.ID)
+	case cassiatally.RunQuery:
+		g.executor.Query(from.Node, m)
+	case cassiatally.Gossip:
+		if m.CrashNews != 0 || m.CrashAck != 0 {
+			g.executor.CrashNews(from.Node, m)
+			return
+		}
+		g.members.Gossip(from, m)
+	case cassiatally.RoutePull, cassiatally.RouteUpdate:
+		g.routes.Message(from, m)
+	default:
+		g.logs.Warn("message without a receiver", "from", from)
+	}
+}
+
+func (g *Gatekeeper) inboundCall(from cassiatally.NodeRef, c cassiatally.Call) {
+	kind, detail := cassiatally.KindNone, ""
+	switch {
+	case cassiatally.DigestOf(c.Body) != c.Digest:
+		kind, detail = cassiatally.KindIncompleteAnswer, "the request body does not match its digest"
+	case !g.executor.Call(from.Node, c):
+		kind, detail = cassiatally.KindOverloaded, "the node of the backend server is overloaded"
+	default:
+		return
+	}
+	a := cassiatally.Answer{ID: c.ID, Request: c.Tag(), Outcome: cassiatally.OutcomeNotRun, Kind: kind, Detail: detail}
+	if err := g.links.Send(from.Node, a); err != nil {
+		g.logs.Debug("refusal not sent", "to", from, "error", err)
+	}
+}
+
+// viewChanged passes a new view of the members to the duties that use it.
+func (g *Gatekeeper) viewChanged(v *registrar.View) {
+	levels := make([]dispatcher.EndpointLevels, 0, len(v.Loads))
+	for _, l := range v.Loads {
+		levels = append(levels, dispatcher.EndpointLevels{Node: l.Node, At: l.At, Load: l.Load})
+	}
+	g.dispatcher.Endpoints(v.Candidates, levels)
+	g.executor.SetPeers(v.Peers(g.self))
+}
+
+// gossiped passes on what gossip carries besides members.
+func (g *Gatekeeper) gossiped(m cassiatally.Gossip) {
+	g.routes.PeerVersion(m.From, m.Sheet)
+	if len(m.Crashes) > 0 {
+		g.executor.Crashes(m.Crashes)
+	}
+}
+
+// tableInForce passes on a route table that came into force.
+func (g *Gatekeeper) tableInForce(m *matcher.Matcher) {
+	g.members.Sheet(m.Table().Version)
+	g.instances.Routes(m)
+}
+
+// found takes the members that the store knows.
+func (g *Gatekeeper) found(members []cassiatally.Member) {
+	g.members.Gossip(cassiatally.NodeRef{Node: storeNode}, cassiatally.Gossip{Reply: true, Members: members})
+}
+
+// alone reports whether no other member is known to be alive.
+func (g *Gatekeeper) alone() bool {
+	v := g.members.View()
+	return !slices.ContainsFunc(v.Members, func(m cassiatally.Member) bool {
+		return m.Ref != g.self && !slices.Contains(v.Suspects, m.Ref)
+	})
+}
--- /dev/null
+++ b/node/routekeeper/routekeeper.go
@@ -0,0 +1,204 @@
+// Package routekeeper is the duty that keeps the route table in force on a node.
+// It follows the source where operators publish tables, asks other nodes for a
+// table that they have and this node has not, and answers when they ask. The
+// version only grows while the node runs.
+//
+// # Usage
+//
+//	k := &routekeeper.Keeper{Source: source, Clock: clock, Transport: links, Logger: logs, OnTable: f}
+//	k.Run()
+//	defer k.Close()
+//	if routes, ok := k.Routes(); ok { ... }
+package routekeeper
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/cassiatally/cassiatally/cassiatally"
+	"github.com/cassiatally/cassiatally/cassiatally/looper"
+	"github.com/cassiatally/cassiatally/cassiatally/matcher"
+	"github.com/cassiatally/cassiatally/cassiatally/ring"
+	"github.com/cassiatally/cassiatally/node/loglimiter"
+)
+
+const (
+	inboxSize = 256
+	tickEvery = time.Second
+	// firstPause and longestPause bound the time between attempts to read the source
+	// while it is away.
+	firstPause   = 100 * time.Millisecond
+	longestPause = time.Second
+	// pullPause is the least time between two requests for the same version.
+	pullPause = 200 * time.Millisecond
+)
+
+// Keeper is the duty. Its fields are set before Run.
+type Keeper struct {
+	Source    cassiatally.RouteSource
+	Clock     cassiatally.Clock
+	Transport cassiatally.Transport
+	Logger    loglimiter.Logger
+	// OnTable is called by the duty with each table that comes into force; it must
+	// not block.
+	OnTable func(*matcher.Matcher)
+
+	inbox   *ring.Ring[event]
+	duty    looper.Looper[event]
+	follow  sync.WaitGroup
+	ctx     context.Context
+	cancel  context.CancelFunc
+	routes  atomic.Pointer[matcher.Matcher]
+	asked   cassiatally.Version
+	askedAt cassiatally.Instant
+}
+
+type event interface {
+	apply(k *Keeper, now cassiatally.Instant)
+}
+
+type (
+	tableEvent struct {
+		table cassiatally.RouteTable
+		// from names the node that passed the table on; empty for the source.
+		from cassiatally.NodeID
+	}
+	pullEvent struct {
+		from cassiatally.NodeID
+		have cassiatally.Version
+	}
+	peerEvent struct {
+		from    cassiatally.NodeID
+		version cassiatally.Version
+	}
+)
+
+// Run starts the duty and the reader of the source.
+func (k *Keeper) Run() {
+	k.ctx, k.cancel = context.WithCancel(context.Background())
+	k.inbox = ring.New[event](inboxSize, ring.RefuseNewest)
+	k.duty = looper.Looper[event]{
+		Clock:  k.Clock,
+		Inbox:  k.inbox,
+		Handle: func(now cassiatally.Instant, e event) { e.apply(k, now) },
+		Tick:   func(cassiatally.Instant) {},
+		Every:  tickEvery,
+	}
+	k.duty.Run()
+	k.follow.Go(k.readSource)
+}
+
+// Close stops the reader and the duty and waits for both.
+func (k *Keeper) Close() {
+	k.cancel()
+	k.follow.Wait()
+	k.duty.Close()
+}
+
+// Routes returns the routes in force, or false before the first table.
+func (k *Keeper) Routes() (*matcher.Matcher, bool) {
+	m := k.routes.Load()
+	return m, m != nil
+}
+
+// Version returns the version in force, 0 before the first table.
+func (k *Keeper) Version() cassiatally.Version {
+	if m := k.routes.Load(); m != nil {
+		return m.Table().Version
+	}
+	return 0
+}
+
+// Refused returns how many messages found no room in the inbox.
+func (k *Keeper) Refused() uint64 {
+	refused, _ := k.inbox.Lost()
+	return refused
+}
+
+// Message hands over a message of another node.
+func (k *Keeper) Message(from cassiatally.NodeRef, m cassiatally.Message) {
+	switch m := m.(type) {
+	case cassiatally.RoutePull:
+		k.inbox.Offer(pullEvent{from: from.Node, have: m.Have}, 0)
+	case cassiatally.RouteUpdate:
+		k.inbox.Offer(tableEvent{table: m.Table, from: from.Node}, 0)
+	default:
+	}
+}
+
+// PeerVersion hands over the version in force on another node.
+func (k *Keeper) PeerVersion(from cassiatally.NodeRef, v cassiatally.Version) {
+	if v > k.Version() {
+		k.inbox.Offer(peerEvent{from: from.Node, version: v}, 0)
+	}
+}
+
+// readSource is the duty that waits for new tables at the source.
+func (k *Keeper) readSource() {
+	pause := firstPause
+	away := false
+	for {
+		table, err := k.Source.Next(k.ctx)
+		switch {
+		case k.ctx.Err() != nil:
+			return
+		case err == nil:
+			if away {
+				k.Logger.Info("route source regained", "version", table.Version)
+			}
+			away, pause = false, firstPause
+			k.inbox.Push(k.ctx, tableEvent{table: table})
+			continue
+		case !away:
+			away = true
+			k.Logger.Warn("route source lost", "error", err)
+		}
+		select {
+		case <-time.After(pause):
+		case <-k.ctx.Done():
+			return
+		}
+		pause = min(2*pause, longestPause)
+	}
+}
+
+func (e tableEvent) apply(k *Keeper, _ cassiatally.Instant) {
+	v := k.Version()
+	if e.table.Version <= v {
+		return
+	}
+	m := matcher.New(e.table)
+	k.routes.Store(m)
+	k.Logger.Info("route table in force", "version", e.table.Version, "before", v, "routes", len(e.table.Routes), "from", source(e.from))
+	k.OnTable(m)
+}
+
+func source(n cassiatally.NodeID) string {
+	if n == "" {
+		return "source"
+	}
+	return string(n)
+}
+
+func (e pullEvent) apply(k *Keeper, _ cassiatally.Instant) {
+	m := k.routes.Load()
+	if m == nil || m.Table().Version <= e.have {
+		return
+	}
+	if err := k.Transport.Send(e.from, cassiatally.RouteUpdate{Table: *m.Table()}); err != nil {
+		k.Logger.Debug("route table not sent", "to", e.from, "error", err)
+	}
+}
+
+func (e peerEvent) apply(k *Keeper, now cassiatally.Instant) {
+	v := k.Version()
+	if e.version <= v || (k.asked >= e.version && now.Sub(k.askedAt) < pullPause) {
+		return
+	}
+	k.asked, k.askedAt = e.version, now
+	if err := k.Transport.Send(e.from, cassiatally.RoutePull{Have: v}); err != nil {
+		k.Logger.Debug("route table not asked for", "from", e.from, "error", err)
+	}
+}
--- a/node/supervisor/routes.go
+++ b/node/supervisor/routes.go
@@ -1,8 +1,6 @@
 package supervisor
 
 import (
-	"slices"
-
 	"github.com/cassiatally/cassiatally/cassiatally"
 	"github.com/cassiatally/cassiatally/cassiatally/ranker"
 	"github.com/cassiatally/cassiatally/cassiatally/registrar"
@@ -78,26 +76,11 @@
 		levels = append(levels, dispatcher.EndpointLevels{Node: l.Node, At: l.At, Load: l.Load})
 	}
 	s.dispatcher.Endpoints(v.Candidates, levels)
-	s.executor.SetPeers(s.peersOf(v))
+	s.executor.SetPeers(v.Peers(s.self))
 	s.claims.Members(v)
 	s.sheets.Members(v)
 }
 
-// peersOf returns the other nodes that have an endpoint of each service, those
-// included whose backend server is about to start again.
-func (s *Supervisor) peersOf(v *registrar.View) map[cassiatally.Service][]cassiatally.NodeID {
-	peers := make(map[cassiatally.Service][]cassiatally.NodeID)
-	for i := range v.Members {
-		m := &v.Members[i]
-		service := m.Endpoint.Service
-		if service == "" || m.Leaving || m.Ref == s.self || slices.Contains(v.Suspects, m.Ref) {
-			continue
-		}
-		peers[service] = append(peers[service], m.Ref.Node)
-	}
-	return peers
-}
-
 // gossiped passes on what gossip carries besides members.
 func (s *Supervisor) gossiped(g cassiatally.Gossip) {
 	s.sheets.PeerVersion(g.From, g.Sheet)
--- a/node/supervisor/supervisor.go
+++ b/node/supervisor/supervisor.go
@@ -29,6 +29,7 @@
 	"github.com/cassiatally/cassiatally/cassiatally/runner"
 	"github.com/cassiatally/cassiatally/cassiatally/settingsloader"
 	"github.com/cassiatally/cassiatally/node/adminserver"
+	"github.com/cassiatally/cassiatally/node/backendclient"
 	"github.com/cassiatally/cassiatally/node/backendserver"
 	"github.com/cassiatally/cassiatally/node/callerserver"
 	"github.com/cassiatally/cassiatally/node/claimkeeper"
@@ -195,6 +196,7 @@
 		Clock:      s.Clock,
 		Transport:  s.links,
 		Requests:   requests{s.dispatcher},
+		Backend:    &backendclient.Client{},
 		Logger:     s.logs,
 		Changed:    s.members.Endpoint,
 		Waits:      s.reports.Wait,
