gatekeeper: share deadline, retries and levels along call chains

Change: the id of a call names the run that makes it; the executor joins it to that run. The limit of an endpoint is the slots that it announces.

--- a/cassiatally/request.go
+++ b/cassiatally/request.go
@@ -25,8 +25,11 @@
 	Key      Key
 	Deadline Instant
 	Retries  RetryCount
-	Depth    Depth
-	Attempt  uint16
+	// Sends bounds the endpoints that this layer sends the request to; 0 means that
+	// only Retries does.
+	Sends   int
+	Depth   Depth
+	Attempt uint16
 	// Parent is the service whose backend server makes the call; empty at the entry.
 	Parent Service
 	Head   Head
@@ -38,3 +41,14 @@
 	Route *Route
 	Body  []byte
 }
+
+// Onward makes the request one that a front end has prepared, within what its
+// parent leaves it.
+func (r *Request) Onward(in *Request) {
+	r.Service, r.Work, r.Route = in.Service, in.Work, in.Route
+	r.Policy.Idempotent, r.Policy.Version = in.Policy.Idempotent, in.Policy.Version
+	r.Policy.Target = in.Policy.Target
+	r.Deadline = min(r.Deadline, in.Deadline)
+	r.Sends = in.Sends
+	r.Head, r.Caller, r.Name, r.Body = in.Head, in.Caller, in.Name, in.Body
+}
--- a/cassiatally/router/answer.go
+++ b/cassiatally/router/answer.go
@@ -96,7 +96,10 @@
 }
 
 func (r *Router) afterFailure(now cassiatally.Instant, p *pending, a cassiatally.Answer) []cassiatally.Action {
-	p.mayHaveRun = p.mayHaveRun || a.Outcome != cassiatally.OutcomeNotRun
+	if a.Outcome != cassiatally.OutcomeNotRun {
+		p.mayHaveRun = true
+		p.sends++
+	}
 	p.lost = p.lost || lostEndpoint(a.Kind)
 	if !r.mayRepeat(p, a) || now.Reached(p.req.Deadline) {
 		return r.deliver(p, a)
@@ -143,7 +146,7 @@
 }
 
 func (r *Router) takeRetry(now cassiatally.Instant, p *pending) bool {
-	if p.left == 0 || !r.budgetAllows(now, p) {
+	if p.left == 0 || (p.req.Sends > 0 && p.sends >= p.req.Sends) || !r.budgetAllows(now, p) {
 		r.counts.RetriesDenied++
 		return false
 	}
--- a/cassiatally/router/router.go
+++ b/cassiatally/router/router.go
@@ -93,7 +93,10 @@
 	left      cassiatally.RetryCount
 	spent     cassiatally.RetryCount
 	redirects int
-	avoid     []cassiatally.NodeID
+	// sends counts the endpoints that the request was sent to and that may have run
+	// it.
+	sends int
+	avoid []cassiatally.NodeID
 }
 
 // New returns a router without calls.
--- a/cassiatally/runner/children.go
+++ b/cassiatally/runner/children.go
@@ -12,8 +12,15 @@
 // ChildCall is an onward call as the backend server makes it.
 type ChildCall struct {
 	// Waiter identifies who waits for the answer on this node.
-	Waiter  cassiatally.CallID
-	Parent  cassiatally.CallID
+	Waiter cassiatally.CallID
+	// Parent is the run that makes the call. When it is zero, ParentName names it by
+	// its caller's id.
+	Parent     cassiatally.CallID
+	ParentName cassiatally.RequestName
+	// Onward is set instead of Service and Work when a front end has prepared the
+	// request. It is then a call of its own kind of work, which the application may
+	// repeat as it likes.
+	Onward  *cassiatally.Request
 	Service cassiatally.Service
 	Work    cassiatally.WorkKind
 	// Name tells two calls of one parent apart; empty means by body.
@@ -103,6 +110,9 @@
 // BeginChild takes an onward call of a run in flight. It submits the call, joins
 // it to an equal one, or delivers a refusal to the waiter.
 func (r *Runner) BeginChild(now cassiatally.Instant, c ChildCall) []cassiatally.Action {
+	if c.Parent == (cassiatally.CallID{}) {
+		c.Parent = r.named[c.ParentName]
+	}
 	parent, ok := r.records[c.Parent]
 	if !ok || parent.phase != phaseRunning {
 		return deliverRefusal(c.Waiter, cassiatally.KindUnknownParent, "no run with this token is in flight on this host")
@@ -126,7 +136,7 @@
 		return cassiatally.KindBadRequest, "the call chain is too deep"
 	case parent.cancelled:
 		return cassiatally.KindCancelled, "the caller of the parent left"
-	case !c.Idempotent && parent.call.Idempotent && c.Key == "":
+	case !c.Idempotent && parent.call.Idempotent && c.Key == "" && c.Onward == nil:
 		return cassiatally.KindParentIdempotent, "mark the parent's kind of work as non-idempotent in the sheet, or send a minted key"
 	case len(parent.children.known) >= maxChildren:
 		return cassiatally.KindBadRequest, "the run makes too many onward calls"
@@ -212,7 +222,7 @@
 	if c.Remaining > 0 && now.Add(c.Remaining).Before(deadline) {
 		deadline = now.Add(c.Remaining)
 	}
-	return []cassiatally.Action{cassiatally.Submit{Request: cassiatally.Request{
+	req := cassiatally.Request{
 		ID:      id,
 		Root:    parent.call.Root,
 		Service: c.Service,
@@ -229,7 +239,11 @@
 		Attempt:  c.Attempt,
 		Parent:   parent.call.Service,
 		Body:     c.Body,
-	}}}
+	}
+	if c.Onward != nil {
+		req.Onward(c.Onward)
+	}
+	return []cassiatally.Action{cassiatally.Submit{Request: req}}
 }
 
 // ChildAnswered takes the answer of an onward call.
@@ -259,6 +273,26 @@
 	return actions
 }
 
+// AbandonChild withdraws an onward call for which the backend server does not wait
+// any more.
+func (r *Runner) AbandonChild(now cassiatally.Instant, waiter cassiatally.CallID) []cassiatally.Action {
+	for id, ref := range r.childRuns {
+		parent := r.records[ref.parent]
+		if parent == nil {
+			continue
+		}
+		c := parent.children.known[ref.key]
+		if c == nil || len(c.waiters) != 1 || c.waiters[0] != waiter {
+			continue
+		}
+		delete(r.childRuns, id)
+		c.waiters = nil
+		parent.children.end(now)
+		return []cassiatally.Action{cassiatally.Withdraw{Call: id}}
+	}
+	return nil
+}
+
 // abandonChildren withdraws the onward calls of a parent that has ended.
 func (r *Runner) abandonChildren(parent *record) []cassiatally.Action {
 	var actions []cassiatally.Action
--- a/cassiatally/runner/runner.go
+++ b/cassiatally/runner/runner.go
@@ -88,10 +88,12 @@
 	shares    [cassiatally.MaxRanks]cassiatally.Share
 	records   map[cassiatally.CallID]*record
 	childRuns map[cassiatally.CallID]childRef
-	finished  []cassiatally.CallID
-	held      []cassiatally.CallID
-	running   int
-	peers     map[cassiatally.Service][]cassiatally.NodeID
+	// named has the runs in flight by their callers' ids.
+	named    map[cassiatally.RequestName]cassiatally.CallID
+	finished []cassiatally.CallID
+	held     []cassiatally.CallID
+	running  int
+	peers    map[cassiatally.Service][]cassiatally.NodeID
 	// untold has the crashes that not all peers have acknowledged.
 	untold    []*crash
 	crashedAt cassiatally.Instant
@@ -117,6 +119,7 @@
 		records:    make(map[cassiatally.CallID]*record),
 		childRuns:  make(map[cassiatally.CallID]childRef),
 		sheds:      make(map[shedKey]uint64),
+		named:      make(map[cassiatally.RequestName]cassiatally.CallID),
 	}
 }
 
@@ -373,6 +376,9 @@
 	}
 	rec.phase = phaseRunning
 	rec.started = now
+	if rec.call.Name != "" {
+		r.named[rec.call.Name] = id
+	}
 	rec.lastCrash = r.crashes
 	r.countStart(now, rec)
 	if r.running == 0 {
@@ -443,6 +449,9 @@
 	a.RetriesSpent = rec.children.spent
 	rec.phase = phaseFinished
 	rec.ended = now
+	if r.named[rec.call.Name] == rec.call.ID {
+		delete(r.named, rec.call.Name)
+	}
 	rec.answer = a
 	rec.call.Body = nil
 	rec.children.known, rec.children.made = nil, nil
--- a/node/executor/executor.go
+++ b/node/executor/executor.go
@@ -142,6 +142,7 @@
 		call  runner.ChildCall
 		reply func(cassiatally.Answer)
 	}
+	childGoneEvent   struct{ waiter cassiatally.CallID }
 	childAnswerEvent struct {
 		id     cassiatally.CallID
 		answer cassiatally.Answer
@@ -250,6 +251,11 @@
 	return x.inbox.Offer(childEvent{call: c, reply: reply}, resultReserve)
 }
 
+// ChildGone tells that the backend server does not wait for an onward call any more.
+func (x *Executor) ChildGone(waiter cassiatally.CallID) {
+	x.inbox.Offer(childGoneEvent{waiter: waiter}, 0)
+}
+
 func (x *Executor) tick(now cassiatally.Instant) {
 	x.ticked = now
 	x.carryOut(now, x.Runner.Tick(now))
@@ -369,6 +375,11 @@
 	x.carryOut(now, x.Runner.BeginChild(now, e.call))
 }
 
+func (e childGoneEvent) apply(x *Executor, now cassiatally.Instant) {
+	delete(x.waits, e.waiter)
+	x.carryOut(now, x.Runner.AbandonChild(now, e.waiter))
+}
+
 func (e childAnswerEvent) apply(x *Executor, now cassiatally.Instant) {
 	x.carryOut(now, x.Runner.ChildAnswered(now, e.id, e.answer))
 }
--- a/node/forwarder/forwarder.go
+++ b/node/forwarder/forwarder.go
@@ -9,13 +9,13 @@
 
 import (
 	"context"
-	"crypto/rand"
 	"strings"
 	"sync/atomic"
 	"time"
 
 	"github.com/cassiatally/cassiatally/cassiatally"
 	"github.com/cassiatally/cassiatally/cassiatally/matcher"
+	"github.com/cassiatally/cassiatally/cassiatally/runner"
 	"github.com/cassiatally/cassiatally/node/loglimiter"
 	"github.com/cassiatally/cassiatally/node/waiter"
 )
@@ -23,6 +23,10 @@
 const (
 	// replyGrace is how long a request waits for the dispatcher after its deadline.
 	replyGrace = 200 * time.Millisecond
+	// chainRetries bounds the retries of all calls of a chain. Each layer hands half of
+	// what it has to the layer below, so that a chain of four calls has one retry left
+	// for each of its last calls. The budget of the fleet is far tighter.
+	chainRetries cassiatally.RetryCount = 32
 	// defaultTimeout applies to requests without a deadline on routes without a timeout.
 	defaultTimeout = 30 * time.Second
 	// comeBack tells callers when to send again while the node has no routes.
@@ -37,8 +41,9 @@
 	Body []byte
 	// Remaining is the time that the caller will wait; 0 when it did not say.
 	Remaining time.Duration
-	// Onward marks a call of the backend server of this host.
-	Onward bool
+	// Root names the caller's request at the beginning of the call chain, and Parent
+	// the request whose run makes the call; empty when there is none.
+	Root, Parent cassiatally.RequestName
 }
 
 // Requests takes requests; the dispatcher implements it.
@@ -47,6 +52,12 @@
 	Withdraw(id cassiatally.CallID)
 }
 
+// Runs knows the runs of the backend server of this host; the executor implements it.
+type Runs interface {
+	Child(c runner.ChildCall, reply func(cassiatally.Answer)) bool
+	ChildGone(waiter cassiatally.CallID)
+}
+
 // Observer records how requests end.
 type Observer interface {
 	Request(p cassiatally.Policy, t cassiatally.Tenant, a cassiatally.Answer, took time.Duration)
@@ -56,6 +67,7 @@
 type Forwarder struct {
 	Routes   func() (*matcher.Matcher, bool)
 	Requests Requests
+	Runs     Runs
 	Clock    cassiatally.Clock
 	Observer Observer
 	Logger   loglimiter.Logger
@@ -86,7 +98,7 @@
 		return refuse(cassiatally.KindUnknownKind, "no route matches", 0)
 	}
 	req := f.request(in, route, routes.Table().Version, arrived)
-	a := f.await(ctx, req, arrived)
+	a := f.answer(ctx, in, req, arrived)
 	took := f.Clock.Now().Sub(arrived)
 	f.Observer.Request(req.Policy, "", a, took)
 	f.log(req, a, took)
@@ -98,8 +110,7 @@
 }
 
 func (f *Forwarder) request(in Inbound, route *cassiatally.Route, v cassiatally.Version, arrived cassiatally.Instant) cassiatally.Request {
-	var root cassiatally.RootID
-	_, _ = rand.Read(root[:]) // crypto/rand.Read never fails
+	root := rootOf(in)
 	req := cassiatally.Request{
 		ID:      f.NextID(),
 		Root:    root,
@@ -111,20 +122,30 @@
 		},
 		Order:    root.Order(),
 		Deadline: arrived.Add(timeoutOf(in, route)),
-		Retries:  cassiatally.RetryCount(max(route.Attempts-1, 0)),
+		Retries:  chainRetries,
+		Sends:    route.Attempts,
 		Attempt:  1,
 		Head:     in.Head,
 		Caller:   f.LocalService(),
 		Name:     in.Name,
 		Body:     in.Body,
 	}
-	if in.Onward {
+	if in.Parent != "" {
 		req.Parent = req.Caller
 		req.Depth = 1
 	}
 	return req
 }
 
+// rootOf returns the root id of a request. All calls of a chain have the same.
+func rootOf(in Inbound) cassiatally.RootID {
+	name := in.Root
+	if name == "" {
+		name = in.Name
+	}
+	return cassiatally.RootOfKey(cassiatally.Key(name))
+}
+
 func timeoutOf(in Inbound, route *cassiatally.Route) time.Duration {
 	timeout := defaultTimeout
 	if route.Timeout > 0 {
@@ -136,6 +157,43 @@
 	return timeout
 }
 
+// answer returns the answer to a request. A call of a run in flight here shares
+// the deadline and the retries of that run.
+func (f *Forwarder) answer(ctx context.Context, in Inbound, req cassiatally.Request, arrived cassiatally.Instant) cassiatally.Answer {
+	if in.Parent != "" {
+		a, known := f.awaitChild(ctx, in, req, arrived)
+		if known {
+			return a
+		}
+	}
+	return f.await(ctx, req, arrived)
+}
+
+// awaitChild returns false when the parent does not run here, as after a restart of
+// this node.
+func (f *Forwarder) awaitChild(ctx context.Context, in Inbound, req cassiatally.Request, arrived cassiatally.Instant) (cassiatally.Answer, bool) {
+	w := waiter.New()
+	child := runner.ChildCall{
+		Waiter: req.ID, ParentName: in.Parent, Onward: &req, Service: req.Service, Work: req.Work, Name: string(req.Name),
+		Idempotent: req.Policy.Idempotent, Remaining: req.Deadline.Sub(arrived), Attempt: 1,
+	}
+	if !f.Runs.Child(child, w.Deliver) {
+		return refuse(cassiatally.KindOverloaded, "the node has too many requests in flight", comeBack), true
+	}
+	ctx, cancel := context.WithTimeout(ctx, req.Deadline.Sub(arrived)+replyGrace)
+	defer cancel()
+	a, ok := w.Wait(ctx)
+	if !ok {
+		f.Runs.ChildGone(req.ID)
+		return callerLeft(), true
+	}
+	return a, a.Kind != cassiatally.KindUnknownParent
+}
+
+func callerLeft() cassiatally.Answer {
+	return cassiatally.Answer{Outcome: cassiatally.OutcomeUnknown, Kind: cassiatally.KindCancelled, Detail: "the caller left"}
+}
+
 func (f *Forwarder) await(ctx context.Context, req cassiatally.Request, arrived cassiatally.Instant) cassiatally.Answer {
 	w := waiter.New()
 	if !f.Requests.Submit(req, w.Deliver) {
@@ -148,7 +206,7 @@
 		return a
 	}
 	f.Requests.Withdraw(req.ID)
-	return cassiatally.Answer{Outcome: cassiatally.OutcomeUnknown, Kind: cassiatally.KindCancelled, Detail: "the caller left"}
+	return callerLeft()
 }
 
 func (f *Forwarder) log(req cassiatally.Request, a cassiatally.Answer, took time.Duration) {
--- a/node/gatekeeper/gatekeeper.go
+++ b/node/gatekeeper/gatekeeper.go
@@ -25,8 +25,8 @@
 	"github.com/cassiatally/cassiatally/cassiatally/admitter"
 	"github.com/cassiatally/cassiatally/cassiatally/balancer"
 	"github.com/cassiatally/cassiatally/cassiatally/budgeter"
+	"github.com/cassiatally/cassiatally/cassiatally/fixedlimiter"
 	"github.com/cassiatally/cassiatally/cassiatally/instancetracker"
-	"github.com/cassiatally/cassiatally/cassiatally/limiter"
 	"github.com/cassiatally/cassiatally/cassiatally/loadtracker"
 	"github.com/cassiatally/cassiatally/cassiatally/matcher"
 	"github.com/cassiatally/cassiatally/cassiatally/protocol"
@@ -282,6 +282,7 @@
 	g.forwarder = &forwarder.Forwarder{
 		Routes:       func() (*matcher.Matcher, bool) { return g.routes.Routes() },
 		Requests:     requests{g.dispatcher},
+		Runs:         runs{g},
 		Clock:        g.Clock,
 		Observer:     g.reports,
 		Logger:       g.logs,
@@ -293,7 +294,7 @@
 func (g *Gatekeeper) buildExecutor() {
 	quarantine := quarantiner.New(g.self)
 	g.executor = &executor.Executor{
-		Runner:      runner.New(g.self, &admitter.Admitter{}, &limiter.Limiter{}, quarantine, g.nextID),
+		Runner:      runner.New(g.self, &admitter.Admitter{}, &fixedlimiter.Limiter{UseSlots: true}, quarantine, g.nextID),
 		Quarantine:  quarantine,
 		Clock:       g.Clock,
 		Transport:   g.links,
@@ -347,6 +348,17 @@
 	return r.Dispatcher.Submit(req, reply)
 }
 
+// runs gives the forwarder the executor, which is built after it.
+type runs struct{ g *Gatekeeper }
+
+// Child hands over an onward call of the backend server.
+func (r runs) Child(c runner.ChildCall, reply func(cassiatally.Answer)) bool {
+	return r.g.executor.Child(c, reply)
+}
+
+// ChildGone tells that nobody waits for an onward call any more.
+func (r runs) ChildGone(waiter cassiatally.CallID) { r.g.executor.ChildGone(waiter) }
+
 // noShards is the shard view of nodes that hold no idempotency keys.
 type noShards struct{}
 
