--- a/cassiatally/runner/result.go
+++ b/cassiatally/runner/result.go
@@ -58,7 +58,7 @@
 		rec.cutOff = true
 	case cassiatally.ResultAnswered:
 		r.quarantine.Completed(now, rec.fingerprint)
-	case cassiatally.ResultUnreached:
+	case cassiatally.ResultUnreached, cassiatally.ResultReplaced:
 		r.endpoint.State = cassiatally.EndpointNone
 	default:
 	}
@@ -93,6 +93,8 @@
 		return notRun(id, cassiatally.KindOverloaded, "the backend server shed the request")
 	case cassiatally.ResultUnreached:
 		return notRun(id, cassiatally.KindUnreachable, "the backend server cannot be reached: "+res.Detail)
+	case cassiatally.ResultReplaced:
+		return notRun(id, cassiatally.KindDraining, "another instance has the address of the backend server")
 	case cassiatally.ResultTimedOut:
 		return unknown(id, cassiatally.KindExpired, "the deadline passed while the request ran, or was out of reach")
 	case cassiatally.ResultAborted:
--- a/cassiatally/runner/runner.go
+++ b/cassiatally/runner/runner.go
@@ -134,6 +134,11 @@
 	}
 	r.endpoint = e
 	r.lapses = now.Add(ttl)
+	if e.State == cassiatally.EndpointDraining {
+		// Those who wait here would be started after the backend server was told that
+		// nothing more comes.
+		return r.refuseQueued(now, nil)
+	}
 	return r.pump(now, nil)
 }
 
--- a/cassiatally/runner/runner_test.go
+++ b/cassiatally/runner/runner_test.go
@@ -116,6 +116,8 @@
 		{"failure reported", cassiatally.RunResult{Kind: cassiatally.ResultAnswered, Status: 500}, cassiatally.OutcomeRan, cassiatally.KindBackendFailed},
 		{"shed by the backend server", cassiatally.RunResult{Kind: cassiatally.ResultRefused}, cassiatally.OutcomeNotRun, cassiatally.KindOverloaded},
 		{"no connection", cassiatally.RunResult{Kind: cassiatally.ResultUnreached}, cassiatally.OutcomeNotRun, cassiatally.KindUnreachable},
+		{"another instance has the address", cassiatally.RunResult{Kind: cassiatally.ResultReplaced}, cassiatally.OutcomeNotRun, cassiatally.KindDraining},
+		{"answer lost", cassiatally.RunResult{Kind: cassiatally.ResultLost}, cassiatally.OutcomeUnknown, cassiatally.KindOutcomeUnknown},
 		{"connection broke", cassiatally.RunResult{Kind: cassiatally.ResultBroken}, cassiatally.OutcomeUnknown, cassiatally.KindOutcomeUnknown},
 		{"deadline passed", cassiatally.RunResult{Kind: cassiatally.ResultTimedOut}, cassiatally.OutcomeUnknown, cassiatally.KindExpired},
 	}
@@ -480,3 +482,53 @@
 	is.Equal(c.Waited[2], runner.Waited{Started: 1, Time: time.Second / 4})
 	is.Equal(c.LateResults, uint64(1))
 }
+
+// Guards against queued calls that are started after the backend server was told
+// that nothing more comes.
+func TestQueuedCallsMoveOnWhenTheBackendServerDrains(t *testing.T) {
+	is := is.New(t)
+	h := newHarness(1)
+	h.HandleCall(start, entry, call(1, "a"))
+	h.HandleCall(start, entry, call(2, "b"))
+	got := answers(h.Announce(start, cassiatally.Endpoint{Service: "depot-svc", Slots: 10, State: cassiatally.EndpointDraining}, 3*time.Second))
+	is.Equal(len(got), 1)
+	is.Equal(got[0].ID, call(2, "").ID)
+	is.Equal(got[0].Outcome, cassiatally.OutcomeNotRun)
+	is.Equal(len(started(h.Finished(start, call(1, "").ID, cassiatally.RunResult{Kind: cassiatally.ResultAnswered, Status: 200}))), 0)
+}
+
+// Guards against a lost answer that counts as a crash: the requests beside it would
+// be suspected, and the backend server would get no work until it reports again.
+func TestLostAnswerIsNoCrash(t *testing.T) {
+	is := is.New(t)
+	h := newHarness(2)
+	h.HandleCall(start, entry, call(1, "a"))
+	h.HandleCall(start, entry, call(2, "b"))
+	h.Finished(start, call(1, "").ID, cassiatally.RunResult{Kind: cassiatally.ResultLost})
+	is.Equal(len(h.quarantine.crashes), 0)
+	is.Equal(started(h.HandleCall(start, entry, call(3, "c"))), []cassiatally.CallID{call(3, "").ID})
+}
+
+// Guards against calls of a run that are not joined to it although the front end
+// names it, and against those that outlive their parent's deadline or rank.
+func TestOnwardCallsNamedByTheFrontEnd(t *testing.T) {
+	is := is.New(t)
+	h := newHarness(2)
+	parent := call(1, "a")
+	parent.Name, parent.Rank = "p", 2
+	h.HandleCall(start, entry, parent)
+	child := runner.ChildCall{
+		Waiter: cassiatally.CallID{Origin: 5, Seq: 1}, ParentName: "p", Name: "p.c", Idempotent: true,
+		Onward: &cassiatally.Request{Service: "avail-svc", Work: "sync", Deadline: start.Add(time.Minute), Name: "p.c", Sends: 2},
+	}
+	req := h.BeginChild(start, child)[0].(cassiatally.Submit).Request
+	is.Equal(req.Service, cassiatally.Service("avail-svc"))
+	is.Equal(req.Policy.Rank, cassiatally.Rank(2))
+	is.Equal(req.Deadline, start.Add(time.Second))
+	is.Equal(req.Depth, cassiatally.Depth(1))
+	is.Equal(h.AbandonChild(start, child.Waiter), []cassiatally.Action{cassiatally.Withdraw{Call: req.ID}})
+
+	h.Finished(start, parent.ID, cassiatally.RunResult{Kind: cassiatally.ResultAnswered, Status: 200})
+	late := h.BeginChild(start, child)
+	is.Equal(late[0].(cassiatally.Deliver).Answer.Kind, cassiatally.KindUnknownParent)
+}
