windowbudgeter: bound retries to a part of the requests in any window

Cause: the budget of a pair of services gave each node 32 tokens for lost runs and one a second whatever its requests, which 16 nodes add up to more than the fleet may spend; calls of repeated runs were not counted. Change: each node bounds its retries by its own requests in a sliding window, and repeated runs further up count. Measured: TestFleetKeepsTheBoundInEveryWindow (new).

--- a/cassiatally/backend.go
+++ b/cassiatally/backend.go
@@ -42,6 +42,15 @@
 	ResultReplaced
 )
 
+// String returns the name of the kind.
+func (k RunResultKind) String() string {
+	names := [...]string{"answered", "refused", "unreached", "broken", "timed_out", "aborted", "lost", "replaced"}
+	if int(k) >= len(names) {
+		return "unknown"
+	}
+	return names[k]
+}
+
 // RunResult is the end of a run at the backend server.
 type RunResult struct {
 	Kind        RunResultKind
--- a/cassiatally/budgeter/budgeter.go
+++ b/cassiatally/budgeter/budgeter.go
@@ -123,6 +123,9 @@
 	return true
 }
 
+// Requested changes nothing, since only successes pay for retries.
+func (b *Budgeter) Requested(cassiatally.Instant, cassiatally.ServicePair, bool) {}
+
 // Succeeded adds what a success earns.
 func (b *Budgeter) Succeeded(now cassiatally.Instant, p cassiatally.ServicePair) {
 	if k := b.pair(now, p); k != nil {
--- a/cassiatally/interfaces.go
+++ b/cassiatally/interfaces.go
@@ -160,6 +160,9 @@
 	// TakeLost does the same for a run that was cut off by the loss of an endpoint,
 	// whatever the level.
 	TakeLost(now Instant, p ServicePair) bool
+	// Requested records the first send of a request. A repeated one belongs to a run
+	// that was repeated further up the chain.
+	Requested(now Instant, p ServicePair, repeated bool)
 	// Succeeded feeds the budget of the pair.
 	Succeeded(now Instant, p ServicePair)
 }
--- a/cassiatally/message.go
+++ b/cassiatally/message.go
@@ -48,9 +48,12 @@
 	// is the service on the host where the request began.
 	Head   Head
 	Caller Service
-	Name   RequestName
-	Body   []byte
-	Digest Digest
+	// Repeated tells that the request, or one further up its chain, was sent before
+	// and may have run.
+	Repeated bool
+	Name     RequestName
+	Body     []byte
+	Digest   Digest
 }
 
 // Fingerprint identifies equal requests.
--- a/cassiatally/protocol/wire.go
+++ b/cassiatally/protocol/wire.go
@@ -289,6 +289,7 @@
 	Fields     []wireField             `cbor:"19,keyasint,omitempty"`
 	Caller     cassiatally.Service     `cbor:"20,keyasint,omitempty"`
 	Name       cassiatally.RequestName `cbor:"21,keyasint,omitempty"`
+	Repeated   bool                    `cbor:"22,keyasint,omitempty"`
 }
 
 func toCall(m cassiatally.Call) wireCall {
@@ -314,6 +315,7 @@
 		Fields:     each(m.Head.Fields, toField),
 		Caller:     m.Caller,
 		Name:       m.Name,
+		Repeated:   m.Repeated,
 	}
 }
 
@@ -336,6 +338,7 @@
 		Head:       cassiatally.Head{Method: w.Method, Target: w.Target, Fields: each(w.Fields, fromField)},
 		Caller:     w.Caller,
 		Name:       w.Name,
+		Repeated:   w.Repeated,
 		Body:       w.Body,
 		Digest:     w.Digest,
 	}
--- a/cassiatally/request.go
+++ b/cassiatally/request.go
@@ -27,9 +27,12 @@
 	Retries  RetryCount
 	// Sends bounds the endpoints that this layer sends the request to; 0 means that
 	// only Retries does.
-	Sends   int
-	Depth   Depth
-	Attempt uint16
+	Sends int
+	Depth Depth
+	// Repeated tells that a run further up the chain was repeated and makes its calls
+	// again.
+	Repeated bool
+	Attempt  uint16
 	// Parent is the service whose backend server makes the call; empty at the entry.
 	Parent Service
 	Head   Head
--- a/cassiatally/router/router.go
+++ b/cassiatally/router/router.go
@@ -124,6 +124,7 @@
 		return r.deliverUnsent(p, a)
 	}
 	r.pending[req.ID] = p
+	r.cfg.Budget.Requested(now, p.pair(), req.Repeated)
 	r.scheduleWake(p, req.Deadline.Add(answerGrace))
 	if p.claim {
 		return r.sendClaim(now, p)
@@ -245,6 +246,7 @@
 		Head:       p.req.Head,
 		Caller:     p.req.Caller,
 		Name:       p.req.Name,
+		Repeated:   p.req.Repeated || p.mayHaveRun,
 		Body:       p.req.Body,
 		Digest:     cassiatally.DigestOf(p.req.Body),
 	}
--- a/cassiatally/router/router_test.go
+++ b/cassiatally/router/router_test.go
@@ -46,6 +46,8 @@
 func (b openBudget) TakeLost(cassiatally.Instant, cassiatally.ServicePair) bool {
 	return b.lost
 }
+func (b openBudget) Requested(cassiatally.Instant, cassiatally.ServicePair, bool) {}
+
 func (b openBudget) Succeeded(cassiatally.Instant, cassiatally.ServicePair) {}
 
 type fixedLoads struct{ short bool }
--- a/cassiatally/runner/children.go
+++ b/cassiatally/runner/children.go
@@ -236,6 +236,7 @@
 		Deadline: deadline,
 		Retries:  granted,
 		Depth:    parent.call.Depth + 1,
+		Repeated: parent.call.Repeated,
 		Attempt:  c.Attempt,
 		Parent:   parent.call.Service,
 		Body:     c.Body,
--- /dev/null
+++ b/cassiatally/windowbudgeter/windowbudgeter_test.go
@@ -0,0 +1,96 @@
+package windowbudgeter_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/cassiatally/cassiatally/cassiatally"
+	"github.com/cassiatally/cassiatally/cassiatally/windowbudgeter"
+)
+
+const (
+	ratio = 0.16
+	// allowed and slack are those of the fleet, for the requests of a window.
+	allowed = 0.2
+	slack   = 48.0
+	window  = 10 * time.Second
+)
+
+var pair = cassiatally.ServicePair{To: "avail-svc"}
+
+type arrival struct {
+	at    cassiatally.Instant
+	retry bool
+}
+
+// Guards against a fleet whose nodes together retry more than a part of the requests
+// in some window, as after an idle time, at a cut or in a burst.
+func TestFleetKeepsTheBoundInEveryWindow(t *testing.T) {
+	is := is.New(t)
+	const nodes = 16
+	fleet := make([]windowbudgeter.Budgeter, nodes)
+	var arrivals []arrival
+	for ms := range 40_000 {
+		now := cassiatally.Instant(time.Hour + time.Duration(ms)*time.Millisecond)
+		b := &fleet[ms%nodes]
+		b.Ratio, b.Slack = ratio, 1
+		busy := ms < 8000 || ms > 20_000 // idle for 12 s in between
+		if busy {
+			b.Requested(now, pair, false)
+			arrivals = append(arrivals, arrival{now, false})
+		}
+		// Everything fails, so that each node retries as often as it may.
+		for b.TakeLost(now, pair) {
+			arrivals = append(arrivals, arrival{now, true})
+		}
+	}
+	retries := 0
+	first, requests, before := 0, 0, 0
+	for i, a := range arrivals {
+		if a.retry {
+			retries++
+		} else {
+			requests++
+		}
+		for ; arrivals[first].at < a.at.Add(-window); first++ {
+			if arrivals[first].retry {
+				retries--
+			} else {
+				requests--
+				before++
+			}
+		}
+		is.True(float64(retries) <= allowed*float64(max(requests, before))+slack)
+		_ = i
+	}
+	is.True(len(arrivals) > 0)
+}
+
+// Guards against repeated runs further up whose calls are not counted: they would
+// come on top of the retries of the service itself.
+func TestRepeatsFromAboveCount(t *testing.T) {
+	is := is.New(t)
+	b := &windowbudgeter.Budgeter{Ratio: ratio}
+	now := cassiatally.Instant(time.Hour)
+	for range 100 {
+		b.Requested(now, pair, false)
+	}
+	for range 16 {
+		b.Requested(now, pair, true)
+	}
+	is.True(!b.Take(now, pair, 1))
+	is.True(!b.TakeLost(now, pair))
+}
+
+// Guards against retries into a service that is short of capacity.
+func TestShortServiceGetsNoRetries(t *testing.T) {
+	is := is.New(t)
+	b := &windowbudgeter.Budgeter{Ratio: ratio, Slack: 1}
+	now := cassiatally.Instant(time.Hour)
+	is.True(!b.Take(now, pair, 0.5))
+	is.True(b.TakeLost(now, pair)) // its endpoint was lost
+	is.True(!b.TakeLost(now, pair))
+	is.True(b.TakeLost(now.Add(window), pair))
+}
--- a/node/executor/executor.go
+++ b/node/executor/executor.go
@@ -39,6 +39,7 @@
 	// MaxWorkers bounds the calls to one backend server.
 	MaxWorkers         = 1024
 	defaultAnnounceTTL = 3 * time.Second
+	firstServerError   = 500
 )
 
 // Requests takes onward calls; the dispatcher implements it.
@@ -121,8 +122,10 @@
 		query cassiatally.RunQuery
 	}
 	resultEvent struct {
-		id  cassiatally.CallID
-		res cassiatally.RunResult
+		id   cassiatally.CallID
+		name cassiatally.RequestName
+		res  cassiatally.RunResult
+		took time.Duration
 	}
 	announceEvent struct{ a Announcement }
 	withdrawEvent struct{}
@@ -300,7 +303,29 @@
 }
 
 func (e callEvent) apply(x *Executor, now cassiatally.Instant) {
-	x.carryOut(now, x.Runner.HandleCall(now, e.from, e.call))
+	actions := x.Runner.HandleCall(now, e.from, e.call)
+	x.logRefusal(e, actions)
+	x.carryOut(now, actions)
+}
+
+// logRefusal writes a line when a call is answered without being queued.
+func (x *Executor) logRefusal(e callEvent, actions []cassiatally.Action) {
+	for _, action := range actions {
+		s, ok := action.(cassiatally.Send)
+		if !ok {
+			continue
+		}
+		a, ok := s.Message.(cassiatally.Answer)
+		if !ok || a.Kind == cassiatally.KindNone {
+			continue
+		}
+		if a.ID != e.call.ID {
+			x.Logger.Info("queued call refused for another", "call", a.ID, "kind", a.Kind, "for", e.call.Name)
+			continue
+		}
+		x.Logger.Info("call refused", "request", e.call.Name, "call", a.ID, "from", e.from, "work", e.call.Work, "rank", e.call.Rank,
+			"kind", a.Kind, "detail", a.Detail, "left", e.call.Remaining, "queued", a.Endpoint.Queued, "running", a.Endpoint.InFlight, "limit", a.Endpoint.Limit)
+	}
 }
 
 func (e cancelEvent) apply(x *Executor, now cassiatally.Instant) {
@@ -316,15 +341,22 @@
 		cancel()
 		delete(x.cancels, e.id)
 	}
-	if e.res.Kind == cassiatally.ResultBroken {
-		x.Logger.Warn("backend server broke off a run", "call", e.id, "detail", e.res.Detail)
-	}
+	x.logResult(e)
 	x.carryOut(now, x.Runner.Finished(now, e.id, e.res))
 	if e.res.Kind == cassiatally.ResultBroken {
 		x.report(now) // the loss of the endpoint and the crash go to all members
 	}
 }
 
+// logResult writes a line for a run that ended without a success.
+func (x *Executor) logResult(e resultEvent) {
+	failed := e.res.Kind != cassiatally.ResultAnswered || e.res.Status >= firstServerError
+	if !failed {
+		return
+	}
+	x.Logger.Info("run failed", "request", e.name, "call", e.id, "result", e.res.Kind, "status", e.res.Status, "took", e.took, "detail", e.res.Detail)
+}
+
 func (e announceEvent) apply(x *Executor, now cassiatally.Instant) {
 	x.target.Store(&cassiatally.BackendTarget{
 		Address: e.a.Address, Instance: e.a.Instance, Connections: e.a.Endpoint.Connections,
@@ -446,7 +478,8 @@
 		if !ok {
 			return
 		}
+		began := x.Clock.Now()
 		res := x.Backend.Do(j.ctx, *x.target.Load(), j.call)
-		x.inbox.Push(x.ctx, resultEvent{id: j.call.ID, res: res})
+		x.inbox.Push(x.ctx, resultEvent{id: j.call.ID, name: j.call.Name, res: res, took: x.Clock.Now().Sub(began)})
 	}
 }
--- a/node/gatekeeper/gatekeeper.go
+++ b/node/gatekeeper/gatekeeper.go
@@ -24,7 +24,6 @@
 	"github.com/cassiatally/cassiatally/cassiatally"
 	"github.com/cassiatally/cassiatally/cassiatally/admitter"
 	"github.com/cassiatally/cassiatally/cassiatally/balancer"
-	"github.com/cassiatally/cassiatally/cassiatally/budgeter"
 	"github.com/cassiatally/cassiatally/cassiatally/fixedlimiter"
 	"github.com/cassiatally/cassiatally/cassiatally/instancetracker"
 	"github.com/cassiatally/cassiatally/cassiatally/loadtracker"
@@ -35,6 +34,7 @@
 	"github.com/cassiatally/cassiatally/cassiatally/router"
 	"github.com/cassiatally/cassiatally/cassiatally/runner"
 	"github.com/cassiatally/cassiatally/cassiatally/splitter"
+	"github.com/cassiatally/cassiatally/cassiatally/windowbudgeter"
 	"github.com/cassiatally/cassiatally/node/dispatcher"
 	"github.com/cassiatally/cassiatally/node/executor"
 	"github.com/cassiatally/cassiatally/node/forwarder"
@@ -61,6 +61,8 @@
 	// late before it counts as gone.
 	heartbeatsMissed = 4
 	flushEvery       = time.Second
+	// retrySlack is the retries that a node may send in a window whatever its requests.
+	retrySlack = 1
 )
 
 // Settings are what a gatekeeper has to know about its host.
@@ -78,7 +80,8 @@
 	// Restarted tells that a node ran on this host before.
 	Restarted bool
 	// RetryRatio bounds the retries to a service as a part of its requests.
-	RetryRatio float64
+	RetryRatio  float64
+	RetryWindow time.Duration
 }
 
 // Gatekeeper runs the duties. Its fields are set before Run.
@@ -150,6 +153,10 @@
 	return g.instances.Left(ctx, id)
 }
 
+// Reload takes over what may change while the node runs: where the backend server
+// of this host is expected.
+func (g *Gatekeeper) Reload(s cassiatally.Service, a cassiatally.Address) { g.instances.Expect(s, a) }
+
 // Ready reports whether callers may use the node.
 func (g *Gatekeeper) Ready() bool {
 	_, ok := g.routes.Routes()
@@ -273,7 +280,7 @@
 		Router: router.New(router.Config{
 			Self:     g.self,
 			Balancer: b,
-			Budget:   &budgeter.Budgeter{Ratio: g.Settings.RetryRatio},
+			Budget:   &windowbudgeter.Budgeter{Ratio: g.Settings.RetryRatio, Slack: retrySlack, Window: g.Settings.RetryWindow},
 			Loads:    loads,
 			Shards:   func() cassiatally.ShardView { return noShards{} },
 			NextID:   g.nextID,
--- a/node/instancekeeper/instancekeeper.go
+++ b/node/instancekeeper/instancekeeper.go
@@ -81,7 +81,11 @@
 		done chan struct{}
 	}
 	routesEvent struct{ routes *matcher.Matcher }
-	probeEvent  struct {
+	expectEvent struct {
+		service cassiatally.Service
+		address cassiatally.Address
+	}
+	probeEvent struct {
 		health cassiatally.BackendHealth
 		err    error
 	}
@@ -92,7 +96,8 @@
 	k.ctx, k.cancel = context.WithCancel(context.Background())
 	k.inbox = ring.New[event](inboxSize, ring.Wait)
 	k.doubt = make(map[cassiatally.InstanceID]int)
-	k.service.Store(&k.Service)
+	service := k.Service
+	k.service.Store(&service)
 	k.duty = looper.Looper[event]{
 		Clock:  k.Clock,
 		Inbox:  k.inbox,
@@ -126,6 +131,11 @@
 	return k.inbox.Push(ctx, leftEvent{id: id, done: done}) && await(ctx, done)
 }
 
+// Expect hands over where the settings expect the backend server.
+func (k *Keeper) Expect(s cassiatally.Service, a cassiatally.Address) {
+	k.inbox.Push(k.ctx, expectEvent{service: s, address: a})
+}
+
 // Routes hands over the routes in force.
 func (k *Keeper) Routes(m *matcher.Matcher) { k.inbox.Push(k.ctx, routesEvent{routes: m}) }
 
@@ -187,6 +197,14 @@
 	k.announce()
 }
 
+func (e expectEvent) apply(k *Keeper, _ cassiatally.Instant) {
+	k.Service, k.Address = e.service, e.address
+	if _, known := k.Tracker.Current(); !known {
+		service := e.service
+		k.service.Store(&service)
+	}
+}
+
 // announce passes the instance in place to the executor.
 func (k *Keeper) announce() {
 	r, ok := k.Tracker.Current()
