router: move calls on from full gates, repeat an endpoint's own failures

Cause: a call that one gate had no room for was refused though others had; failures of single endpoints reached callers; an endpoint that refuses requests looked fast and drew more of them; calls crossed data centres while the endpoint nearby had room. Change: one redirect without a retry after a refusal for load; a failure that no onward call caused is repeated within the budget; refusals by the backend server (new kind backend_refused) speak against it; the balancer weighs load only when an endpoint is nearly full; refused callers are told to come back spread over a third of their time.

--- a/cassiatally/balancer/balancer.go
+++ b/cassiatally/balancer/balancer.go
@@ -40,6 +40,12 @@
 	// reportHalfLife is the time after which half of what a report said about the
 	// calls of other nodes still counts.
 	reportHalfLife = 500 * time.Millisecond
+	// fullPart is the part of its limit above which an endpoint may have no room for a
+	// call by the time that it arrives. loadCost spreads calls among equal endpoints,
+	// and is too low to send one to another data centre; fullCost does.
+	fullPart = 0.8
+	loadCost = 0.25
+	fullCost = 5.0
 	// unknownTypical and unknownLimit stand in for values not yet reported.
 	unknownTypical = 10 * time.Millisecond
 	unknownLimit   = 4
@@ -238,7 +244,7 @@
 	return from[i], first
 }
 
-// wait returns the predicted wait in nanoseconds, divided by the weight of the
+// wait returns the predicted time of a call in nanoseconds, divided by the weight of the
 // endpoint.
 func (b *Balancer) wait(now cassiatally.Instant, e *endpoint) float64 {
 	age := now.Sub(e.reported)
@@ -254,7 +260,14 @@
 	if limit <= 0 {
 		limit = unknownLimit
 	}
-	return (float64(e.inFlight) + others + 1) * float64(typical) / float64(limit) / b.weight(now, e)
+	used := (float64(e.inFlight) + others + 1) / float64(limit)
+	return float64(typical) * slowdown(used) / b.weight(now, e)
+}
+
+// slowdown returns how much longer than alone a call takes at an endpoint of whose
+// limit a part is used. Below fullPart calls start at once.
+func slowdown(used float64) float64 {
+	return 1 + loadCost*used + fullCost*max(used-fullPart, 0)
 }
 
 func (b *Balancer) weight(now cassiatally.Instant, e *endpoint) float64 {
--- a/cassiatally/balancer/balancer_test.go
+++ b/cassiatally/balancer/balancer_test.go
@@ -290,3 +290,19 @@
 		l.Finished(settled, id, cassiatally.CallResult{Took: time.Millisecond})
 	}
 }
+
+// Guards against calls that cross to another data centre while the endpoint nearby
+// has room, and against calls that wait nearby while the other one has.
+func TestNearWhileItHasRoom(t *testing.T) {
+	for _, c := range []struct {
+		inFlight int
+		want     cassiatally.NodeID
+	}{{0, "n0"}, {6, "n0"}, {9, "n1"}} {
+		is := is.New(t)
+		b := newBalancer(1, candidates(1, 1))
+		for range c.inFlight {
+			b.Started(settled, "n0")
+		}
+		is.Equal(spread(b, settled, 20)[c.want], 20)
+	}
+}
--- a/cassiatally/errorkind.go
+++ b/cassiatally/errorkind.go
@@ -45,6 +45,7 @@
 	KindInvalidSettings
 	KindUsage
 	KindInternal
+	KindBackendRefused
 	errorKindCount
 )
 
@@ -102,6 +103,7 @@
 	KindLogUnavailable:     {"log_unavailable", "The log service cannot be reached", http.StatusServiceUnavailable, ExitFailure, OutcomeUnknown, false},
 	KindInvalidSettings:    {"invalid_settings", "The settings are invalid", http.StatusUnprocessableEntity, ExitFailure, OutcomeNotRun, false},
 	KindUsage:              {"usage", "The command line is wrong", http.StatusBadRequest, ExitUsage, OutcomeNotRun, false},
+	KindBackendRefused:     {"backend_refused", "The backend server refused the request", http.StatusServiceUnavailable, ExitFailure, OutcomeNotRun, true},
 	KindInternal:           {"internal", "Internal error", http.StatusInternalServerError, ExitFailure, OutcomeUnknown, false},
 }
 
--- a/cassiatally/message.go
+++ b/cassiatally/message.go
@@ -82,6 +82,9 @@
 	Body        []byte
 	Digest      Digest
 	RetryAfter  time.Duration
+	// OwnFailure tells that the backend server failed although all its onward calls
+	// succeeded, so that another one may do better.
+	OwnFailure bool
 	// RetriesSpent counts retries of the call and of all calls below it.
 	RetriesSpent RetryCount
 	// Endpoint is the load of the endpoint that answered.
--- a/cassiatally/protocol/wire.go
+++ b/cassiatally/protocol/wire.go
@@ -359,6 +359,7 @@
 	Loads        []wireServiceLoad      `cbor:"12,keyasint,omitempty"`
 	Request      cassiatally.RequestTag `cbor:"13,keyasint,omitempty"`
 	Fields       []wireField            `cbor:"14,keyasint,omitempty"`
+	OwnFailure   bool                   `cbor:"15,keyasint,omitempty"`
 }
 
 func toAnswer(m cassiatally.Answer) wireAnswer {
@@ -377,6 +378,7 @@
 		Loads:        each(m.Loads, toServiceLoad),
 		Request:      m.Request,
 		Fields:       each(m.Fields, toField),
+		OwnFailure:   m.OwnFailure,
 	}
 }
 
@@ -396,6 +398,7 @@
 		Loads:        each(w.Loads, fromServiceLoad),
 		Request:      w.Request,
 		Fields:       each(w.Fields, fromField),
+		OwnFailure:   w.OwnFailure,
 	}
 }
 
--- a/cassiatally/router/answer.go
+++ b/cassiatally/router/answer.go
@@ -26,7 +26,7 @@
 	r.finishAttempt(now, p, cassiatally.CallResult{Took: now.Sub(p.sentAt), Failed: failedAt(a), Load: a.Endpoint})
 	if a.Kind == cassiatally.KindNone {
 		r.cfg.Budget.Succeeded(now, p.pair())
-		return r.deliver(p, a)
+		return r.deliver(now, p, a)
 	}
 	if p.claim {
 		return r.claimAnswered(now, p, a)
@@ -76,8 +76,10 @@
 // Refusals under load do not.
 func failedAt(a cassiatally.Answer) bool {
 	switch a.Kind {
-	case cassiatally.KindUnreachable, cassiatally.KindOutcomeUnknown, cassiatally.KindIncompleteAnswer, cassiatally.KindBackendFailed:
+	case cassiatally.KindUnreachable, cassiatally.KindOutcomeUnknown, cassiatally.KindIncompleteAnswer, cassiatally.KindBackendRefused:
 		return true
+	case cassiatally.KindBackendFailed:
+		return a.OwnFailure
 	default:
 		return false
 	}
@@ -92,7 +94,7 @@
 		}
 		return r.holdClaim(now, p)
 	}
-	return r.deliver(p, a)
+	return r.deliver(now, p, a)
 }
 
 func (r *Router) afterFailure(now cassiatally.Instant, p *pending, a cassiatally.Answer) []cassiatally.Action {
@@ -101,19 +103,36 @@
 		p.sends++
 	}
 	p.lost = p.lost || lostEndpoint(a.Kind)
-	if !r.mayRepeat(p, a) || now.Reached(p.req.Deadline) {
-		return r.deliver(p, a)
+	if (!r.mayRepeat(p, a) && !r.mayRedirect(p, a)) || now.Reached(p.req.Deadline) {
+		return r.deliver(now, p, a)
 	}
-	if a.Kind == cassiatally.KindDraining && p.redirects < maxRedirects {
+	if r.mayRedirect(p, a) {
 		return r.redirect(now, p, a.Endpoint.Node)
 	}
 	if !r.takeRetry(now, p) {
-		return r.deliver(p, a)
+		return r.deliver(now, p, a)
 	}
 	p.avoid = append(p.avoid, a.Endpoint.Node)
 	return r.sendRun(now, p)
 }
 
+// mayRedirect reports whether a call that ran nothing goes to another endpoint
+// without a retry. One that was turned away for load does so once: endpoints differ
+// in speed and queue, but when two have no room, most have none.
+func (r *Router) mayRedirect(p *pending, a cassiatally.Answer) bool {
+	if a.Outcome != cassiatally.OutcomeNotRun {
+		return false
+	}
+	switch a.Kind {
+	case cassiatally.KindDraining:
+		return p.redirects < maxRedirects
+	case cassiatally.KindOverloaded, cassiatally.KindExpired:
+		return p.redirects < r.cfg.LoadRedirects
+	default:
+		return false
+	}
+}
+
 // redirect sends a call that ran nothing to another endpoint.
 func (r *Router) redirect(now cassiatally.Instant, p *pending, from cassiatally.NodeID) []cassiatally.Action {
 	p.redirects++
@@ -131,7 +150,7 @@
 	if !p.req.Policy.Idempotent {
 		return false
 	}
-	return lostEndpoint(a.Kind)
+	return lostEndpoint(a.Kind) || a.OwnFailure
 }
 
 // lostEndpoint reports whether a call failed because its endpoint, the node beside
@@ -205,7 +224,7 @@
 		return r.afterFailure(now, p, a)
 	case faultswitch.Off(faultswitch.RunQuery):
 		r.finishAttempt(now, p, cassiatally.CallResult{Took: now.Sub(p.sentAt), Failed: true})
-		return r.deliver(p, refusal(cassiatally.KindUnreachable, "the connection to the node was lost"))
+		return r.deliver(now, p, refusal(cassiatally.KindUnreachable, "the connection to the node was lost"))
 	default:
 		p.querying = true
 		p.lostAt = peer.Incarnation
--- a/cassiatally/router/router.go
+++ b/cassiatally/router/router.go
@@ -38,8 +38,11 @@
 	// maxRedirects bounds how often a call moves on from endpoints that are leaving
 	// or out of reach. Such a call ran nothing and spends no retry.
 	maxRedirects = 3
-	// overloadRetryAfter tells callers when to send again.
-	overloadRetryAfter = time.Second
+	// comeBackPart is the part of the time left within which callers come back after a
+	// refusal, and leastComeBack the part of that before which none does. Callers come
+	// back spread over that time, so that they don't meet again.
+	comeBackPart  = 1.0 / 3
+	leastComeBack = 0.3
 )
 
 // Config holds what a router works with.
@@ -50,6 +53,9 @@
 	Loads    cassiatally.LoadTracker
 	Shards   func() cassiatally.ShardView
 	NextID   func() cassiatally.CallID
+	// LoadRedirects bounds how often a call moves on, without a retry, from endpoints
+	// that have no room for it.
+	LoadRedirects int
 }
 
 // Counts are the totals that operators watch.
@@ -154,7 +160,7 @@
 	}
 	r.counts.RefusedAtEntry++
 	a := refusal(cassiatally.KindOverloaded, "capacity of "+string(short)+" is short; send again later")
-	a.RetryAfter = overloadRetryAfter
+	a.RetryAfter = p.comeBack(now)
 	return a, true
 }
 
@@ -164,7 +170,7 @@
 		n, ok = r.cfg.Balancer.Choose(now, p.req.Service, nil)
 	}
 	if !ok {
-		return r.deliver(p, r.noEndpoint(p))
+		return r.deliver(now, p, r.noEndpoint(p))
 	}
 	r.cfg.Balancer.Started(now, n)
 	return r.send(now, p, n, cassiatally.StageRun)
@@ -172,9 +178,7 @@
 
 func (r *Router) noEndpoint(p *pending) cassiatally.Answer {
 	if r.cfg.Balancer.Known(p.req.Service) {
-		a := refusal(cassiatally.KindNoBackend, "no backend server of "+string(p.req.Service)+" takes work; send again later")
-		a.RetryAfter = overloadRetryAfter
-		return a
+		return refusal(cassiatally.KindNoBackend, "no backend server of "+string(p.req.Service)+" takes work; send again later")
 	}
 	return refusal(cassiatally.KindUnknownService, "no backend server of "+string(p.req.Service)+" has announced itself")
 }
@@ -309,7 +313,7 @@
 		actions = append(actions, cassiatally.Send{To: p.target, Message: cassiatally.Cancel{ID: p.attempt}})
 	}
 	r.finishAttempt(now, p, cassiatally.CallResult{Took: now.Sub(p.sentAt), Failed: true})
-	return append(actions, r.deliver(p, answer)...)
+	return append(actions, r.deliver(now, p, answer)...)
 }
 
 // expiry is the answer when the deadline passes without one.
@@ -340,14 +344,23 @@
 	delete(r.attempts, p.attempt)
 }
 
-func (r *Router) deliver(p *pending, a cassiatally.Answer) []cassiatally.Action {
+func (r *Router) deliver(now cassiatally.Instant, p *pending, a cassiatally.Answer) []cassiatally.Action {
 	r.remove(p)
 	if p.mayHaveRun && a.Outcome == cassiatally.OutcomeNotRun {
 		a.Outcome = cassiatally.OutcomeUnknown
 	}
+	if a.Outcome == cassiatally.OutcomeNotRun && a.RetryAfter == 0 {
+		a.RetryAfter = p.comeBack(now)
+	}
 	return r.deliverUnsent(p, a)
 }
 
+// comeBack returns when the caller of a refused request should send it again.
+func (p *pending) comeBack(now cassiatally.Instant) time.Duration {
+	most := float64(p.req.Deadline.Sub(now)) * comeBackPart
+	return time.Duration(max(most, 0) * (leastComeBack + (1-leastComeBack)*float64(p.req.Order)))
+}
+
 func (r *Router) deliverUnsent(p *pending, a cassiatally.Answer) []cassiatally.Action {
 	a.ID = p.req.ID
 	a.RetriesSpent = p.spent
--- a/cassiatally/runner/children.go
+++ b/cassiatally/runner/children.go
@@ -70,11 +70,13 @@
 	// made has the idempotent calls that have not succeeded.
 	made        map[childKey]madeState
 	outstanding int
-	since       cassiatally.Instant
-	waited      time.Duration
-	left        cassiatally.RetryCount
-	spent       cassiatally.RetryCount
-	loads       []cassiatally.ServiceLoad
+	// failed is set once an onward call was not answered with a success.
+	failed bool
+	since  cassiatally.Instant
+	waited time.Duration
+	left   cassiatally.RetryCount
+	spent  cassiatally.RetryCount
+	loads  []cassiatally.ServiceLoad
 }
 
 func (c *children) begin(now cassiatally.Instant) {
@@ -261,6 +263,7 @@
 	known := parent.children.known[ref.key]
 	parent.children.end(now)
 	parent.children.settle(ref.made, a)
+	parent.children.failed = parent.children.failed || a.Kind != cassiatally.KindNone
 	spent := min(a.RetriesSpent, known.granted)
 	parent.children.left += known.granted - spent
 	parent.children.spent += spent
--- a/cassiatally/runner/result.go
+++ b/cassiatally/runner/result.go
@@ -6,7 +6,10 @@
 	"github.com/cassiatally/cassiatally/cassiatally"
 )
 
-const firstServerError = 500
+const (
+	firstServerError    = 500
+	internalServerError = 500
+)
 
 // Finished takes the result of a run.
 func (r *Runner) Finished(now cassiatally.Instant, id cassiatally.CallID, res cassiatally.RunResult) []cassiatally.Action {
@@ -88,9 +91,9 @@
 	id := rec.call.ID
 	switch res.Kind {
 	case cassiatally.ResultAnswered:
-		return ranAnswer(id, res)
+		return ranAnswer(id, res, rec.children.failed)
 	case cassiatally.ResultRefused:
-		return notRun(id, cassiatally.KindOverloaded, "the backend server shed the request")
+		return notRun(id, cassiatally.KindBackendRefused, "the backend server refused the request")
 	case cassiatally.ResultUnreached:
 		return notRun(id, cassiatally.KindUnreachable, "the backend server cannot be reached: "+res.Detail)
 	case cassiatally.ResultReplaced:
@@ -104,7 +107,7 @@
 	}
 }
 
-func ranAnswer(id cassiatally.CallID, res cassiatally.RunResult) cassiatally.Answer {
+func ranAnswer(id cassiatally.CallID, res cassiatally.RunResult, childFailed bool) cassiatally.Answer {
 	a := cassiatally.Answer{
 		ID:          id,
 		Outcome:     cassiatally.OutcomeRan,
@@ -117,6 +120,7 @@
 	if res.Status >= firstServerError {
 		a.Kind = cassiatally.KindBackendFailed
 		a.Detail = "the backend server reported a failure"
+		a.OwnFailure = !childFailed && res.Status == internalServerError
 	}
 	return a
 }
--- a/node/gatekeeper/gatekeeper.go
+++ b/node/gatekeeper/gatekeeper.go
@@ -284,6 +284,9 @@
 			Loads:    loads,
 			Shards:   func() cassiatally.ShardView { return noShards{} },
 			NextID:   g.nextID,
+			// The gates of a service differ in speed and queue; a refusal by one costs no
+			// arrival at an endpoint.
+			LoadRedirects: 1,
 		}),
 	}
 	g.forwarder = &forwarder.Forwarder{
