--- a/node/gatekeeper/gatekeeper.go
+++ b/node/gatekeeper/gatekeeper.go
@@ -61,6 +61,10 @@
 	// late before it counts as gone.
 	heartbeatsMissed = 4
 	flushEvery       = time.Second
+	// farMargin keeps calls in their data centre while the endpoints there take less
+	// than three times as long as others. Endpoints of a service differ twofold in speed,
+	// and bytes between data centres cost more than that time.
+	farMargin = 2
 	// retrySlack is the retries that a node may send in a window whatever its requests.
 	retrySlack = 1
 )
@@ -269,7 +273,7 @@
 }
 
 func (g *Gatekeeper) buildDispatcher() {
-	b := &balancer.Balancer{Rand: newRand(), DataCentre: g.Settings.DataCentre}
+	b := &balancer.Balancer{Rand: newRand(), DataCentre: g.Settings.DataCentre, RelativeMargin: farMargin}
 	loads := &loadtracker.Tracker{}
 	g.dispatcher = &dispatcher.Dispatcher{
 		Balancer:  b,
--- /dev/null
+++ b/node/gatekeeper/gatekeeper_test.go
@@ -0,0 +1,368 @@
+package gatekeeper_test
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/charmbracelet/log"
+	"github.com/matryer/is"
+
+	"github.com/cassiatally/cassiatally/cassiatally"
+	"github.com/cassiatally/cassiatally/cassiatally/sysclock"
+	"github.com/cassiatally/cassiatally/node/forwarder"
+	"github.com/cassiatally/cassiatally/node/gatekeeper"
+)
+
+// store keeps members and route tables in memory.
+type store struct {
+	mu      sync.Mutex
+	members map[cassiatally.NodeID]cassiatally.Member
+	table   cassiatally.RouteTable
+	changed chan struct{}
+}
+
+func newStore() *store {
+	return &store{members: make(map[cassiatally.NodeID]cassiatally.Member), changed: make(chan struct{})}
+}
+
+func (s *store) Load(context.Context) ([]cassiatally.Member, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var out []cassiatally.Member
+	for _, m := range s.members {
+		out = append(out, m)
+	}
+	return out, nil
+}
+
+func (s *store) Save(_ context.Context, m cassiatally.Member) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.members[m.Ref.Node] = m
+	return nil
+}
+
+func (s *store) publish(t cassiatally.RouteTable) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.table = t
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+// source follows the table of a store; one that is cut off never returns.
+type source struct {
+	store *store
+	cut   bool
+	last  cassiatally.Version
+}
+
+func (s *source) Next(ctx context.Context) (cassiatally.RouteTable, error) {
+	for {
+		s.store.mu.Lock()
+		t, changed := s.store.table, s.store.changed
+		s.store.mu.Unlock()
+		if !s.cut && t.Version > s.last {
+			s.last = t.Version
+			return t, nil
+		}
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			return cassiatally.RouteTable{}, ctx.Err()
+		}
+	}
+}
+
+// backend runs calls as a test says.
+type backend struct {
+	run     func(ctx context.Context, c cassiatally.Call) cassiatally.RunResult
+	healthy bool
+}
+
+func (b *backend) Do(ctx context.Context, _ cassiatally.BackendTarget, c cassiatally.Call) cassiatally.RunResult {
+	return b.run(ctx, c)
+}
+
+func (b *backend) Probe(context.Context, cassiatally.Address, string) (cassiatally.BackendHealth, error) {
+	return cassiatally.BackendHealth{Instance: "i-probed", Healthy: b.healthy, Slots: 8}, nil
+}
+
+func answer(body string) cassiatally.RunResult {
+	return cassiatally.RunResult{Kind: cassiatally.ResultAnswered, Status: 200, Body: []byte(body)}
+}
+
+func table(v cassiatally.Version) cassiatally.RouteTable {
+	route := func(host string, s cassiatally.Service) cassiatally.Route {
+		return cassiatally.Route{
+			Name: cassiatally.WorkKind(host), Host: host, Prefix: "/", Idempotent: true, Attempts: 2,
+			Services: []cassiatally.WeightedService{{Service: s, Weight: 1}},
+		}
+	}
+	return cassiatally.RouteTable{
+		Version:  v,
+		Routes:   []cassiatally.Route{route("depot", "depot-svc"), route("avail", "avail-svc")},
+		Services: []cassiatally.ServiceSpec{{Name: "depot-svc", Connections: 100}, {Name: "avail-svc", Connections: 100}},
+	}
+}
+
+type fleet struct {
+	store *store
+	nodes []*gatekeeper.Gatekeeper
+}
+
+func (f *fleet) add(t testing.TB, s gatekeeper.Settings, b *backend, cut bool) *gatekeeper.Gatekeeper {
+	t.Helper()
+	s.Links, s.DataCentre, s.Heartbeat = "127.0.0.1:0", "here", time.Second
+	s.RetryRatio, s.RetryWindow = 0.2, 10*time.Second
+	g := &gatekeeper.Gatekeeper{
+		Settings: s, Clock: sysclock.New(), Logger: log.New(io.Discard),
+		Source: &source{store: f.store, cut: cut}, Store: f.store, Backend: b, Prober: b,
+	}
+	if err := g.Run(); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(g.Close)
+	f.nodes = append(f.nodes, g)
+	return g
+}
+
+func ready(s cassiatally.Service, state cassiatally.EndpointState, seq uint64) cassiatally.InstanceReport {
+	return cassiatally.InstanceReport{Instance: "i-1", Born: 1, Sequence: seq, Service: s, Address: "127.0.0.1:1", Slots: 8, State: state}
+}
+
+func inbound(name cassiatally.RequestName, host string) forwarder.Inbound {
+	return forwarder.Inbound{Name: name, Root: name, Host: host, Head: cassiatally.Head{Method: "GET", Target: "/x"}, Remaining: 5 * time.Second}
+}
+
+// eventually waits for a condition with a generous limit.
+func eventually(t testing.TB, what string, ok func() bool) {
+	t.Helper()
+	deadline := time.Now().Add(20 * time.Second)
+	for !ok() {
+		if time.Now().After(deadline) {
+			t.Fatalf("not within 20 s: %s", what)
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+}
+
+func served(g *gatekeeper.Gatekeeper, host string) func() bool {
+	return func() bool {
+		return g.Forward(context.Background(), inbound("probe", host)).Kind == cassiatally.KindNone
+	}
+}
+
+// twoNodes has an entry beside depot-svc and a node beside avail-svc.
+func twoNodes(t testing.TB, avail *backend) (*fleet, *gatekeeper.Gatekeeper, *gatekeeper.Gatekeeper) {
+	f := &fleet{store: newStore()}
+	f.store.publish(table(3))
+	depot := &backend{}
+	a := f.add(t, gatekeeper.Settings{Node: "a", Service: "depot-svc"}, depot, false)
+	b := f.add(t, gatekeeper.Settings{Node: "b", Service: "avail-svc"}, avail, false)
+	depot.run = func(ctx context.Context, c cassiatally.Call) cassiatally.RunResult {
+		in := inbound(c.Name+".1", "avail")
+		in.Root, in.Parent = c.Name, c.Name
+		child := a.Forward(ctx, in)
+		if child.Kind != cassiatally.KindNone {
+			return cassiatally.RunResult{Kind: cassiatally.ResultAnswered, Status: 500}
+		}
+		return answer("depot:" + string(child.Body))
+	}
+	a.Report(context.Background(), ready("depot-svc", cassiatally.EndpointReady, 1))
+	b.Report(context.Background(), ready("avail-svc", cassiatally.EndpointReady, 1))
+	eventually(t, "both services are served", func() bool { return served(a, "depot")() && served(b, "depot")() })
+	return f, a, b
+}
+
+// Guards against a chain that is not served from end to end: entry, gate, run, and
+// the call that the run makes through the node beside it.
+func TestWholePath(t *testing.T) {
+	is := is.New(t)
+	var calls []cassiatally.Call
+	var mu sync.Mutex
+	avail := &backend{run: func(_ context.Context, c cassiatally.Call) cassiatally.RunResult {
+		mu.Lock()
+		defer mu.Unlock()
+		calls = append(calls, c)
+		return answer("avail")
+	}}
+	_, _, b := twoNodes(t, avail)
+	mu.Lock()
+	calls = nil
+	mu.Unlock()
+	a := b.Forward(context.Background(), inbound("r", "depot"))
+	is.Equal(string(a.Body), "depot:avail")
+	mu.Lock()
+	defer mu.Unlock()
+	is.Equal(len(calls), 1)
+	is.Equal(calls[0].Name, cassiatally.RequestName("r.1"))
+	is.Equal(calls[0].Caller, cassiatally.Service("depot-svc"))
+	is.Equal(calls[0].Depth, cassiatally.Depth(1))
+	is.True(calls[0].Remaining < 5*time.Second)
+}
+
+// Guards against a node that is ready without routes, serves a route that does not
+// exist, or falls back to an older table.
+func TestRoutes(t *testing.T) {
+	is := is.New(t)
+	f := &fleet{store: newStore()}
+	g := f.add(t, gatekeeper.Settings{Node: "a", Service: "depot-svc"}, &backend{}, false)
+	is.True(!g.Ready())
+	is.Equal(g.Forward(context.Background(), inbound("r", "depot")).Kind, cassiatally.KindNoBackend)
+	f.store.publish(table(3))
+	eventually(t, "the node is ready", g.Ready)
+	is.Equal(g.Forward(context.Background(), inbound("r", "other")).Kind, cassiatally.KindUnknownKind)
+
+	cut := f.add(t, gatekeeper.Settings{Node: "b", Service: "avail-svc"}, &backend{}, true)
+	eventually(t, "a node that is cut off from the source gets the table from another", cut.Ready)
+	next := table(7)
+	next.Routes = next.Routes[:1]
+	f.store.publish(next)
+	gone := func() bool {
+		return cut.Forward(context.Background(), inbound("r", "avail")).Kind == cassiatally.KindUnknownKind
+	}
+	eventually(t, "it also gets the next version", gone)
+}
+
+// Guards against requests that reach a backend server after the node acknowledged
+// that it leaves, and against a caller who is not told that nothing was run.
+func TestDrainingBackend(t *testing.T) {
+	is := is.New(t)
+	var mu sync.Mutex
+	drained, late := false, 0
+	avail := &backend{run: func(context.Context, cassiatally.Call) cassiatally.RunResult {
+		mu.Lock()
+		defer mu.Unlock()
+		if drained {
+			late++
+		}
+		return answer("avail")
+	}}
+	_, a, b := twoNodes(t, avail)
+	is.True(b.Report(context.Background(), ready("avail-svc", cassiatally.EndpointDraining, 2)))
+	mu.Lock()
+	drained = true
+	mu.Unlock()
+	for range 20 {
+		got := a.Forward(context.Background(), inbound("r", "avail"))
+		is.Equal(got.Outcome, cassiatally.OutcomeNotRun)
+	}
+	mu.Lock()
+	defer mu.Unlock()
+	is.Equal(late, 0)
+}
+
+// Guards against a node that loses requests when it is told to stop.
+func TestDrain(t *testing.T) {
+	is := is.New(t)
+	begun, release := make(chan struct{}, 1), make(chan struct{})
+	hold := false
+	var mu sync.Mutex
+	avail := &backend{run: func(ctx context.Context, _ cassiatally.Call) cassiatally.RunResult {
+		mu.Lock()
+		held := hold
+		mu.Unlock()
+		if held {
+			begun <- struct{}{}
+			select {
+			case <-release:
+			case <-ctx.Done():
+			}
+		}
+		return answer("avail")
+	}}
+	_, a, b := twoNodes(t, avail)
+	mu.Lock()
+	hold = true
+	mu.Unlock()
+	got := make(chan cassiatally.Answer, 1)
+	go func() { got <- a.Forward(context.Background(), inbound("r", "avail")) }()
+	select {
+	case <-begun:
+	case a := <-got:
+		t.Fatalf("answered before the run began: %+v", a)
+	}
+	done := make(chan struct{})
+	go func() {
+		b.Drain(context.Background(), 0)
+		close(done)
+	}()
+	eventually(t, "the node is not ready", func() bool { return !b.Ready() })
+	select {
+	case <-done:
+		t.Fatal("drained with a run in flight")
+	case <-time.After(50 * time.Millisecond):
+	}
+	close(release)
+	is.Equal(string((<-got).Body), "avail")
+	<-done
+}
+
+// Guards against a restarted node that waits for the next report although its
+// backend server runs, and against one that believes a report which may be older
+// than what the backend server told the earlier node.
+func TestRestartBesideABackend(t *testing.T) {
+	for _, healthy := range []bool{true, false} {
+		t.Run(fmt.Sprint("healthy ", healthy), func(t *testing.T) {
+			is := is.New(t)
+			f := &fleet{store: newStore()}
+			f.store.publish(table(3))
+			b := &backend{healthy: healthy, run: func(context.Context, cassiatally.Call) cassiatally.RunResult { return answer("ok") }}
+			g := f.add(t, gatekeeper.Settings{Node: "a", Service: "avail-svc", Backend: "127.0.0.1:1", Restarted: true}, b, false)
+			eventually(t, "the node is ready", g.Ready)
+			if healthy {
+				eventually(t, "the backend server is used", served(g, "avail"))
+				return
+			}
+			is.True(g.Report(context.Background(), ready("avail-svc", cassiatally.EndpointReady, 5)))
+			is.True(!served(g, "avail")())
+			for seq := uint64(6); seq < 8; seq++ {
+				is.True(g.Report(context.Background(), ready("avail-svc", cassiatally.EndpointReady, seq)))
+			}
+			eventually(t, "repeated reports are believed", served(g, "avail"))
+		})
+	}
+}
+
+// Guards against a run that goes on after its caller left.
+func TestCallerLeaves(t *testing.T) {
+	begun, ended := make(chan struct{}, 1), make(chan struct{}, 1)
+	hold := make(chan struct{})
+	avail := &backend{run: func(ctx context.Context, _ cassiatally.Call) cassiatally.RunResult {
+		select {
+		case <-hold:
+			begun <- struct{}{}
+			<-ctx.Done()
+			ended <- struct{}{}
+			return cassiatally.RunResult{Kind: cassiatally.ResultAborted}
+		default:
+			return answer("avail")
+		}
+	}}
+	_, a, _ := twoNodes(t, avail)
+	close(hold)
+	ctx, cancel := context.WithCancel(context.Background())
+	go func() { a.Forward(ctx, inbound("r", "avail")) }()
+	<-begun
+	cancel()
+	select {
+	case <-ended:
+	case <-time.After(20 * time.Second):
+		t.Fatal("the run went on")
+	}
+}
+
+func BenchmarkForward(b *testing.B) {
+	avail := &backend{run: func(context.Context, cassiatally.Call) cassiatally.RunResult { return answer("avail") }}
+	_, a, _ := twoNodes(b, avail)
+	in := inbound("bench", "avail")
+	b.ReportAllocs()
+	for b.Loop() {
+		a.Forward(context.Background(), in)
+	}
+}
