admitter: keep a proportion of the capacity for less urgent work in a shortage

Ruled out: wasted work (arrivals at the narrow service were 1.06 times what completed chains need); runs that are refused for a wrong run time. Change: in a gatekeeper each rank but the most urgent keeps 0.85 of its proportional share.

--- a/cassiatally/admitter/admitter.go
+++ b/cassiatally/admitter/admitter.go
@@ -76,6 +76,10 @@
 type Admitter struct {
 	// TargetWait is the time worth of work that may queue; 0 means 100 ms.
 	TargetWait time.Duration
+	// Proportion, when above 0, takes the place of the kept shares of entries: each rank
+	// but the most urgent keeps this part of what it would get if capacity were divided
+	// by demand. Less urgent work is then served a little less, instead of not at all.
+	Proportion float64
 	// LeastQueue is the least bound of the queue in entries; 0 means 16.
 	LeastQueue int
 
@@ -105,7 +109,9 @@
 	a.prepare(now)
 	r := min(e.Rank, cassiatally.MaxRanks-1)
 	s := &a.ranks[r]
-	s.share = e.Share
+	if a.Proportion == 0 {
+		s.share = e.Share
+	}
 	key := float64(e.Order) * s.tenants.arrived(e.Tenant)
 	if e.Onward {
 		key -= onwardLead
@@ -408,12 +414,33 @@
 	for r := range a.ranks {
 		a.ranks[r].probes.close(float64(limit) * a.meter.window())
 	}
+	if a.Proportion > 0 {
+		a.divide()
+	}
 	available := a.meter.update(a.shares(), a.bound())
 	for r := range a.ranks {
 		a.ranks[r].tenants.divide(a.meter.window(), available[r])
 	}
 }
 
+// divide sets the kept shares by the demand of each rank. The most urgent rank with
+// demand keeps all of its own, so that it goes before the kept shares of others.
+func (a *Admitter) divide() {
+	demands := a.meter.demands()
+	total := 0.0
+	for _, d := range demands {
+		total += d
+	}
+	part := 1.0
+	for r, d := range demands {
+		a.ranks[r].share = 0
+		if d > 0 {
+			a.ranks[r].share = cassiatally.Share(part * d / total)
+			part = a.Proportion
+		}
+	}
+}
+
 func (a *Admitter) shares() (shares [cassiatally.MaxRanks]float64) {
 	for r := range a.ranks {
 		shares[r] = float64(a.ranks[r].share)
--- a/cassiatally/admitter/meter.go
+++ b/cassiatally/admitter/meter.go
@@ -291,6 +291,21 @@
 	return s.limit / s.seconds * s.ended / s.busy
 }
 
+// demands returns the demand of each rank in calls per second, before any refusal
+// at the entry.
+func (m *meter) demands() (out perRank) {
+	sum := m.sum(longCount)
+	if sum.seconds <= 0 {
+		return out
+	}
+	for r := range out {
+		if sum.arrivals[r] > 0 {
+			out[r] = sum.demand(r)
+		}
+	}
+	return out
+}
+
 // backlogToFall returns the part of the queue that a rank and the more urgent ones
 // must hold, on average over the windows, before the level of the rank falls.
 // Arrivals that vary by chance look like overload now and then, but only overload
--- a/node/gatekeeper/gatekeeper.go
+++ b/node/gatekeeper/gatekeeper.go
@@ -61,6 +61,9 @@
 	// late before it counts as gone.
 	heartbeatsMissed = 4
 	flushEvery       = time.Second
+	// keptProportion is how much less urgent work keeps in a shortage, as a part of its
+	// proportional share.
+	keptProportion = 0.85
 	// farMargin keeps calls in their data centre while the endpoints there take less
 	// than two and a half times as long as others. Endpoints of a service differ twofold in speed,
 	// and bytes between data centres cost more than that time.
@@ -308,7 +311,7 @@
 func (g *Gatekeeper) buildExecutor() {
 	quarantine := quarantiner.New(g.self)
 	g.executor = &executor.Executor{
-		Runner:      runner.New(g.self, &admitter.Admitter{}, &fixedlimiter.Limiter{UseSlots: true}, quarantine, g.nextID),
+		Runner:      runner.New(g.self, &admitter.Admitter{Proportion: keptProportion}, &fixedlimiter.Limiter{UseSlots: true}, quarantine, g.nextID),
 		Quarantine:  quarantine,
 		Clock:       g.Clock,
 		Transport:   g.links,
