linker: keep calls when a node dials this one under another name

Change: a node refuses a link to itself, and only links that carried requests report their loss. Measured: both new tests time out or fail without the change.

--- a/node/linker/link.go
+++ b/node/linker/link.go
@@ -82,6 +82,11 @@
 	if !ok || theirs.From.IsZero() {
 		return cassiatally.NewError(cassiatally.KindProtocol, "the first frame of a link is not a hello")
 	}
+	if theirs.From.Node == k.owner.Self.Node {
+		// A node that takes over the address of another one is still known there under
+		// the name of that one.
+		return cassiatally.NewError(cassiatally.KindUnreachable, "the address is that of this node")
+	}
 	k.peer = theirs.From
 	return nil
 }
--- a/node/linker/linker.go
+++ b/node/linker/linker.go
@@ -80,7 +80,7 @@
 	// Inbound takes each message; it must not block. Messages to the own node go
 	// there directly.
 	Inbound func(from cassiatally.NodeRef, m cassiatally.Message)
-	// Lost is called when a link over which messages were exchanged has ended.
+	// Lost is called when a link that carried requests has ended.
 	Lost func(peer cassiatally.NodeRef)
 	// Undelivered is called with each message that was certainly not sent.
 	Undelivered func(to cassiatally.NodeID, m cassiatally.Message)
@@ -314,6 +314,11 @@
 	reader.Wait()
 	l.forget(k)
 	l.Logger.Debug("link ended", "peer", k.peer, "reason", k.reason())
+	if k.lastRequest.Load() == 0 {
+		// Nobody waits for an answer on it. A node that dials a wrong address closes such
+		// a link, and the calls on other links to it go on.
+		return
+	}
 	l.Lost(k.peer)
 }
 
--- a/node/linker/linker_test.go
+++ b/node/linker/linker_test.go
@@ -266,3 +266,34 @@
 	is.NoErr(one.Send("two", cassiatally.SheetPull{Have: 2}))
 	is.Equal(receive(t, two.received), cassiatally.Message(cassiatally.SheetPull{Have: 2}))
 }
+
+// Guards against a node that takes over the address of another one, dials itself
+// under that name, and then gives up the calls to its own backend server.
+func TestOwnAddressUnderAnotherName(t *testing.T) {
+	is := is.New(t)
+	b := &book{addresses: map[cassiatally.NodeID]cassiatally.Address{}}
+	a := newPeer(t, b, "a")
+	defer a.Close()
+	b.set("before", a.Addr())
+	is.NoErr(a.Send("before", cassiatally.Ping{Seq: 1}))
+	is.Equal(receive(t, a.undelivered), cassiatally.Message(cassiatally.Ping{Seq: 1}))
+	is.Equal(len(a.lost), 0)
+}
+
+// Guards against calls that are given up because the node that runs them dialled
+// this one under the name of another.
+func TestWrongDialEndsNoCalls(t *testing.T) {
+	is := is.New(t)
+	b := &book{addresses: map[cassiatally.NodeID]cassiatally.Address{}}
+	a, c := newPeer(t, b, "a"), newPeer(t, b, "c")
+	defer a.Close()
+	defer c.Close()
+	is.NoErr(a.Send("c", cassiatally.Call{ID: cassiatally.CallID{Seq: 1}}))
+	receive(t, c.received)
+	b.set("before", a.Addr())
+	is.NoErr(c.Send("before", cassiatally.Cancel{}))
+	receive(t, c.undelivered)
+	is.NoErr(c.Send("a", cassiatally.Answer{ID: cassiatally.CallID{Seq: 1}}))
+	receive(t, a.received)
+	is.Equal(len(a.lost), 0)
+}
--- a/operator/adviser/adviser.go
+++ b/operator/adviser/adviser.go
@@ -40,7 +40,7 @@
 	cassiatally.KindOutcomeUnknown:     lookUp,
 	cassiatally.KindBackendFailed:      "see the body",
 	cassiatally.KindIncompleteAnswer:   lookUp,
-	cassiatally.KindQuarantined:        "do not send it again: it has crashed backend servers; see docs/operating.md",
+	cassiatally.KindQuarantined:        "do not send it again: it has crashed backend servers; see docs/OPERATIONS.md",
 	cassiatally.KindProtocol:           "report it with the versions of the nodes",
 	cassiatally.KindUnsupportedVersion: "update the older node",
 	cassiatally.KindUnreachable:        "check that the node runs and that the address is its listen.callers; " + sendAgain,
