--- a/node/linker/linker_test.go
+++ b/node/linker/linker_test.go
@@ -273,10 +273,10 @@
 	is := is.New(t)
 	b := &book{addresses: map[cassiatally.NodeID]cassiatally.Address{}}
 	a := newPeer(t, b, "a")
-	defer a.Close()
 	b.set("before", a.Addr())
 	is.NoErr(a.Send("before", cassiatally.Ping{Seq: 1}))
 	is.Equal(receive(t, a.undelivered), cassiatally.Message(cassiatally.Ping{Seq: 1}))
+	a.Close() // waits for both ends
 	is.Equal(len(a.lost), 0)
 }
 
