--- a/operator/adviser/adviser.go
+++ b/operator/adviser/adviser.go
@@ -39,6 +39,7 @@
 	cassiatally.KindUnavailable:        lookUp,
 	cassiatally.KindOutcomeUnknown:     lookUp,
 	cassiatally.KindBackendFailed:      "see the body",
+	cassiatally.KindBackendRefused:     sendAgain,
 	cassiatally.KindIncompleteAnswer:   lookUp,
 	cassiatally.KindQuarantined:        "do not send it again: it has crashed backend servers; see docs/OPERATIONS.md",
 	cassiatally.KindProtocol:           "report it with the versions of the nodes",
--- a/operator/command/command.go
+++ b/operator/command/command.go
@@ -34,16 +34,18 @@
 	"github.com/cassiatally/cassiatally/operator/command/sheet/publish"
 	"github.com/cassiatally/cassiatally/operator/command/sheet/show"
 	"github.com/cassiatally/cassiatally/operator/command/status"
+	"github.com/cassiatally/cassiatally/operator/command/trace"
 	"github.com/cassiatally/cassiatally/operator/command/version"
 	"github.com/cassiatally/cassiatally/operator/environment"
 	"github.com/cassiatally/cassiatally/operator/nodeclient"
 )
 
 // Main runs the program and returns its exit code.
-func Main(args []string, _ io.Reader, stdout, stderr io.Writer) cassiatally.ExitCode {
+func Main(args []string, stdin io.Reader, stdout, stderr io.Writer) cassiatally.ExitCode {
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
 	env := environment.Environment{
+		Stdin:    piped(stdin),
 		Stdout:   stdout,
 		Stderr:   stderr,
 		Terminal: isTerminal(stdout),
@@ -81,6 +83,7 @@
 		keyshow.New(env),
 		settingscheck.New(env),
 		settingsshow.New(env),
+		trace.New(env),
 		version.New(env),
 	}
 	return append(all, completion.New(env, all))
@@ -116,6 +119,14 @@
 	return b.String()
 }
 
+// piped returns r unless it is a terminal, on which nobody types log lines.
+func piped(r io.Reader) io.Reader {
+	if f, ok := r.(*os.File); ok && isatty.IsTerminal(f.Fd()) {
+		return nil
+	}
+	return r
+}
+
 func isTerminal(w io.Writer) bool {
 	f, ok := w.(*os.File)
 	return ok && isatty.IsTerminal(f.Fd())
--- a/operator/environment/environment.go
+++ b/operator/environment/environment.go
@@ -18,6 +18,8 @@
 
 // Environment is passed to the constructor of each command.
 type Environment struct {
+	// Stdin is nil when nothing is piped in.
+	Stdin  io.Reader
 	Stdout io.Writer
 	Stderr io.Writer
 	// Terminal is set when Stdout is a terminal.
