--- a/node/gatekeeper/routes.go
+++ b/node/gatekeeper/routes.go
@@ -38,7 +38,8 @@
 }
 
 func (g *Gatekeeper) inboundCall(from cassiatally.NodeRef, c cassiatally.Call) {
-	kind, detail := cassiatally.KindNone, ""
+	var kind cassiatally.ErrorKind
+	var detail string
 	switch {
 	case cassiatally.DigestOf(c.Body) != c.Digest:
 		kind, detail = cassiatally.KindIncompleteAnswer, "the request body does not match its digest"
