--- a/cassiatally/splitter/splitter.go
+++ b/cassiatally/splitter/splitter.go
@@ -7,12 +7,24 @@
 // # Usage
 //
 //	s := splitter.New(rand)
-//	service := s.Choose(version, route)
+//	service := s.Choose(route)
 //
 // A Splitter is not safe for concurrent use.
 package splitter
 
-import "github.com/cassiatally/cassiatally/cassiatally"
+import (
+	"slices"
+
+	"github.com/cassiatally/cassiatally/cassiatally"
+)
+
+const (
+	// maxRoutes bounds the routes that are remembered; routes that were removed from
+	// the table stay until then.
+	maxRoutes = 8192
+	// startSteps is the number of requests among which a route starts at a random one.
+	startSteps = 100
+)
 
 // Splitter chooses the service for each request of each route.
 type Splitter struct {
@@ -20,9 +32,10 @@
 	routes map[cassiatally.WorkKind]*credits
 }
 
+// credits are what the services of a route have gained.
 type credits struct {
-	version cassiatally.Version
-	gained  []float64
+	services []cassiatally.WeightedService
+	gained   []float64
 }
 
 // New returns a splitter. Rand sets where each route starts, so that the nodes of
@@ -31,46 +44,44 @@
 	return &Splitter{rand: rand, routes: make(map[cassiatally.WorkKind]*credits)}
 }
 
-// Choose returns the service for the next request of a route of a table version.
-func (s *Splitter) Choose(v cassiatally.Version, r *cassiatally.Route) cassiatally.Service {
+// Choose returns the service for the next request of a route. A route goes on where
+// it was while its services and weights stay the same.
+func (s *Splitter) Choose(r *cassiatally.Route) cassiatally.Service {
 	if len(r.Services) == 1 {
 		return r.Services[0].Service
 	}
-	total := 0.0
-	for _, w := range r.Services {
-		total += w.Weight
-	}
 	c := s.routes[r.Name]
-	if c == nil || c.version != v || len(c.gained) != len(r.Services) {
-		c = s.begin(v, r, total)
-	}
-	best := -1
-	for i, w := range r.Services {
-		c.gained[i] += w.Weight
-		// A service without weight gets nothing, whatever it started with.
-		if w.Weight > 0 && (best < 0 || c.gained[i] > c.gained[best]) {
-			best = i
-		}
-	}
-	if best < 0 {
-		return r.Services[0].Service
+	if c == nil || !slices.Equal(c.services, r.Services) {
+		c = s.begin(r)
 	}
-	c.gained[best] -= total
-	return r.Services[best].Service
+	return c.next()
 }
 
-func (s *Splitter) begin(v cassiatally.Version, r *cassiatally.Route, total float64) *credits {
+func (s *Splitter) begin(r *cassiatally.Route) *credits {
 	if len(s.routes) > maxRoutes {
 		clear(s.routes)
 	}
-	c := &credits{version: v, gained: make([]float64, len(r.Services))}
-	for i := range c.gained {
-		c.gained[i] = s.rand.Float64() * total / float64(len(c.gained))
+	c := &credits{services: slices.Clone(r.Services), gained: make([]float64, len(r.Services))}
+	for range s.rand.IntN(startSteps) {
+		c.next()
 	}
 	s.routes[r.Name] = c
 	return c
 }
 
-// maxRoutes bounds the routes that are remembered; routes that were removed from
-// the table stay until then.
-const maxRoutes = 8192
+func (c *credits) next() cassiatally.Service {
+	best, total := -1, 0.0
+	for i, w := range c.services {
+		total += w.Weight
+		c.gained[i] += w.Weight
+		// A service without weight gets nothing.
+		if w.Weight > 0 && (best < 0 || c.gained[i] > c.gained[best]) {
+			best = i
+		}
+	}
+	if best < 0 {
+		return c.services[0].Service
+	}
+	c.gained[best] -= total
+	return c.services[best].Service
+}
--- a/cassiatally/splitter/splitter_test.go
+++ b/cassiatally/splitter/splitter_test.go
@@ -11,34 +11,54 @@
 	"github.com/cassiatally/cassiatally/cassiatally/splitter"
 )
 
-// Guards against shares that differ from the weights over a short time, also when
-// many nodes see a few requests each.
+func route() *cassiatally.Route {
+	return &cassiatally.Route{Name: "r", Services: []cassiatally.WeightedService{{Service: "a", Weight: 90}, {Service: "b", Weight: 10}}}
+}
+
+// Guards against shares that differ from the weights when each of many nodes sees
+// only a few requests, as a small part would get none of the first few.
 func TestSharesFollowWeights(t *testing.T) {
+	for _, requests := range []int{2, 5, 20} {
+		is := is.New(t)
+		const nodes, want = 400, 0.1
+		rng := rand.New(rand.NewPCG(1, 2))
+		got := 0
+		for range nodes {
+			s := splitter.New(rng)
+			for range requests {
+				if s.Choose(route()) == "b" {
+					got++
+				}
+			}
+		}
+		is.True(math.Abs(float64(got)/float64(nodes*requests)-want) < 0.03)
+	}
+}
+
+// Guards against shares that start again with each version of the table, although
+// the weights of the route stay the same.
+func TestVersionsGoOn(t *testing.T) {
 	is := is.New(t)
-	const nodes, requests = 16, 20
-	r := &cassiatally.Route{Name: "r", Services: []cassiatally.WeightedService{{Service: "a", Weight: 90}, {Service: "b", Weight: 10}}}
-	rng := rand.New(rand.NewPCG(1, 2))
-	got := map[cassiatally.Service]int{}
-	for range nodes {
-		s := splitter.New(rng)
-		for range requests {
-			got[s.Choose(1, r)]++
+	s := splitter.New(rand.New(rand.NewPCG(1, 2)))
+	got := 0
+	for range 100 {
+		if s.Choose(route()) == "b" { // a new table each time
+			got++
 		}
 	}
-	const want = 0.1
-	is.True(math.Abs(float64(got["b"])/(nodes*requests)-want) < 0.03)
+	is.Equal(got, 10)
 }
 
-// Guards against credits of an earlier version that outweigh new weights.
-func TestNewVersionStartsAgain(t *testing.T) {
+// Guards against credits of earlier weights that outweigh new ones.
+func TestNewWeightsStartAgain(t *testing.T) {
 	is := is.New(t)
 	s := splitter.New(rand.New(rand.NewPCG(1, 2)))
-	r := &cassiatally.Route{Name: "r", Services: []cassiatally.WeightedService{{Service: "a", Weight: 1}, {Service: "b", Weight: 1}}}
 	for range 9 {
-		s.Choose(1, r)
+		s.Choose(route())
 	}
+	r := route()
 	r.Services[0].Weight = 0
 	for range 20 {
-		is.Equal(s.Choose(2, r), cassiatally.Service("b"))
+		is.Equal(s.Choose(r), cassiatally.Service("b"))
 	}
 }
--- a/node/dispatcher/dispatcher.go
+++ b/node/dispatcher/dispatcher.go
@@ -184,7 +184,7 @@
 func (e submitEvent) apply(d *Dispatcher, now cassiatally.Instant) {
 	d.waits[e.req.ID] = e.reply
 	if e.req.Route != nil {
-		e.req.Service = d.Splitter.Choose(e.req.Policy.Version, e.req.Route)
+		e.req.Service = d.Splitter.Choose(e.req.Route)
 	}
 	d.carryOut(now, d.Router.Submit(now, e.req))
 }
