instancekeeper: confirm a restart with the report at hand, and never without slots

Cause: the slots of a health check that does not tell them are 0, which the limit takes as unbounded until the next report. Change: the report that asked for the check is used once it is confirmed; without known slots nothing is announced. Measured: TestRestartWithoutKnownSlots fails before.

--- a/node/gatekeeper/gatekeeper_test.go
+++ b/node/gatekeeper/gatekeeper_test.go
@@ -82,6 +82,8 @@
 type backend struct {
 	run     func(ctx context.Context, c cassiatally.Call) cassiatally.RunResult
 	healthy bool
+	// untold makes the health check leave the slots out.
+	untold bool
 }
 
 func (b *backend) Do(ctx context.Context, _ cassiatally.BackendTarget, c cassiatally.Call) cassiatally.RunResult {
@@ -89,6 +91,9 @@
 }
 
 func (b *backend) Probe(context.Context, cassiatally.Address, string) (cassiatally.BackendHealth, error) {
+	if b.untold {
+		return cassiatally.BackendHealth{Instance: "i-1", Healthy: b.healthy}, nil
+	}
 	return cassiatally.BackendHealth{Instance: "i-probed", Healthy: b.healthy, Slots: 8}, nil
 }
 
@@ -329,6 +334,21 @@
 	}
 }
 
+// Guards against a backend server that gets calls without a bound after a restart
+// of the node, because its health check does not tell its slots.
+func TestRestartWithoutKnownSlots(t *testing.T) {
+	is := is.New(t)
+	f := &fleet{store: newStore()}
+	f.store.publish(table(3))
+	b := &backend{healthy: true, untold: true, run: func(context.Context, cassiatally.Call) cassiatally.RunResult { return answer("ok") }}
+	g := f.add(t, gatekeeper.Settings{Node: "a", Service: "avail-svc", Backend: "127.0.0.1:1", Restarted: true}, b, false)
+	eventually(t, "the node is ready", g.Ready)
+	time.Sleep(100 * time.Millisecond) // the health check comes with the table
+	is.True(!served(g, "avail")())
+	is.True(g.Report(context.Background(), ready("avail-svc", cassiatally.EndpointReady, 5)))
+	eventually(t, "the first report is confirmed", served(g, "avail"))
+}
+
 // Guards against a run that goes on after its caller left.
 func TestCallerLeaves(t *testing.T) {
 	begun, ended := make(chan struct{}, 1), make(chan struct{}, 1)
--- a/node/instancekeeper/instancekeeper.go
+++ b/node/instancekeeper/instancekeeper.go
@@ -65,6 +65,8 @@
 	confirmed cassiatally.InstanceID
 	doubt     map[cassiatally.InstanceID]int
 	probed    bool
+	// pending is the last report that waits for the health check.
+	pending cassiatally.InstanceReport
 }
 
 type event interface {
@@ -176,6 +178,7 @@
 		k.confirmed = r.Instance
 		return true
 	}
+	k.pending = r
 	k.probe(r.Address, r.Service)
 	return false
 }
@@ -245,8 +248,16 @@
 	if _, known := k.Tracker.Current(); known {
 		return
 	}
-	r := cassiatally.InstanceReport{
-		Instance: e.health.Instance, Service: k.Service, Address: k.Address, Slots: e.health.Slots, State: cassiatally.EndpointReady,
+	r := k.pending
+	if r.Instance != e.health.Instance {
+		r = cassiatally.InstanceReport{
+			Instance: e.health.Instance, Service: k.Service, Address: k.Address, Slots: e.health.Slots, State: cassiatally.EndpointReady,
+		}
+	}
+	if r.Slots == 0 {
+		// Not all backend servers tell their slots here; without them nothing would bound
+		// what is sent before the next report.
+		return
 	}
 	if k.Tracker.Observe(now, r) {
 		k.announce()
