registrar: introduce a starting node to all it finds; linker, balancer: give up unreachable nodes sooner

Change: links are silent after 1 s, a dial takes 0.5 s, failed addresses and endpoints out of reach are left alone for a time that doubles (2 s, 4 s); a node that starts tells up to 32 found members about itself, and about each change in its first 5 s.

--- a/cassiatally/balancer/balancer.go
+++ b/cassiatally/balancer/balancer.go
@@ -35,6 +35,9 @@
 	// when there is no other one. Membership takes 3 s to 10 s to suspect it, and
 	// with fewer than three endpoints a service excludes none.
 	unreachedPause = time.Second
+	// mostUnreached bounds the doubling of that time while the endpoint stays out of
+	// reach, as one in a data centre that is cut off does.
+	mostUnreached = 4 * time.Second
 	// leastWeight is the weight of an endpoint at the start of its slow start.
 	leastWeight = 0.1
 	// reportHalfLife is the time after which half of what a report said about the
@@ -103,6 +106,8 @@
 	exclusions int
 	// unreached is until when the endpoint is taken as out of reach.
 	unreached cassiatally.Instant
+	// outFor is the time for which it was last taken so.
+	outFor time.Duration
 }
 
 var _ cassiatally.Balancer = (*Balancer)(nil)
@@ -297,7 +302,10 @@
 	}
 	e.calls++
 	if r.Unreached {
-		e.unreached = now.Add(unreachedPause)
+		e.outFor = min(max(2*e.outFor, unreachedPause), mostUnreached)
+		e.unreached = now.Add(e.outFor)
+	} else {
+		e.outFor = 0
 	}
 	failed := 0.0
 	if r.Failed {
--- a/cassiatally/balancer/balancer_test.go
+++ b/cassiatally/balancer/balancer_test.go
@@ -306,3 +306,26 @@
 		is.Equal(spread(b, settled, 20)[c.want], 20)
 	}
 }
+
+// Guards against calls that go to an endpoint behind a partition once a second, as
+// long as it lasts, and each time wait until that shows.
+func TestUnreachedForLong(t *testing.T) {
+	is := is.New(t)
+	b := newBalancer(1, candidates(1, 1))
+	now, tries := settled, 0
+	for now.Before(settled.Add(20 * time.Second)) {
+		now = now.Add(100 * time.Millisecond)
+		if id, _ := b.Choose(now, service, nil); id == "n0" {
+			tries++
+			b.Started(now, "n0")
+			b.Finished(now, "n0", cassiatally.CallResult{Failed: true, Unreached: true})
+		}
+	}
+	is.True(tries >= 4)
+	is.True(tries <= 8)
+	b.Started(now, "n0")
+	b.Finished(now, "n0", cassiatally.CallResult{Took: time.Millisecond})
+	later := now.Add(5 * time.Second)
+	b.Finished(later, "n0", cassiatally.CallResult{Failed: true, Unreached: true})
+	is.Equal(spread(b, later.Add(1100*time.Millisecond), 20)["n0"], 20) // it starts with a short pause again
+}
--- a/cassiatally/interfaces.go
+++ b/cassiatally/interfaces.go
@@ -142,7 +142,7 @@
 type CallResult struct {
 	Took   time.Duration
 	Failed bool
-	// Unreached tells that the call certainly did not arrive.
+	// Unreached tells that the node of the endpoint is out of reach.
 	Unreached bool
 	// Load is the endpoint's own report; its Node is empty when there is none.
 	Load EndpointLoad
--- a/cassiatally/registrar/registrar.go
+++ b/cassiatally/registrar/registrar.go
@@ -76,6 +76,13 @@
 	// to belong to a member. It finds the others again after a partition.
 	probeChance = 0.2
 
+	// introductions bounds the members that a node tells about itself at once when it
+	// starts. After a restart of all nodes, rounds alone took more than a second until
+	// an entry knew an endpoint of each service.
+	introductions = 32
+	// youngFor is how long after its start a node introduces each change of itself.
+	youngFor = 5 * time.Second
+
 	maxGateways  = 4
 	maxEndpoints = 4
 	// Beats of many foreign members arrive seldom, so their removal time grows
@@ -117,6 +124,8 @@
 	// told has the crash reports that were sent at once.
 	told      map[crashID]crashCount
 	nextRound cassiatally.Instant
+	// started is when the first event came.
+	started cassiatally.Instant
 	// lastEvent is the time of the last message or tick, by which partners are chosen.
 	lastEvent cassiatally.Instant
 	// places has the places of this node on the rings.
@@ -207,14 +216,52 @@
 
 // SetEndpoint records the state of the local backend server. A change of
 // anything but the load is spread at once.
-func (r *Registrar) SetEndpoint(_ cassiatally.Instant, e cassiatally.Endpoint) []cassiatally.Action {
+func (r *Registrar) SetEndpoint(now cassiatally.Instant, e cassiatally.Endpoint) []cassiatally.Action {
 	e.Load.Node = r.cfg.Self.Node
 	changed := !sameAnnouncement(r.self.Endpoint, e)
 	r.self.Endpoint = e
 	if !changed {
 		return nil
 	}
-	return r.changed()
+	out := r.changed()
+	if r.young(now) {
+		out = append(out, r.introduceSelf()...)
+	}
+	return out
+}
+
+// Found takes members that a store knows, and introduces this node to them.
+func (r *Registrar) Found(now cassiatally.Instant, members []cassiatally.Member) []cassiatally.Action {
+	r.lastEvent = now
+	r.young(now)
+	m := merger{Registrar: r, now: now, from: r.cfg.Self}
+	for _, member := range members {
+		m.merge(member, true)
+	}
+	if m.crowded {
+		r.prune()
+	}
+	return r.introduceSelf()
+}
+
+// young reports whether the node started a short time ago.
+func (r *Registrar) young(now cassiatally.Instant) bool {
+	if r.started == 0 {
+		r.started = now
+	}
+	return now.Sub(r.started) < youngFor
+}
+
+// introduceSelf tells members about this node: those of its data centre first.
+func (r *Registrar) introduceSelf() []cassiatally.Action {
+	ids := r.pick(r.peers(true), introductions)
+	ids = append(ids, r.pick(r.peers(false), introductions-len(ids))...)
+	g := r.gossip([]cassiatally.Member{r.self})
+	out := make([]cassiatally.Action, 0, len(ids))
+	for _, id := range ids {
+		out = append(out, cassiatally.Send{To: id, Message: g})
+	}
+	return out
 }
 
 func sameAnnouncement(a, b cassiatally.Endpoint) bool {
@@ -295,6 +342,7 @@
 // Tick removes silent members and starts a gossip round when it is due.
 func (r *Registrar) Tick(now cassiatally.Instant) []cassiatally.Action {
 	r.lastEvent = now
+	r.young(now)
 	if now.Before(r.nextRound) {
 		return nil
 	}
--- a/cassiatally/registrar/registrar_test.go
+++ b/cassiatally/registrar/registrar_test.go
@@ -1,6 +1,7 @@
 package registrar_test
 
 import (
+	"fmt"
 	"math/rand/v2"
 	"testing"
 	"time"
@@ -119,3 +120,40 @@
 	is.Equal(send.To, to)
 	return send.Message.(cassiatally.Gossip).Crashes
 }
+
+// Guards against a fleet that restarts at once and needs rounds of gossip until an
+// entry knows the endpoints of all members.
+func TestFoundMembersAreToldAtOnce(t *testing.T) {
+	is := is.New(t)
+	const now = cassiatally.Instant(time.Hour)
+	member := func(n int, dc cassiatally.DataCentre) cassiatally.Member {
+		id := cassiatally.NodeID(fmt.Sprint("n", n))
+		return cassiatally.Member{
+			Ref: cassiatally.NodeRef{Node: id, Incarnation: 1}, DataCentre: dc, Address: cassiatally.Address(fmt.Sprint("a", n)), Heartbeat: 1, Revision: 1,
+		}
+	}
+	var found []cassiatally.Member
+	for n := range 8 {
+		found = append(found, member(n, []cassiatally.DataCentre{"here", "there"}[n%2]))
+	}
+	r := registrar.New(registrar.Config{
+		Self: found[0].Ref, DataCentre: "here", Address: found[0].Address, Interval: time.Second, SuspectAfter: 3 * time.Second, RemoveAfter: 10 * time.Second,
+	}, rand.New(rand.NewPCG(1, 2)))
+	told := func(actions []cassiatally.Action) map[cassiatally.NodeID]cassiatally.Endpoint {
+		out := map[cassiatally.NodeID]cassiatally.Endpoint{}
+		for _, a := range actions {
+			s := a.(cassiatally.Send)
+			for _, m := range s.Message.(cassiatally.Gossip).Members {
+				if m.Ref == found[0].Ref {
+					out[s.To] = m.Endpoint
+				}
+			}
+		}
+		return out
+	}
+	is.Equal(len(told(r.Found(now, found))), 7)
+	ready := cassiatally.Endpoint{Service: "depot-svc", Slots: 5, State: cassiatally.EndpointReady}
+	is.Equal(len(told(r.SetEndpoint(now, ready))), 7)
+	ready.Slots = 6
+	is.True(len(told(r.SetEndpoint(now.Add(time.Minute), ready))) < 7) // later, gossip spreads it
+}
--- a/cassiatally/router/answer.go
+++ b/cassiatally/router/answer.go
@@ -218,7 +218,7 @@
 		target := p.target
 		p.spent += p.given
 		p.given = 0
-		r.finishAttempt(now, p, cassiatally.CallResult{Took: now.Sub(p.sentAt), Failed: true})
+		r.finishAttempt(now, p, cassiatally.CallResult{Took: now.Sub(p.sentAt), Failed: true, Unreached: true})
 		a := unresolved(cassiatally.KindOutcomeUnknown, "the connection to the backend server's node was lost")
 		a.Endpoint.Node = target
 		return r.afterFailure(now, p, a)
--- a/node/gatekeeper/gatekeeper.go
+++ b/node/gatekeeper/gatekeeper.go
@@ -49,9 +49,10 @@
 
 const (
 	outboxSize = 4096
-	// The timing of links and gossip is that of the defaults of cassiatally-node.
-	linkHeartbeat  = 500 * time.Millisecond
-	linkDeadAfter  = 1500 * time.Millisecond
+	// Requests in flight wait for linkDeadAfter when a data centre is cut off, of
+	// deadlines of 400 ms to 6 s. The timing of gossip is that of cassiatally-node.
+	linkHeartbeat  = 300 * time.Millisecond
+	linkDeadAfter  = time.Second
 	gossipInterval = time.Second
 	suspectAfter   = 3 * time.Second
 	removeAfter    = 10 * time.Second
@@ -270,7 +271,7 @@
 			Ref: g.self, DataCentre: g.Settings.DataCentre, Address: g.links.Advertise, Heartbeat: 1, Revision: 1,
 		},
 		Alone:  g.alone,
-		Found:  g.found,
+		Found:  g.members.Found,
 		Logger: g.logs,
 	}
 }
--- a/node/gatekeeper/routes.go
+++ b/node/gatekeeper/routes.go
@@ -9,9 +9,6 @@
 	"github.com/cassiatally/cassiatally/node/dispatcher"
 )
 
-// storeNode stands for the store in gossip that comes from it.
-const storeNode cassiatally.NodeID = "member-store"
-
 // inbound passes a message to the duty that it is for. It runs in the reader of a
 // link and does not block.
 func (g *Gatekeeper) inbound(from cassiatally.NodeRef, m cassiatally.Message) {
@@ -78,11 +75,6 @@
 	g.instances.Routes(m)
 }
 
-// found takes the members that the store knows.
-func (g *Gatekeeper) found(members []cassiatally.Member) {
-	g.members.Gossip(cassiatally.NodeRef{Node: storeNode}, cassiatally.Gossip{Reply: true, Members: members})
-}
-
 // alone reports whether no other member is known to be alive.
 func (g *Gatekeeper) alone() bool {
 	v := g.members.View()
--- a/node/linker/linker.go
+++ b/node/linker/linker.go
@@ -34,11 +34,13 @@
 )
 
 const (
-	// dialTimeout bounds the opening of a link, the first frames included.
-	dialTimeout = time.Second
-	// redialPause is the least time between two attempts to open a link. Without it
-	// a dead node would cost a dial for each call.
-	redialPause = 200 * time.Millisecond
+	// dialTimeout bounds the opening of a link, the first frames included: three round
+	// trips of 110 ms between regions, and a margin. Calls wait for it.
+	dialTimeout = 500 * time.Millisecond
+	// redialPause is the time from a failed attempt to open a link to the next one. It
+	// doubles up to longestPause. Without it a dead node would cost a dial for each call.
+	redialPause  = 200 * time.Millisecond
+	longestPause = 2 * time.Second
 	// requestIdle and controlIdle are the times without a request and without any
 	// message but heartbeats after which the node that opened a link closes it.
 	// requestIdle exceeds the longest timeout of a request, so that no call is in
@@ -97,7 +99,13 @@
 	byNode map[cassiatally.NodeID]*link
 	byAddr map[cassiatally.Address]*link
 	all    map[*link]struct{}
-	failed map[cassiatally.Address]time.Time
+	failed map[cassiatally.Address]failure
+}
+
+// failure is the last failed attempt to open a link to an address.
+type failure struct {
+	at    time.Time
+	pause time.Duration
 }
 
 // Listening opens the listener, so that the address of links is known before the
@@ -107,7 +115,7 @@
 	l.byNode = make(map[cassiatally.NodeID]*link)
 	l.byAddr = make(map[cassiatally.Address]*link)
 	l.all = make(map[*link]struct{})
-	l.failed = make(map[cassiatally.Address]time.Time)
+	l.failed = make(map[cassiatally.Address]failure)
 	lc := net.ListenConfig{}
 	listener, err := lc.Listen(l.ctx, "tcp", string(l.Listen))
 	if err != nil {
@@ -208,7 +216,7 @@
 	if l.closed {
 		return nil, cassiatally.NewError(cassiatally.KindUnreachable, "the node stops")
 	}
-	if at, ok := l.failed[to]; ok && time.Since(at) < redialPause {
+	if f, ok := l.failed[to]; ok && time.Since(f.at) < f.pause {
 		return nil, cassiatally.NewError(cassiatally.KindUnreachable, "address %s could not be reached a moment ago", to)
 	}
 	k := newLink(l, to)
@@ -245,7 +253,8 @@
 
 func (l *Linker) dialFailed(k *link, err error) {
 	l.mu.Lock()
-	l.failed[k.addr] = time.Now()
+	pause := min(2*l.failed[k.addr].pause, longestPause)
+	l.failed[k.addr] = failure{at: time.Now(), pause: max(pause, redialPause)}
 	if len(l.failed) > maxFailedAddresses {
 		clear(l.failed)
 	}
@@ -306,6 +315,7 @@
 	l.mu.Lock()
 	l.byNode[k.peer.Node] = k
 	k.served = true
+	delete(l.failed, k.addr)
 	l.mu.Unlock()
 	l.Logger.Debug("link opened", "peer", k.peer, "address", k.addr)
 	var reader sync.WaitGroup
--- a/node/memberkeeper/memberkeeper.go
+++ b/node/memberkeeper/memberkeeper.go
@@ -74,6 +74,7 @@
 	sheetEvent  struct{ version cassiatally.Version }
 	epochsEvent struct{ sum cassiatally.Epoch }
 	leaveEvent  struct{}
+	foundEvent  struct{ members []cassiatally.Member }
 )
 
 // Open makes the inbox, so that duties which start earlier can hand over events.
@@ -130,15 +131,24 @@
 // ShardEpochs hands over the sum of the epochs of the shard table.
 func (k *Keeper) ShardEpochs(sum cassiatally.Epoch) { k.inbox.Offer(epochsEvent{sum: sum}, 0) }
 
+// Found hands over members that a store knows.
+func (k *Keeper) Found(members []cassiatally.Member) {
+	k.inbox.Offer(foundEvent{members: members}, 0)
+}
+
 // Leave tells other nodes that this one stops.
 func (k *Keeper) Leave() { k.inbox.Offer(leaveEvent{}, 0) }
 
 func (k *Keeper) tick(now cassiatally.Instant) {
 	k.carryOut(k.Registrar.Tick(now))
-	changed := k.Registrar.Changes() != k.shown
-	if !changed && now.Before(k.nextView) {
-		return
+	if k.Registrar.Changes() != k.shown || now.Reached(k.nextView) {
+		k.show(now)
 	}
+}
+
+// show makes a view and passes it on.
+func (k *Keeper) show(now cassiatally.Instant) {
+	changed := k.Registrar.Changes() != k.shown
 	k.shown = k.Registrar.Changes()
 	k.nextView = now.Add(viewEvery)
 	v := k.Registrar.View(now)
@@ -184,6 +194,12 @@
 
 func (e epochsEvent) apply(k *Keeper, _ cassiatally.Instant) { k.Registrar.SetShardEpochs(e.sum) }
 
+func (e foundEvent) apply(k *Keeper, now cassiatally.Instant) {
+	actions := k.Registrar.Found(now, e.members)
+	k.show(now) // the links of the introductions need the addresses
+	k.carryOut(actions)
+}
+
 func (e leaveEvent) apply(k *Keeper, now cassiatally.Instant) {
 	k.carryOut(k.Registrar.SetLeaving(now))
 }
