cassiatally: move interfaces of nodes to the root package; share the logger and the exit report

Change: Requests, Observer, Keys, Links, Metrics, Logger and the interfaces of front ends are in the root package; exitreporter and logopener.

--- a/node/backendserver/server.go
+++ b/node/backendserver/server.go
@@ -91,20 +91,20 @@
 	return c.NoContent(http.StatusNoContent)
 }
 
-func (a announcement) check() (executor.Announcement, *cassiatally.Error) {
+func (a announcement) check() (cassiatally.Announcement, *cassiatally.Error) {
 	state, ok := states[a.State]
 	_, addrErr := netip.ParseAddrPort(a.Address)
 	switch {
 	case a.Service == "":
-		return executor.Announcement{}, cassiatally.NewError(cassiatally.KindBadRequest, "service is missing")
+		return cassiatally.Announcement{}, cassiatally.NewError(cassiatally.KindBadRequest, "service is missing")
 	case addrErr != nil:
-		return executor.Announcement{}, cassiatally.NewError(cassiatally.KindBadRequest, "address %q is not IP:port", a.Address)
+		return cassiatally.Announcement{}, cassiatally.NewError(cassiatally.KindBadRequest, "address %q is not IP:port", a.Address)
 	case !ok:
-		return executor.Announcement{}, cassiatally.NewError(cassiatally.KindBadRequest, "state %q is neither ready nor draining", a.State)
+		return cassiatally.Announcement{}, cassiatally.NewError(cassiatally.KindBadRequest, "state %q is neither ready nor draining", a.State)
 	case a.Slots < 0 || a.Slots > maxSlots || a.Connections < 0 || a.Connections > maxSlots:
-		return executor.Announcement{}, cassiatally.NewError(cassiatally.KindBadRequest, "slots and connections must be from 0 to %d", maxSlots)
+		return cassiatally.Announcement{}, cassiatally.NewError(cassiatally.KindBadRequest, "slots and connections must be from 0 to %d", maxSlots)
 	}
-	return executor.Announcement{
+	return cassiatally.Announcement{
 		Address: cassiatally.Address(a.Address),
 		Endpoint: cassiatally.Endpoint{
 			Service:     cassiatally.Service(a.Service),
--- a/node/callerserver/server.go
+++ b/node/callerserver/server.go
@@ -38,33 +38,15 @@
 	firstAttempt = "1"
 )
 
-// Requests takes requests; the dispatcher implements it.
-type Requests interface {
-	Submit(req cassiatally.Request, reply func(cassiatally.Answer)) bool
-	Withdraw(id cassiatally.CallID)
-}
-
-// Keys mints idempotency keys and looks up their outcomes; the claimkeeper
-// implements it.
-type Keys interface {
-	Mint(ctx context.Context) (cassiatally.Key, error)
-	Lookup(ctx context.Context, k cassiatally.Key) cassiatally.Answer
-}
-
-// Observer records how requests end.
-type Observer interface {
-	Request(p cassiatally.Policy, t cassiatally.Tenant, a cassiatally.Answer, took time.Duration)
-}
-
 // Server serves callers. Its fields are set before Run.
 type Server struct {
 	Listen      cassiatally.Address
 	DataCentre  cassiatally.DataCentre
 	Reader      requestreader.Reader
 	Clock       cassiatally.Clock
-	Requests    Requests
-	Keys        Keys
-	Observer    Observer
+	Requests    cassiatally.Requests
+	Keys        cassiatally.Keys
+	Observer    cassiatally.Observer
 	Policies    func() (cassiatally.Policies, bool)
 	NextID      func() cassiatally.CallID
 	Retries     cassiatally.RetryCount
--- a/node/claimkeeper/claimkeeper.go
+++ b/node/claimkeeper/claimkeeper.go
@@ -25,7 +25,6 @@
 	"github.com/cassiatally/cassiatally/cassiatally/registrar"
 	"github.com/cassiatally/cassiatally/cassiatally/ring"
 	"github.com/cassiatally/cassiatally/node/logdriver"
-	"github.com/cassiatally/cassiatally/node/loglimiter"
 )
 
 const (
@@ -42,12 +41,6 @@
 	lookupTimeout = 2 * time.Second
 )
 
-// Requests takes claimed requests and key queries; the dispatcher implements it.
-type Requests interface {
-	Submit(req cassiatally.Request, reply func(cassiatally.Answer)) bool
-	Ask(to cassiatally.NodeID, q cassiatally.KeyQuery, timeout time.Duration, reply func(cassiatally.Answer)) bool
-}
-
 // Keeper is the duty. Its fields are set before Run.
 type Keeper struct {
 	Self       cassiatally.NodeRef
@@ -57,10 +50,10 @@
 	Clock      cassiatally.Clock
 	Rand       cassiatally.Rand
 	Transport  cassiatally.Transport
-	Requests   Requests
+	Requests   cassiatally.KeyRequests
 	Log        *logdriver.Driver
 	Codec      *protocol.Codec
-	Logger     loglimiter.Logger
+	Logger     cassiatally.Logger
 	NextID     func() cassiatally.CallID
 	// Retries is the retry budget of a claimed request.
 	Retries cassiatally.RetryCount
--- a/node/command/command.go
+++ b/node/command/command.go
@@ -15,12 +15,13 @@
 	"syscall"
 
 	"github.com/charmbracelet/log"
-	"github.com/cockroachdb/errors"
 
 	"github.com/cassiatally/cassiatally/cassiatally"
+	"github.com/cassiatally/cassiatally/cassiatally/exitreporter"
 	"github.com/cassiatally/cassiatally/cassiatally/flagparser"
 	"github.com/cassiatally/cassiatally/cassiatally/settingsloader"
 	"github.com/cassiatally/cassiatally/cassiatally/sysclock"
+	"github.com/cassiatally/cassiatally/node/logopener"
 	"github.com/cassiatally/cassiatally/node/supervisor"
 )
 
@@ -42,10 +43,11 @@
 	stop, cancel := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer cancel()
 	o := &options{stdout: stdout, stderr: stderr, stop: stop}
+	report := exitreporter.Reporter{Program: name, Stderr: stderr}
 	if err := o.parse(args[1:]); err != nil {
-		return report(stderr, err)
+		return report.Report(err)
 	}
-	return report(stderr, o.run())
+	return report.Report(o.run())
 }
 
 func (o *options) parse(args []string) error {
@@ -78,12 +80,7 @@
 	if err != nil {
 		return err
 	}
-	logger := log.NewWithOptions(o.stderr, log.Options{
-		ReportTimestamp: true,
-		TimeFormat:      "2006-01-02T15:04:05.000Z07:00",
-		Formatter:       log.LogfmtFormatter,
-		Level:           levels[cfg.LogLevel],
-	}).With("node", cfg.Node.ID)
+	logger := logopener.Opener{Node: cfg.Node.ID, Level: levels[cfg.LogLevel]}.Open(o.stderr)
 	s := &supervisor.Supervisor{Settings: cfg, Clock: sysclock.New(), Logger: logger}
 	if err := s.Run(); err != nil {
 		return err
@@ -106,16 +103,3 @@
 	settingsloader.LevelWarn:  log.WarnLevel,
 	settingsloader.LevelError: log.ErrorLevel,
 }
-
-// report prints an error once and returns the exit code of its kind.
-func report(stderr io.Writer, err error) cassiatally.ExitCode {
-	if err == nil {
-		return cassiatally.ExitSuccess
-	}
-	fmt.Fprintf(stderr, "%s: %v\n", name, err)
-	var e *cassiatally.Error
-	if errors.As(err, &e) {
-		return e.Kind.Spec().Exit
-	}
-	return cassiatally.ExitFailure
-}
--- a/node/dispatcher/dispatcher.go
+++ b/node/dispatcher/dispatcher.go
@@ -19,6 +19,7 @@
 	"github.com/cassiatally/cassiatally/cassiatally"
 	"github.com/cassiatally/cassiatally/cassiatally/faultswitch"
 	"github.com/cassiatally/cassiatally/cassiatally/looper"
+	"github.com/cassiatally/cassiatally/cassiatally/registrar"
 	"github.com/cassiatally/cassiatally/cassiatally/ring"
 	"github.com/cassiatally/cassiatally/cassiatally/router"
 	"github.com/cassiatally/cassiatally/cassiatally/splitter"
@@ -100,6 +101,15 @@
 	Load cassiatally.ServiceLoad
 }
 
+// LevelsOf returns the levels in the loads of a view.
+func LevelsOf(loads []registrar.Load) []EndpointLevels {
+	levels := make([]EndpointLevels, 0, len(loads))
+	for _, l := range loads {
+		levels = append(levels, EndpointLevels{Node: l.Node, At: l.At, Load: l.Load})
+	}
+	return levels
+}
+
 // Run starts the duty.
 func (d *Dispatcher) Run() {
 	d.inbox = ring.New[event](inboxSize, ring.Wait)
--- a/node/executor/executor.go
+++ b/node/executor/executor.go
@@ -20,7 +20,6 @@
 	"github.com/cassiatally/cassiatally/cassiatally/looper"
 	"github.com/cassiatally/cassiatally/cassiatally/ring"
 	"github.com/cassiatally/cassiatally/cassiatally/runner"
-	"github.com/cassiatally/cassiatally/node/loglimiter"
 )
 
 const (
@@ -42,31 +41,18 @@
 	firstServerError   = 500
 )
 
-// Requests takes onward calls; the dispatcher implements it.
-type Requests interface {
-	Submit(req cassiatally.Request, reply func(cassiatally.Answer)) bool
-	Withdraw(id cassiatally.CallID)
-}
-
-// Announcement is what the backend server says about itself.
-type Announcement struct {
-	Address  cassiatally.Address
-	Instance cassiatally.InstanceID
-	Endpoint cassiatally.Endpoint
-}
-
 // Executor is the duty. Its fields are set before Run.
 type Executor struct {
 	Runner     *runner.Runner
 	Quarantine cassiatally.Quarantine
 	Clock      cassiatally.Clock
 	Transport  cassiatally.Transport
-	Requests   Requests
+	Requests   cassiatally.Requests
 	Backend    cassiatally.BackendClient
 	// AnnounceTTL is how long an announcement of the backend server holds; 0 means
 	// 3 s.
 	AnnounceTTL time.Duration
-	Logger      loglimiter.Logger
+	Logger      cassiatally.Logger
 	// Waits is called with the time that each started call spent in the queue; it
 	// must not block.
 	Waits func(cassiatally.Rank, time.Duration)
@@ -127,7 +113,7 @@
 		res  cassiatally.RunResult
 		took time.Duration
 	}
-	announceEvent struct{ a Announcement }
+	announceEvent struct{ a cassiatally.Announcement }
 	withdrawEvent struct{}
 	leaveEvent    struct{}
 	sharesEvent   struct {
@@ -218,7 +204,7 @@
 }
 
 // Announce hands over what the backend server says about itself.
-func (x *Executor) Announce(a Announcement) bool {
+func (x *Executor) Announce(a cassiatally.Announcement) bool {
 	return x.inbox.Offer(announceEvent{a: a}, 0)
 }
 
--- a/node/forwarder/forwarder.go
+++ b/node/forwarder/forwarder.go
@@ -16,7 +16,6 @@
 	"github.com/cassiatally/cassiatally/cassiatally"
 	"github.com/cassiatally/cassiatally/cassiatally/matcher"
 	"github.com/cassiatally/cassiatally/cassiatally/runner"
-	"github.com/cassiatally/cassiatally/node/loglimiter"
 	"github.com/cassiatally/cassiatally/node/waiter"
 )
 
@@ -33,44 +32,20 @@
 	comeBack = 500 * time.Millisecond
 )
 
-// Inbound is a request as a front end received it.
-type Inbound struct {
-	Name cassiatally.RequestName
-	Host string
-	Head cassiatally.Head
-	Body []byte
-	// Remaining is the time that the caller will wait; 0 when it did not say.
-	Remaining time.Duration
-	// Root names the caller's request at the beginning of the call chain, and Parent
-	// the request whose run makes the call; empty when there is none.
-	Root, Parent cassiatally.RequestName
-}
-
-// Requests takes requests; the dispatcher implements it.
-type Requests interface {
-	Submit(req cassiatally.Request, reply func(cassiatally.Answer)) bool
-	Withdraw(id cassiatally.CallID)
-}
-
 // Runs knows the runs of the backend server of this host; the executor implements it.
 type Runs interface {
 	Child(c runner.ChildCall, reply func(cassiatally.Answer)) bool
 	ChildGone(waiter cassiatally.CallID)
 }
 
-// Observer records how requests end.
-type Observer interface {
-	Request(p cassiatally.Policy, t cassiatally.Tenant, a cassiatally.Answer, took time.Duration)
-}
-
 // Forwarder forwards requests. Its fields are set before the first Forward.
 type Forwarder struct {
 	Routes   func() (*matcher.Matcher, bool)
-	Requests Requests
+	Requests cassiatally.Requests
 	Runs     Runs
 	Clock    cassiatally.Clock
-	Observer Observer
-	Logger   loglimiter.Logger
+	Observer cassiatally.Observer
+	Logger   cassiatally.Logger
 	NextID   func() cassiatally.CallID
 	// LocalService returns the service of the backend server of this host.
 	LocalService func() cassiatally.Service
@@ -83,7 +58,7 @@
 
 // Forward returns the answer to a request, or one of KindCancelled when ctx ends
 // first.
-func (f *Forwarder) Forward(ctx context.Context, in Inbound) cassiatally.Answer {
+func (f *Forwarder) Forward(ctx context.Context, in cassiatally.Inbound) cassiatally.Answer {
 	arrived := f.Clock.Now()
 	f.inFlight.Add(1)
 	defer f.inFlight.Add(-1)
@@ -109,7 +84,7 @@
 	return cassiatally.Answer{Outcome: cassiatally.OutcomeNotRun, Kind: kind, Detail: detail, RetryAfter: after}
 }
 
-func (f *Forwarder) request(in Inbound, route *cassiatally.Route, v cassiatally.Version, arrived cassiatally.Instant) cassiatally.Request {
+func (f *Forwarder) request(in cassiatally.Inbound, route *cassiatally.Route, v cassiatally.Version, arrived cassiatally.Instant) cassiatally.Request {
 	root := rootOf(in)
 	req := cassiatally.Request{
 		ID:      f.NextID(),
@@ -138,7 +113,7 @@
 }
 
 // rootOf returns the root id of a request. All calls of a chain have the same.
-func rootOf(in Inbound) cassiatally.RootID {
+func rootOf(in cassiatally.Inbound) cassiatally.RootID {
 	name := in.Root
 	if name == "" {
 		name = in.Name
@@ -146,7 +121,7 @@
 	return cassiatally.RootOfKey(cassiatally.Key(name))
 }
 
-func timeoutOf(in Inbound, route *cassiatally.Route) time.Duration {
+func timeoutOf(in cassiatally.Inbound, route *cassiatally.Route) time.Duration {
 	timeout := defaultTimeout
 	if route.Timeout > 0 {
 		timeout = route.Timeout
@@ -159,7 +134,7 @@
 
 // answer returns the answer to a request. A call of a run in flight here shares
 // the deadline and the retries of that run.
-func (f *Forwarder) answer(ctx context.Context, in Inbound, req cassiatally.Request, arrived cassiatally.Instant) cassiatally.Answer {
+func (f *Forwarder) answer(ctx context.Context, in cassiatally.Inbound, req cassiatally.Request, arrived cassiatally.Instant) cassiatally.Answer {
 	if in.Parent != "" {
 		a, known := f.awaitChild(ctx, in, req, arrived)
 		if known {
@@ -171,7 +146,7 @@
 
 // awaitChild returns false when the parent does not run here, as after a restart of
 // this node.
-func (f *Forwarder) awaitChild(ctx context.Context, in Inbound, req cassiatally.Request, arrived cassiatally.Instant) (cassiatally.Answer, bool) {
+func (f *Forwarder) awaitChild(ctx context.Context, in cassiatally.Inbound, req cassiatally.Request, arrived cassiatally.Instant) (cassiatally.Answer, bool) {
 	w := waiter.New()
 	child := runner.ChildCall{
 		Waiter: req.ID, ParentName: in.Parent, Onward: &req, Service: req.Service, Work: req.Work, Name: string(req.Name),
--- a/node/gatekeeper/gatekeeper.go
+++ b/node/gatekeeper/gatekeeper.go
@@ -146,7 +146,7 @@
 }
 
 // Forward returns the answer to a request of a front end.
-func (g *Gatekeeper) Forward(ctx context.Context, in forwarder.Inbound) cassiatally.Answer {
+func (g *Gatekeeper) Forward(ctx context.Context, in cassiatally.Inbound) cassiatally.Answer {
 	return g.forwarder.Forward(ctx, in)
 }
 
--- a/node/gatekeeper/gatekeeper_test.go
+++ b/node/gatekeeper/gatekeeper_test.go
@@ -13,7 +13,6 @@
 
 	"github.com/cassiatally/cassiatally/cassiatally"
 	"github.com/cassiatally/cassiatally/cassiatally/sysclock"
-	"github.com/cassiatally/cassiatally/node/forwarder"
 	"github.com/cassiatally/cassiatally/node/gatekeeper"
 )
 
@@ -140,8 +139,8 @@
 	return cassiatally.InstanceReport{Instance: "i-1", Born: 1, Sequence: seq, Service: s, Address: "127.0.0.1:1", Slots: 8, State: state}
 }
 
-func inbound(name cassiatally.RequestName, host string) forwarder.Inbound {
-	return forwarder.Inbound{Name: name, Root: name, Host: host, Head: cassiatally.Head{Method: "GET", Target: "/x"}, Remaining: 5 * time.Second}
+func inbound(name cassiatally.RequestName, host string) cassiatally.Inbound {
+	return cassiatally.Inbound{Name: name, Root: name, Host: host, Head: cassiatally.Head{Method: "GET", Target: "/x"}, Remaining: 5 * time.Second}
 }
 
 // eventually waits for a condition with a generous limit.
--- a/node/gatekeeper/routes.go
+++ b/node/gatekeeper/routes.go
@@ -53,11 +53,7 @@
 
 // viewChanged passes a new view of the members to the duties that use it.
 func (g *Gatekeeper) viewChanged(v *registrar.View) {
-	levels := make([]dispatcher.EndpointLevels, 0, len(v.Loads))
-	for _, l := range v.Loads {
-		levels = append(levels, dispatcher.EndpointLevels{Node: l.Node, At: l.At, Load: l.Load})
-	}
-	g.dispatcher.Endpoints(v.Candidates, levels)
+	g.dispatcher.Endpoints(v.Candidates, dispatcher.LevelsOf(v.Loads))
 	g.executor.SetPeers(v.Peers(g.self))
 }
 
--- a/node/instancekeeper/instancekeeper.go
+++ b/node/instancekeeper/instancekeeper.go
@@ -20,8 +20,6 @@
 	"github.com/cassiatally/cassiatally/cassiatally/looper"
 	"github.com/cassiatally/cassiatally/cassiatally/matcher"
 	"github.com/cassiatally/cassiatally/cassiatally/ring"
-	"github.com/cassiatally/cassiatally/node/executor"
-	"github.com/cassiatally/cassiatally/node/loglimiter"
 )
 
 const (
@@ -33,19 +31,13 @@
 	trustAfter = 3
 )
 
-// Backend is told about the backend server; the executor implements it.
-type Backend interface {
-	Announce(a executor.Announcement) bool
-	Withdraw()
-}
-
 // Keeper is the duty. Its fields are set before Run.
 type Keeper struct {
 	Tracker *instancetracker.Tracker
 	Clock   cassiatally.Clock
-	Backend Backend
+	Backend cassiatally.BackendGate
 	Prober  cassiatally.BackendProber
-	Logger  loglimiter.Logger
+	Logger  cassiatally.Logger
 	// Service and Address are where the settings expect the backend server.
 	Service cassiatally.Service
 	Address cassiatally.Address
@@ -216,7 +208,7 @@
 	}
 	spec, _ := k.routes.Table().Service(r.Service)
 	k.service.Store(&r.Service)
-	k.Backend.Announce(executor.Announcement{
+	k.Backend.Announce(cassiatally.Announcement{
 		Address:  r.Address,
 		Instance: r.Instance,
 		Endpoint: cassiatally.Endpoint{Service: r.Service, Slots: r.Slots, Connections: spec.Connections, State: r.State},
--- a/node/introducer/introducer.go
+++ b/node/introducer/introducer.go
@@ -17,7 +17,6 @@
 	"time"
 
 	"github.com/cassiatally/cassiatally/cassiatally"
-	"github.com/cassiatally/cassiatally/node/loglimiter"
 )
 
 const (
@@ -42,7 +41,7 @@
 	Alone func() bool
 	// Found takes the members that the store knows; it must not block.
 	Found  func([]cassiatally.Member)
-	Logger loglimiter.Logger
+	Logger cassiatally.Logger
 
 	running sync.WaitGroup
 	cancel  context.CancelFunc
--- a/node/linker/linker.go
+++ b/node/linker/linker.go
@@ -30,7 +30,6 @@
 
 	"github.com/cassiatally/cassiatally/cassiatally"
 	"github.com/cassiatally/cassiatally/cassiatally/protocol"
-	"github.com/cassiatally/cassiatally/node/loglimiter"
 )
 
 const (
@@ -72,7 +71,7 @@
 	Advertise cassiatally.Address
 	Listen    cassiatally.Address
 	Codec     *protocol.Codec
-	Logger    loglimiter.Logger
+	Logger    cassiatally.Logger
 	Heartbeat time.Duration
 	DeadAfter time.Duration
 	// RingSize bounds the messages that wait to be written to one link.
--- a/node/loglimiter/limiter.go
+++ b/node/loglimiter/limiter.go
@@ -28,17 +28,9 @@
 	window         = time.Second
 )
 
-// Logger writes log lines. Limiter and log.Logger implement it.
-type Logger interface {
-	Debug(event any, fields ...any)
-	Info(event any, fields ...any)
-	Warn(event any, fields ...any)
-	Error(event any, fields ...any)
-}
-
 var (
-	_ Logger = (*Limiter)(nil)
-	_ Logger = (*log.Logger)(nil)
+	_ cassiatally.Logger = (*Limiter)(nil)
+	_ cassiatally.Logger = (*log.Logger)(nil)
 )
 
 // Limiter is a Logger that leaves out lines. It is safe for concurrent use.
--- a/node/memberkeeper/memberkeeper.go
+++ b/node/memberkeeper/memberkeeper.go
@@ -19,7 +19,6 @@
 	"github.com/cassiatally/cassiatally/cassiatally/looper"
 	"github.com/cassiatally/cassiatally/cassiatally/registrar"
 	"github.com/cassiatally/cassiatally/cassiatally/ring"
-	"github.com/cassiatally/cassiatally/node/loglimiter"
 )
 
 const (
@@ -30,18 +29,12 @@
 	viewEvery = time.Second
 )
 
-// Links sends messages to nodes and to addresses whose node is not yet known.
-type Links interface {
-	cassiatally.Transport
-	SendAddress(to cassiatally.Address, m cassiatally.Message) error
-}
-
 // Keeper is the duty. Its fields are set before Run.
 type Keeper struct {
 	Registrar *registrar.Registrar
 	Clock     cassiatally.Clock
-	Links     Links
-	Logger    loglimiter.Logger
+	Links     cassiatally.Links
+	Logger    cassiatally.Logger
 	// OnView is called by the duty with each new view; it must not block.
 	OnView func(*registrar.View)
 	// OnGossip is called by the duty with what gossip carries besides members; it
--- a/node/routekeeper/routekeeper.go
+++ b/node/routekeeper/routekeeper.go
@@ -21,7 +21,6 @@
 	"github.com/cassiatally/cassiatally/cassiatally/looper"
 	"github.com/cassiatally/cassiatally/cassiatally/matcher"
 	"github.com/cassiatally/cassiatally/cassiatally/ring"
-	"github.com/cassiatally/cassiatally/node/loglimiter"
 )
 
 const (
@@ -40,7 +39,7 @@
 	Source    cassiatally.RouteSource
 	Clock     cassiatally.Clock
 	Transport cassiatally.Transport
-	Logger    loglimiter.Logger
+	Logger    cassiatally.Logger
 	// OnTable is called by the duty with each table that comes into force; it must
 	// not block.
 	OnTable func(*matcher.Matcher)
--- a/node/sampler/sampler.go
+++ b/node/sampler/sampler.go
@@ -20,19 +20,11 @@
 
 const every = time.Second
 
-// Metrics takes values; the reporter implements it.
-type Metrics interface {
-	Gauge(name string, value float64)
-	RankGauge(name string, rank cassiatally.Rank, value float64)
-	// Count adds to a counter with tags.
-	Count(name string, tags map[string]string, delta int64)
-}
-
 // Sampler is the duty. Its fields are set before Run.
 type Sampler struct {
 	Clock   cassiatally.Clock
 	Status  func() adminserver.Status
-	Metrics Metrics
+	Metrics cassiatally.Metrics
 	// EachTime is called after each sample; it must not block.
 	EachTime func()
 
--- a/node/sheetkeeper/sheetkeeper.go
+++ b/node/sheetkeeper/sheetkeeper.go
@@ -26,7 +26,6 @@
 	"github.com/cassiatally/cassiatally/cassiatally/ring"
 	"github.com/cassiatally/cassiatally/cassiatally/sheetparser"
 	"github.com/cassiatally/cassiatally/node/logdriver"
-	"github.com/cassiatally/cassiatally/node/loglimiter"
 )
 
 const (
@@ -47,7 +46,7 @@
 	Transport cassiatally.Transport
 	Log       *logdriver.Driver
 	Codec     *protocol.Codec
-	Logger    loglimiter.Logger
+	Logger    cassiatally.Logger
 	// OnSheet is called by the duty with each sheet that comes into force; it must
 	// not block.
 	OnSheet func(*ranker.Ranker)
--- a/node/supervisor/routes.go
+++ b/node/supervisor/routes.go
@@ -71,11 +71,7 @@
 
 // viewChanged passes a new view of the members to the duties that use it.
 func (s *Supervisor) viewChanged(v *registrar.View) {
-	levels := make([]dispatcher.EndpointLevels, 0, len(v.Loads))
-	for _, l := range v.Loads {
-		levels = append(levels, dispatcher.EndpointLevels{Node: l.Node, At: l.At, Load: l.Load})
-	}
-	s.dispatcher.Endpoints(v.Candidates, levels)
+	s.dispatcher.Endpoints(v.Candidates, dispatcher.LevelsOf(v.Loads))
 	s.executor.SetPeers(v.Peers(s.self))
 	s.claims.Members(v)
 	s.sheets.Members(v)
