--- a/cassiatally/budgeter/budgeter.go
+++ b/cassiatally/budgeter/budgeter.go
@@ -10,7 +10,7 @@
 //
 //	b := &budgeter.Budgeter{}
 //	b.Succeeded(now, pair)
-//	if b.Take(now, pair, level) {
+//	if b.Take(now, pair, rank, level) {
 //		// send the retry
 //	}
 //	if b.TakeLost(now, pair) {
@@ -87,7 +87,7 @@
 
 // Take spends a token of the pair. A level below shortBelow means that the target
 // is already short of capacity: the bucket is emptied and nothing may be retried.
-func (b *Budgeter) Take(now cassiatally.Instant, p cassiatally.ServicePair, level cassiatally.Level) bool {
+func (b *Budgeter) Take(now cassiatally.Instant, p cassiatally.ServicePair, _ cassiatally.Rank, level cassiatally.Level) bool {
 	if faultswitch.Off(faultswitch.RetryBudget) {
 		return true
 	}
--- a/cassiatally/interfaces.go
+++ b/cassiatally/interfaces.go
@@ -154,9 +154,9 @@
 
 // RetryBudget bounds retries per pair of services.
 type RetryBudget interface {
-	// Take reports whether a retry may be sent now and spends it if so. The level
-	// of the target service shrinks the budget.
-	Take(now Instant, p ServicePair, level Level) bool
+	// Take reports whether a retry of a request of the rank may be sent now and spends
+	// it if so. The level of the target service shrinks the budget.
+	Take(now Instant, p ServicePair, r Rank, level Level) bool
 	// TakeLost does the same for a run that was cut off by the loss of an endpoint,
 	// whatever the level.
 	TakeLost(now Instant, p ServicePair) bool
--- a/cassiatally/router/answer.go
+++ b/cassiatally/router/answer.go
@@ -181,7 +181,7 @@
 	if p.lost && r.cfg.Budget.TakeLost(now, p.pair()) {
 		return true
 	}
-	return r.cfg.Budget.Take(now, p.pair(), r.cfg.Loads.Level(now, p.req.Service, p.req.Policy.Rank))
+	return r.cfg.Budget.Take(now, p.pair(), p.req.Policy.Rank, r.cfg.Loads.Level(now, p.req.Service, p.req.Policy.Rank))
 }
 
 // LinkLost takes the loss of the link to a node. Idempotent calls are repeated
--- a/cassiatally/router/router_test.go
+++ b/cassiatally/router/router_test.go
@@ -39,7 +39,7 @@
 // openBudget denies retries, but for those of lost requests if lost is set.
 type openBudget struct{ denied, lost bool }
 
-func (b openBudget) Take(cassiatally.Instant, cassiatally.ServicePair, cassiatally.Level) bool {
+func (b openBudget) Take(cassiatally.Instant, cassiatally.ServicePair, cassiatally.Rank, cassiatally.Level) bool {
 	return !b.denied
 }
 
--- a/cassiatally/windowbudgeter/windowbudgeter.go
+++ b/cassiatally/windowbudgeter/windowbudgeter.go
@@ -9,7 +9,7 @@
 //
 //	b := &windowbudgeter.Budgeter{Ratio: 0.16, Slack: 1}
 //	b.Requested(now, pair, false) // with the first send of each request
-//	if b.Take(now, pair, level) {
+//	if b.Take(now, pair, rank, level) {
 //		// send it once more
 //	}
 //
@@ -32,6 +32,10 @@
 	// shortBelow is the level below which a service is short of capacity. Retries
 	// into it would take room from first tries.
 	shortBelow = 0.9
+	// othersPart is the part of the retries that requests of less than the most urgent
+	// rank may use. Calls of long chains need so many that they leave none, when all
+	// endpoints of a service refuse half of what they get, and are served no better.
+	othersPart = 0.5
 )
 
 // Budgeter bounds the retries of one node.
@@ -74,19 +78,24 @@
 func (b *Budgeter) Succeeded(cassiatally.Instant, cassiatally.ServicePair) {}
 
 // Take reports whether a retry may be sent and counts it if so.
-func (b *Budgeter) Take(now cassiatally.Instant, p cassiatally.ServicePair, level cassiatally.Level) bool {
-	return level >= shortBelow && b.take(now, p)
+func (b *Budgeter) Take(now cassiatally.Instant, p cassiatally.ServicePair, r cassiatally.Rank, level cassiatally.Level) bool {
+	part := othersPart
+	if r == 0 {
+		part = 1
+	}
+	return level >= shortBelow && b.take(now, p, part)
 }
 
 // TakeLost does the same for a request whose endpoint was lost, also when the
 // service is short.
 func (b *Budgeter) TakeLost(now cassiatally.Instant, p cassiatally.ServicePair) bool {
-	return b.take(now, p)
+	return b.take(now, p, 1)
 }
 
-func (b *Budgeter) take(now cassiatally.Instant, p cassiatally.ServicePair) bool {
+// take counts a retry if, with it, no more than a part of those allowed are used.
+func (b *Budgeter) take(now cassiatally.Instant, p cassiatally.ServicePair, part float64) bool {
 	a := b.account(now, p.To)
-	if a == nil || sum(a.retries)+1 > b.Ratio*sum(a.requests)+b.Slack {
+	if a == nil || sum(a.retries)+1 > part*(b.Ratio*sum(a.requests)+b.Slack) {
 		return false
 	}
 	a.retries[a.slot%slots]++
--- a/cassiatally/windowbudgeter/windowbudgeter_test.go
+++ b/cassiatally/windowbudgeter/windowbudgeter_test.go
@@ -80,7 +80,7 @@
 	for range 16 {
 		b.Requested(now, pair, true)
 	}
-	is.True(!b.Take(now, pair, 1))
+	is.True(!b.Take(now, pair, 0, 1))
 	is.True(!b.TakeLost(now, pair))
 }
 
@@ -89,8 +89,28 @@
 	is := is.New(t)
 	b := &windowbudgeter.Budgeter{Ratio: ratio, Slack: 1}
 	now := cassiatally.Instant(time.Hour)
-	is.True(!b.Take(now, pair, 0.5))
+	is.True(!b.Take(now, pair, 0, 0.5))
 	is.True(b.TakeLost(now, pair)) // its endpoint was lost
 	is.True(!b.TakeLost(now, pair))
 	is.True(b.TakeLost(now.Add(window), pair))
 }
+
+// Guards against the calls of long chains that use up all retries while the most
+// urgent requests, of which one retry is enough, fail.
+func TestMostUrgentRankHasRetriesLeft(t *testing.T) {
+	is := is.New(t)
+	b := &windowbudgeter.Budgeter{Ratio: ratio}
+	now := cassiatally.Instant(time.Hour)
+	for range 100 {
+		b.Requested(now, pair, false)
+	}
+	others, urgent := 0, 0
+	for b.Take(now, pair, 1, 1) {
+		others++
+	}
+	for b.Take(now, pair, 0, 1) {
+		urgent++
+	}
+	is.Equal(others, 8)
+	is.Equal(urgent, 8)
+}
