--- a/node/gatekeeper/gatekeeper_test.go
+++ b/node/gatekeeper/gatekeeper_test.go
@@ -233,6 +233,43 @@
 	eventually(t, "it also gets the next version", gone)
 }
 
+// Guards against a request that is cut off because its route is changed or dropped
+// while it runs.
+func TestRoutesChangeUnderARequest(t *testing.T) {
+	is := is.New(t)
+	var mu sync.Mutex
+	hold := false
+	begun, release := make(chan struct{}, 1), make(chan struct{})
+	avail := &backend{run: func(ctx context.Context, _ cassiatally.Call) cassiatally.RunResult {
+		mu.Lock()
+		held := hold
+		mu.Unlock()
+		if held {
+			begun <- struct{}{}
+			select {
+			case <-release:
+			case <-ctx.Done():
+			}
+		}
+		return answer("avail")
+	}}
+	f, a, _ := twoNodes(t, avail)
+	mu.Lock()
+	hold = true
+	mu.Unlock()
+	got := make(chan cassiatally.Answer, 1)
+	go func() { got <- a.Forward(context.Background(), inbound("r", "avail")) }()
+	<-begun
+	next := table(4)
+	next.Routes = next.Routes[:1]
+	f.store.publish(next)
+	eventually(t, "the route is gone", func() bool {
+		return a.Forward(context.Background(), inbound("s", "avail")).Kind == cassiatally.KindUnknownKind
+	})
+	close(release)
+	is.Equal(string((<-got).Body), "avail")
+}
+
 // Guards against requests that reach a backend server after the node acknowledged
 // that it leaves, and against a caller who is not told that nothing was run.
 func TestDrainingBackend(t *testing.T) {
