--- a/node/gatekeeper/gatekeeper_test.go
+++ b/node/gatekeeper/gatekeeper_test.go
@@ -4,6 +4,8 @@
 	"context"
 	"fmt"
 	"io"
+	"net/http"
+	"net/http/httptest"
 	"sync"
 	"testing"
 	"time"
@@ -422,3 +424,20 @@
 		a.Forward(context.Background(), in)
 	}
 }
+
+// BenchmarkHTTPHop is a request over a kept HTTP connection, to compare with
+// BenchmarkForward.
+func BenchmarkHTTPHop(b *testing.B) {
+	body := make([]byte, 1500)
+	srv := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { _, _ = w.Write(body) }))
+	defer srv.Close()
+	b.ReportAllocs()
+	for b.Loop() {
+		resp, err := http.Get(srv.URL)
+		if err != nil {
+			b.Fatal(err)
+		}
+		_, _ = io.Copy(io.Discard, resp.Body)
+		_ = resp.Body.Close()
+	}
+}
