--- a/cassiatally/protocol/bench_test.go
+++ b/cassiatally/protocol/bench_test.go
@@ -58,13 +58,13 @@
 		ID: cassiatally.CallID{Origin: 1 << 60, Seq: 1 << 20}, Service: "yeje52a", Work: "r-bn56694", Rank: 1, Order: 0.31, Idempotent: true,
 		Remaining: 5 * time.Second, Retries: 16, Attempt: 1, Caller: "miye86b", Name: "4500ad30f8dd716d.87fdd7ed2e6bdae1",
 		Head: cassiatally.Head{Method: "GET", Target: "/leny950/2f", Fields: []cassiatally.Field{
-			{Name: "Host", Value: "hulo84.example"}, {Name: "Attempt-Id", Value: "4500ad30f8dd716d.87fdd7ed2e6bdae1"}, {Name: "Deadline-Remaining", Value: "5000"},
+			{Name: "Host", Value: "hulo84.example"}, {Name: "Request-Id", Value: "4500ad30f8dd716d.87fdd7ed2e6bdae1"}, {Name: "Request-Timeout", Value: "5000"},
 		}},
 		Digest: cassiatally.DigestOf(nil),
 	}
 	answer := cassiatally.Answer{
 		ID: call.ID, Request: call.Tag(), Outcome: cassiatally.OutcomeRan, Status: 200, Body: body, Digest: cassiatally.DigestOf(body),
-		Fields:   []cassiatally.Field{{Name: "Attempt-Id", Value: string(call.Name)}, {Name: "Response-Signature", Value: "3e1b.07.5a2.600.0.c9f2a4d1"}},
+		Fields:   []cassiatally.Field{{Name: "Request-Id", Value: string(call.Name)}, {Name: "Content-Digest", Value: "3e1b.07.5a2.600.0.c9f2a4d1"}},
 		Endpoint: cassiatally.EndpointLoad{Node: "sidecar-zone-a-1", Limit: 127, InFlight: 20, Typical: time.Second},
 		Loads: []cassiatally.ServiceLoad{
 			{Service: "yeje52a", Weight: 127, Levels: make([]cassiatally.Level, cassiatally.MaxRanks)},
--- /dev/null
+++ b/cassiatally/protocol/wireroutes.go
@@ -0,0 +1,105 @@
+package protocol
+
+import (
+	"time"
+
+	"github.com/cassiatally/cassiatally/cassiatally"
+)
+
+type wireWeighted struct {
+	_       struct{} `cbor:",toarray"`
+	Service cassiatally.Service
+	Weight  float64
+}
+
+func toWeighted(m cassiatally.WeightedService) wireWeighted {
+	return wireWeighted{Service: m.Service, Weight: m.Weight}
+}
+
+func fromWeighted(w wireWeighted) cassiatally.WeightedService {
+	return cassiatally.WeightedService{Service: w.Service, Weight: w.Weight}
+}
+
+type wireRoute struct {
+	Name       cassiatally.WorkKind `cbor:"1,keyasint,omitempty"`
+	Host       string               `cbor:"2,keyasint,omitempty"`
+	Prefix     string               `cbor:"3,keyasint,omitempty"`
+	Services   []wireWeighted       `cbor:"4,keyasint,omitempty"`
+	Idempotent bool                 `cbor:"5,keyasint,omitempty"`
+	Timeout    time.Duration        `cbor:"6,keyasint,omitempty"`
+	Target     time.Duration        `cbor:"7,keyasint,omitempty"`
+	Rank       cassiatally.Rank     `cbor:"8,keyasint,omitempty"`
+	Attempts   int                  `cbor:"9,keyasint,omitempty"`
+}
+
+func toRoute(m cassiatally.Route) wireRoute {
+	return wireRoute{
+		Name: m.Name, Host: m.Host, Prefix: m.Prefix, Services: each(m.Services, toWeighted), Idempotent: m.Idempotent,
+		Timeout: m.Timeout, Target: m.Target, Rank: m.Rank, Attempts: m.Attempts,
+	}
+}
+
+func fromRoute(w wireRoute) cassiatally.Route {
+	return cassiatally.Route{
+		Name: w.Name, Host: w.Host, Prefix: w.Prefix, Services: each(w.Services, fromWeighted), Idempotent: w.Idempotent,
+		Timeout: w.Timeout, Target: w.Target, Rank: w.Rank, Attempts: w.Attempts,
+	}
+}
+
+type wireServiceSpec struct {
+	_           struct{} `cbor:",toarray"`
+	Name        cassiatally.Service
+	HealthPath  string
+	Connections cassiatally.Concurrency
+}
+
+func toServiceSpec(m cassiatally.ServiceSpec) wireServiceSpec {
+	return wireServiceSpec{Name: m.Name, HealthPath: m.HealthPath, Connections: m.Connections}
+}
+
+func fromServiceSpec(w wireServiceSpec) cassiatally.ServiceSpec {
+	return cassiatally.ServiceSpec{Name: w.Name, HealthPath: w.HealthPath, Connections: w.Connections}
+}
+
+type wireRequestLimits struct {
+	_             struct{} `cbor:",toarray"`
+	HeaderBytes   int
+	BodyBytes     int64
+	HeaderTimeout time.Duration
+	IdleTimeout   time.Duration
+}
+
+type wireRouteUpdate struct {
+	Version  cassiatally.Version `cbor:"1,keyasint,omitempty"`
+	Routes   []wireRoute         `cbor:"2,keyasint,omitempty"`
+	Services []wireServiceSpec   `cbor:"3,keyasint,omitempty"`
+	Limits   wireRequestLimits   `cbor:"4,keyasint,omitempty"`
+}
+
+func toRouteUpdate(m cassiatally.RouteUpdate) wireRouteUpdate {
+	l := m.Table.Limits
+	return wireRouteUpdate{
+		Version:  m.Table.Version,
+		Routes:   each(m.Table.Routes, toRoute),
+		Services: each(m.Table.Services, toServiceSpec),
+		Limits:   wireRequestLimits{HeaderBytes: l.HeaderBytes, BodyBytes: l.BodyBytes, HeaderTimeout: l.HeaderTimeout, IdleTimeout: l.IdleTimeout},
+	}
+}
+
+func fromRouteUpdate(w wireRouteUpdate) cassiatally.RouteUpdate {
+	l := w.Limits
+	return cassiatally.RouteUpdate{Table: cassiatally.RouteTable{
+		Version:  w.Version,
+		Routes:   each(w.Routes, fromRoute),
+		Services: each(w.Services, fromServiceSpec),
+		Limits:   cassiatally.RequestLimits{HeaderBytes: l.HeaderBytes, BodyBytes: l.BodyBytes, HeaderTimeout: l.HeaderTimeout, IdleTimeout: l.IdleTimeout},
+	}}
+}
+
+type wireRoutePull struct {
+	Have cassiatally.Version `cbor:"1,keyasint,omitempty"`
+}
+
+func toRoutePull(m cassiatally.RoutePull) wireRoutePull { return wireRoutePull(m) }
+
+func fromRoutePull(w wireRoutePull) cassiatally.RoutePull { return cassiatally.RoutePull(w) }
--- a/node/gatekeeper/gatekeeper_test.go
+++ b/node/gatekeeper/gatekeeper_test.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"net/http/httptest"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -98,6 +99,27 @@
 	return cassiatally.BackendHealth{Instance: "i-probed", Healthy: b.healthy, Slots: 8}, nil
 }
 
+// holder is a backend server that holds its runs once it is told to.
+type holder struct {
+	hold           atomic.Bool
+	begun, release chan struct{}
+}
+
+func newHolder() *holder {
+	return &holder{begun: make(chan struct{}, 1), release: make(chan struct{})}
+}
+
+func (h *holder) run(ctx context.Context, _ cassiatally.Call) cassiatally.RunResult {
+	if h.hold.Load() {
+		h.begun <- struct{}{}
+		select {
+		case <-h.release:
+		case <-ctx.Done():
+		}
+	}
+	return answer("avail")
+}
+
 func answer(body string) cassiatally.RunResult {
 	return cassiatally.RunResult{Kind: cassiatally.ResultAnswered, Status: 200, Body: []byte(body)}
 }
@@ -239,36 +261,20 @@
 // while it runs.
 func TestRoutesChangeUnderARequest(t *testing.T) {
 	is := is.New(t)
-	var mu sync.Mutex
-	hold := false
-	begun, release := make(chan struct{}, 1), make(chan struct{})
-	avail := &backend{run: func(ctx context.Context, _ cassiatally.Call) cassiatally.RunResult {
-		mu.Lock()
-		held := hold
-		mu.Unlock()
-		if held {
-			begun <- struct{}{}
-			select {
-			case <-release:
-			case <-ctx.Done():
-			}
-		}
-		return answer("avail")
-	}}
+	h := newHolder()
+	avail := &backend{run: h.run}
 	f, a, _ := twoNodes(t, avail)
-	mu.Lock()
-	hold = true
-	mu.Unlock()
+	h.hold.Store(true)
 	got := make(chan cassiatally.Answer, 1)
 	go func() { got <- a.Forward(context.Background(), inbound("r", "avail")) }()
-	<-begun
+	<-h.begun
 	next := table(4)
 	next.Routes = next.Routes[:1]
 	f.store.publish(next)
 	eventually(t, "the route is gone", func() bool {
 		return a.Forward(context.Background(), inbound("s", "avail")).Kind == cassiatally.KindUnknownKind
 	})
-	close(release)
+	close(h.release)
 	is.Equal(string((<-got).Body), "avail")
 }
 
@@ -303,30 +309,14 @@
 // Guards against a node that loses requests when it is told to stop.
 func TestDrain(t *testing.T) {
 	is := is.New(t)
-	begun, release := make(chan struct{}, 1), make(chan struct{})
-	hold := false
-	var mu sync.Mutex
-	avail := &backend{run: func(ctx context.Context, _ cassiatally.Call) cassiatally.RunResult {
-		mu.Lock()
-		held := hold
-		mu.Unlock()
-		if held {
-			begun <- struct{}{}
-			select {
-			case <-release:
-			case <-ctx.Done():
-			}
-		}
-		return answer("avail")
-	}}
+	h := newHolder()
+	avail := &backend{run: h.run}
 	_, a, b := twoNodes(t, avail)
-	mu.Lock()
-	hold = true
-	mu.Unlock()
+	h.hold.Store(true)
 	got := make(chan cassiatally.Answer, 1)
 	go func() { got <- a.Forward(context.Background(), inbound("r", "avail")) }()
 	select {
-	case <-begun:
+	case <-h.begun:
 	case a := <-got:
 		t.Fatalf("answered before the run began: %+v", a)
 	}
@@ -341,7 +331,7 @@
 		t.Fatal("drained with a run in flight")
 	case <-time.After(50 * time.Millisecond):
 	}
-	close(release)
+	close(h.release)
 	is.Equal(string((<-got).Body), "avail")
 	<-done
 }
