balancer: take an endpoint without runs to be as fast as the fastest of its service

Cause: an endpoint that has run nothing was taken to need 10 ms, so that one that joined a service of shorter calls got none while the others had room; found by TestUnsafeRequests of platform/sidecartest, whose second endpoint was never used. Change: the least run time known of the service, 10 ms at most. Measured: TestNewEndpointOfAFastService fails before.

--- a/cassiatally/balancer/balancer.go
+++ b/cassiatally/balancer/balancer.go
@@ -50,8 +50,8 @@
 	loadCost = 0.25
 	fullCost = 5.0
 	// unknownTypical and unknownLimit stand in for values not yet reported.
-	unknownTypical = 10 * time.Millisecond
-	unknownLimit   = 4
+	unknownTypical time.Duration = 10 * time.Millisecond
+	unknownLimit                 = 4
 	// tookWeight is the weight of one call in the smoothed time and failure rate.
 	tookWeight = 0.1
 	// outlierCalls is the least number of calls before the failure rate counts.
@@ -259,7 +259,7 @@
 		typical = e.took
 	}
 	if typical <= 0 {
-		typical = unknownTypical
+		typical = b.leastTypical(e.candidate.Service)
 	}
 	limit := e.load.Limit
 	if limit <= 0 {
@@ -269,6 +269,19 @@
 	return float64(typical) * slowdown(used) / b.weight(now, e)
 }
 
+// leastTypical stands in for the run time of an endpoint that has run nothing: a
+// short one, so that it gets work. It is no longer than that of any other endpoint,
+// or an endpoint of a fast service would get none while the others have room.
+func (b *Balancer) leastTypical(s cassiatally.Service) time.Duration {
+	least := unknownTypical
+	for _, e := range b.services[s] {
+		if t := e.load.Typical; t > 0 {
+			least = min(least, t)
+		}
+	}
+	return least
+}
+
 // slowdown returns how much longer than alone a call takes at an endpoint of whose
 // limit a part is used. Below fullPart calls start at once.
 func slowdown(used float64) float64 {
--- a/cassiatally/balancer/balancer_test.go
+++ b/cassiatally/balancer/balancer_test.go
@@ -329,3 +329,20 @@
 	b.Finished(later, "n0", cassiatally.CallResult{Failed: true, Unreached: true})
 	is.Equal(spread(b, later.Add(1100*time.Millisecond), 20)["n0"], 20) // it starts with a short pause again
 }
+
+// Guards against an endpoint that joins a service of short calls and gets none of
+// them, since it is taken to be slower than the others.
+func TestNewEndpointOfAFastService(t *testing.T) {
+	is := is.New(t)
+	all := candidates(2, 0)
+	all[0].Load.Typical = 200 * time.Microsecond
+	all[1].Load = cassiatally.EndpointLoad{}
+	b := newBalancer(1, all)
+	counts := make(map[cassiatally.NodeID]int)
+	for range 20 {
+		id, _ := b.Choose(settled, service, nil)
+		b.Started(settled, id)
+		counts[id]++
+	}
+	is.True(counts["n1"] >= 3)
+}
