--- a/cassiatally/registrar/registrar.go
+++ b/cassiatally/registrar/registrar.go
@@ -217,6 +217,7 @@
 // SetEndpoint records the state of the local backend server. A change of
 // anything but the load is spread at once.
 func (r *Registrar) SetEndpoint(now cassiatally.Instant, e cassiatally.Endpoint) []cassiatally.Action {
+	r.begin(now)
 	e.Load.Node = r.cfg.Self.Node
 	changed := !sameAnnouncement(r.self.Endpoint, e)
 	r.self.Endpoint = e
@@ -233,7 +234,7 @@
 // Found takes members that a store knows, and introduces this node to them.
 func (r *Registrar) Found(now cassiatally.Instant, members []cassiatally.Member) []cassiatally.Action {
 	r.lastEvent = now
-	r.young(now)
+	r.begin(now)
 	m := merger{Registrar: r, now: now, from: r.cfg.Self}
 	for _, member := range members {
 		m.merge(member, true)
@@ -244,14 +245,16 @@
 	return r.introduceSelf()
 }
 
-// young reports whether the node started a short time ago.
-func (r *Registrar) young(now cassiatally.Instant) bool {
+// begin records when the first event came.
+func (r *Registrar) begin(now cassiatally.Instant) {
 	if r.started == 0 {
 		r.started = now
 	}
-	return now.Sub(r.started) < youngFor
 }
 
+// young reports whether the node started a short time ago.
+func (r *Registrar) young(now cassiatally.Instant) bool { return now.Sub(r.started) < youngFor }
+
 // introduceSelf tells members about this node: those of its data centre first.
 func (r *Registrar) introduceSelf() []cassiatally.Action {
 	ids := r.pick(r.peers(true), introductions)
@@ -342,7 +345,7 @@
 // Tick removes silent members and starts a gossip round when it is due.
 func (r *Registrar) Tick(now cassiatally.Instant) []cassiatally.Action {
 	r.lastEvent = now
-	r.young(now)
+	r.begin(now)
 	if now.Before(r.nextRound) {
 		return nil
 	}
--- a/node/gatekeeper/gatekeeper.go
+++ b/node/gatekeeper/gatekeeper.go
@@ -66,8 +66,8 @@
 	// proportional share.
 	keptProportion = 0.85
 	// farMargin keeps calls in their data centre while the endpoints there take less
-	// than two and a half times as long as others. Endpoints of a service differ twofold in speed,
-	// and bytes between data centres cost more than that time.
+	// than two and a half times as long as others. Endpoints of a service differ
+	// twofold in speed, and bytes between data centres cost more than that time.
 	farMargin = 1.5
 	// retrySlack is the retries that a node may send in a window whatever its requests.
 	retrySlack = 1
