cassiatally: tell the calls of nodes apart that start in the same microsecond

Ids of calls consisted of the incarnation, which is the time of day in microseconds, and a count. Nodes that start together have equal incarnations, so that a gate took the call of one node for a copy of another node's and neither ran nor answered it. Change: the origin of an id is a hash of the node's name and incarnation. TestNodesStartedTogether fails without it (expired in place of an answer).

--- a/cassiatally/claimer/holder.go
+++ b/cassiatally/claimer/holder.go
@@ -273,7 +273,7 @@
 
 func (c *Claimer) submit(cl *claim) {
 	c.seq++
-	id := cassiatally.CallID{Origin: c.self.Incarnation, Seq: c.seq}
+	id := cassiatally.CallID{Origin: cassiatally.CallOriginOf(c.self), Seq: c.seq}
 	c.runs[id] = cl
 	c.out = append(c.out, cassiatally.Submit{Request: cl.request(id)})
 	cl.submitted = true
--- a/cassiatally/ids.go
+++ b/cassiatally/ids.go
@@ -65,10 +65,22 @@
 // from 1.
 type CrashNumber uint64
 
-// CallID identifies a call from one node to another. It is unique across
+// CallOrigin identifies the incarnation of a node that draws the ids of calls.
+type CallOrigin uint64
+
+// CallOriginOf returns the origin of a node. Its name counts besides its incarnation,
+// since nodes that start in the same microsecond have equal incarnations.
+func CallOriginOf(r NodeRef) CallOrigin {
+	h := xxhash.New()
+	_, _ = h.WriteString(string(r.Node) + "\x00")
+	_, _ = h.Write(binary.BigEndian.AppendUint64(nil, uint64(r.Incarnation)))
+	return CallOrigin(h.Sum64())
+}
+
+// CallID identifies a call from one node to another. It is unique across nodes and
 // incarnations, so a late answer to an earlier incarnation matches nothing.
 type CallID struct {
-	Origin Incarnation
+	Origin CallOrigin
 	Seq    uint64
 }
 
@@ -85,7 +97,7 @@
 	if !ok || errOrigin != nil || errSeq != nil {
 		return CallID{}, errors.Newf("call id %q is not of the form origin-sequence in hexadecimal", s)
 	}
-	return CallID{Origin: Incarnation(o), Seq: n}, nil
+	return CallID{Origin: CallOrigin(o), Seq: n}, nil
 }
 
 // RootID identifies a caller's request across its whole call chain.
--- a/cassiatally/protocol/wire.go
+++ b/cassiatally/protocol/wire.go
@@ -32,7 +32,7 @@
 
 type wireCallID struct {
 	_      struct{} `cbor:",toarray"`
-	Origin cassiatally.Incarnation
+	Origin cassiatally.CallOrigin
 	Seq    uint64
 }
 
--- a/cassiatally/runner/recoverytest/fleet_test.go
+++ b/cassiatally/runner/recoverytest/fleet_test.go
@@ -176,7 +176,7 @@
 
 func (h *host) nextID() cassiatally.CallID {
 	h.seq++
-	return cassiatally.CallID{Origin: h.ref.Incarnation, Seq: h.seq}
+	return cassiatally.CallID{Origin: cassiatally.CallOriginOf(h.ref), Seq: h.seq}
 }
 
 func (h *host) announced() cassiatally.Endpoint {
--- a/node/gatekeeper/gatekeeper.go
+++ b/node/gatekeeper/gatekeeper.go
@@ -103,6 +103,7 @@
 	Prober   cassiatally.BackendProber
 
 	self       cassiatally.NodeRef
+	origin     cassiatally.CallOrigin
 	seq        atomic.Uint64
 	leaving    atomic.Bool
 	logs       *loglimiter.Limiter
@@ -128,6 +129,7 @@
 		// tell the latest one.
 		Incarnation: cassiatally.Incarnation(g.Clock.Wall().UnixMicro()),
 	}
+	g.origin = cassiatally.CallOriginOf(g.self)
 	for _, step := range []func() error{g.build, g.start} {
 		if err := step(); err != nil {
 			g.Close()
@@ -209,7 +211,7 @@
 func (g *Gatekeeper) onClose(f func()) { g.closers = append(g.closers, f) }
 
 func (g *Gatekeeper) nextID() cassiatally.CallID {
-	return cassiatally.CallID{Origin: g.self.Incarnation, Seq: g.seq.Add(1)}
+	return cassiatally.CallID{Origin: g.origin, Seq: g.seq.Add(1)}
 }
 
 // newRand returns a source for one duty; sources are not shared between duties.
--- a/node/gatekeeper/gatekeeper_test.go
+++ b/node/gatekeeper/gatekeeper_test.go
@@ -141,14 +141,28 @@
 type fleet struct {
 	store *store
 	nodes []*gatekeeper.Gatekeeper
+	// wall, when set, is the time of day of all nodes.
+	wall time.Time
 }
 
+// fixedWall is a clock whose time of day stands still.
+type fixedWall struct {
+	cassiatally.Clock
+	wall time.Time
+}
+
+func (c fixedWall) Wall() time.Time { return c.wall }
+
 func (f *fleet) add(t testing.TB, s gatekeeper.Settings, b *backend, cut bool) *gatekeeper.Gatekeeper {
 	t.Helper()
 	s.Links, s.DataCentre, s.Heartbeat = "127.0.0.1:0", "here", time.Second
 	s.RetryRatio, s.RetryWindow = 0.2, 10*time.Second
+	var clock cassiatally.Clock = sysclock.New()
+	if !f.wall.IsZero() {
+		clock = fixedWall{clock, f.wall}
+	}
 	g := &gatekeeper.Gatekeeper{
-		Settings: s, Clock: sysclock.New(), Logger: log.New(io.Discard),
+		Settings: s, Clock: clock, Logger: log.New(io.Discard),
 		Source: &source{store: f.store, cut: cut}, Store: f.store, Backend: b, Prober: b,
 	}
 	if err := g.Run(); err != nil {
@@ -207,6 +221,37 @@
 	return f, a, b
 }
 
+// Guards against a call that a node takes for a copy of another node's, so that its
+// caller gets no answer: nodes that start in the same microsecond have equal
+// incarnations.
+func TestNodesStartedTogether(t *testing.T) {
+	is := is.New(t)
+	h := newHolder()
+	f := &fleet{store: newStore(), wall: time.UnixMicro(1_700_000_000_000_000)}
+	f.store.publish(table(3))
+	entries := []*gatekeeper.Gatekeeper{
+		f.add(t, gatekeeper.Settings{Node: "a", Service: "depot-svc"}, &backend{}, false),
+		f.add(t, gatekeeper.Settings{Node: "c", Service: "depot-svc"}, &backend{}, false),
+	}
+	gate := f.add(t, gatekeeper.Settings{Node: "b", Service: "avail-svc"}, &backend{run: h.run}, false)
+	gate.Report(context.Background(), ready("avail-svc", cassiatally.EndpointReady, 1))
+	eventually(t, "the service is known", func() bool { return served(entries[0], "avail")() && served(entries[1], "avail")() })
+
+	const calls = 16
+	got := make(chan cassiatally.ErrorKind, len(entries)*calls)
+	for _, e := range entries {
+		for i := range calls {
+			go func() {
+				a := e.Forward(context.Background(), inbound(cassiatally.RequestName(fmt.Sprintf("r-%d", i)), "avail"))
+				got <- a.Kind
+			}()
+		}
+	}
+	for range cap(got) {
+		is.Equal(<-got, cassiatally.KindNone)
+	}
+}
+
 // Guards against a chain that is not served from end to end: entry, gate, run, and
 // the call that the run makes through the node beside it.
 func TestWholePath(t *testing.T) {
--- a/node/supervisor/supervisor.go
+++ b/node/supervisor/supervisor.go
@@ -56,6 +56,7 @@
 
 	logs    *loglimiter.Limiter
 	self    cassiatally.NodeRef
+	origin  cassiatally.CallOrigin
 	seq     atomic.Uint64
 	leaving atomic.Bool
 
@@ -84,6 +85,7 @@
 		// tell the latest one.
 		Incarnation: cassiatally.Incarnation(s.Clock.Wall().UnixMicro()),
 	}
+	s.origin = cassiatally.CallOriginOf(s.self)
 	steps := []func() error{
 		s.buildBase, s.startLinks, s.startMembers, s.startDuties, s.startServers,
 	}
@@ -108,7 +110,7 @@
 
 // nextID draws ids for calls. Those of the claimer have the highest bit set.
 func (s *Supervisor) nextID() cassiatally.CallID {
-	return cassiatally.CallID{Origin: s.self.Incarnation, Seq: s.seq.Add(1)}
+	return cassiatally.CallID{Origin: s.origin, Seq: s.seq.Add(1)}
 }
 
 // newRand returns a source for one duty; sources are not shared between duties.
