balancer: leave out the slow start where nodes start beside running endpoints

Cause: KNOWN-RED TestUnsafeRequests, "not true: away > 0": all eight held requests went to the endpoint beside the entry. A node younger than 1.75 s had a weight below 0.35, and eight calls at eight slots cost 2.9 times an idle endpoint, so that the other one got none. On the platform nodes are restarted beside warm endpoints, which were then left nearly idle for seconds. Change: SlowStart below 0 means none, and the gatekeeper uses it. Measured: TestNoSlowStart fails with a slow start (0 != 4).

--- a/cassiatally/balancer/balancer.go
+++ b/cassiatally/balancer/balancer.go
@@ -80,7 +80,8 @@
 	// node prefers it; 0 means 0.25.
 	ConnectionShare float64
 	// SlowStart is the time in which a new incarnation reaches full weight; 0
-	// means 5 s.
+	// means 5 s, and below 0 there is none. A fleet whose nodes start again beside
+	// endpoints that go on running needs none.
 	SlowStart time.Duration
 	// Exclusion is the time of a first exclusion; 0 means 5 s.
 	Exclusion time.Duration
@@ -290,7 +291,10 @@
 
 func (b *Balancer) weight(now cassiatally.Instant, e *endpoint) float64 {
 	ramp := b.SlowStart
-	if ramp <= 0 {
+	switch {
+	case ramp < 0:
+		return 1
+	case ramp == 0:
 		ramp = defaultSlowStart
 	}
 	return min(max(float64(now.Sub(e.since))/float64(ramp), leastWeight), 1)
--- a/cassiatally/balancer/balancer_test.go
+++ b/cassiatally/balancer/balancer_test.go
@@ -174,6 +174,28 @@
 	is.Equal(run(settled.Add(time.Minute)), 10)
 }
 
+// Guards against a node that starts again beside a warm endpoint and leaves it
+// nearly idle, while calls queue at the other one.
+func TestNoSlowStart(t *testing.T) {
+	is := is.New(t)
+	const slots = 8
+	all := candidates(2, 0)
+	for i := range all {
+		all[i].Load = cassiatally.EndpointLoad{Node: all[i].Ref.Node, Limit: slots, Typical: 10 * time.Millisecond}
+	}
+	b := newBalancer(1, all)
+	b.SlowStart = -1
+	all[1].Ref.Incarnation = 2
+	b.Update(settled, all)
+	counts := make(map[cassiatally.NodeID]int)
+	for range slots {
+		id, _ := b.Choose(settled, service, nil)
+		b.Started(settled, id)
+		counts[id]++
+	}
+	is.Equal(counts["n1"], slots/2)
+}
+
 // Guards against failing endpoints that keep getting calls, against the exclusion
 // of too many, and against exclusions that never end.
 func TestOutliers(t *testing.T) {
--- a/node/gatekeeper/gatekeeper.go
+++ b/node/gatekeeper/gatekeeper.go
@@ -69,6 +69,9 @@
 	// than two and a half times as long as others. Endpoints of a service differ
 	// twofold in speed, and bytes between data centres cost more than that time.
 	farMargin = 1.5
+	// noSlowStart: nodes start again beside endpoints that go on running, and a cold
+	// endpoint shows its run times with its first answers.
+	noSlowStart time.Duration = -1
 	// retrySlack is the retries that a node may send in a window whatever its requests.
 	retrySlack = 1
 )
@@ -279,7 +282,7 @@
 }
 
 func (g *Gatekeeper) buildDispatcher() {
-	b := &balancer.Balancer{Rand: newRand(), DataCentre: g.Settings.DataCentre, RelativeMargin: farMargin}
+	b := &balancer.Balancer{Rand: newRand(), DataCentre: g.Settings.DataCentre, RelativeMargin: farMargin, SlowStart: noSlowStart}
 	loads := &loadtracker.Tracker{}
 	g.dispatcher = &dispatcher.Dispatcher{
 		Balancer:  b,
