linker, router: tell silent links early; do not keep calls waiting for a second dial

Cause: when a zone is cut off, calls in flight to it wait until the link is given up after 1 s, and calls of 700 ms are lost with their chain. After that, each call that chose an endpoint there again waited up to 500 ms for a dial. Change: a link on which nothing arrived for 450 ms is told to the router. It chooses the endpoint no more, and idempotent calls go to another one within the retry budget and the number of sends of their route. A call to an address whose last dial failed goes elsewhere at once while the dial goes on; when there is no other endpoint it is held for four pauses of 50 ms. Heartbeats are counted from the last message, since the gap between two could reach 600 ms before, which the first try took for silence.

--- a/cassiatally/balancer/balancer.go
+++ b/cassiatally/balancer/balancer.go
@@ -319,8 +319,7 @@
 	}
 	e.calls++
 	if r.Unreached {
-		e.outFor = min(max(2*e.outFor, unreachedPause), mostUnreached)
-		e.unreached = now.Add(e.outFor)
+		e.leaveOut(now)
 	} else {
 		e.outFor = 0
 	}
@@ -336,6 +335,27 @@
 	}
 }
 
+// leaveOut has the endpoint chosen only when there is no other one, for longer each
+// time.
+func (e *endpoint) leaveOut(now cassiatally.Instant) {
+	e.outFor = min(max(2*e.outFor, unreachedPause), mostUnreached)
+	e.unreached = now.Add(e.outFor)
+}
+
+// Silent records that nothing is heard of the node of the endpoint.
+func (b *Balancer) Silent(now cassiatally.Instant, n cassiatally.NodeID) {
+	if e := b.nodes[n]; e != nil && !now.Before(e.unreached) {
+		e.leaveOut(now)
+	}
+}
+
+// Heard records that the node of the endpoint is in reach.
+func (b *Balancer) Heard(n cassiatally.NodeID) {
+	if e := b.nodes[n]; e != nil {
+		e.unreached, e.outFor = 0, 0
+	}
+}
+
 func (e *endpoint) observe(took time.Duration) {
 	if e.took == 0 {
 		e.took = took
--- a/cassiatally/balancer/balancer_test.go
+++ b/cassiatally/balancer/balancer_test.go
@@ -147,6 +147,17 @@
 	is.Equal(spread(b, settled.Add(2*time.Second), 20)["n0"], 20)
 }
 
+// Guards against calls to an endpoint of whose node nothing is heard, and against
+// one that gets none although its node is heard again.
+func TestSilentNode(t *testing.T) {
+	is := is.New(t)
+	b := newBalancer(1, candidates(1, 1))
+	b.Silent(settled, "n0")
+	is.Equal(spread(b, settled, 20)["n1"], 20)
+	b.Heard("n0")
+	is.Equal(spread(b, settled, 20)["n0"], 20)
+}
+
 // Guards against a new endpoint that gets its full part of the calls while it is
 // still cold, and against a restart that is not noticed.
 func TestSlowStart(t *testing.T) {
--- a/cassiatally/interfaces.go
+++ b/cassiatally/interfaces.go
@@ -134,6 +134,10 @@
 	Started(now Instant, n NodeID)
 	// Finished records the end of that call.
 	Finished(now Instant, n NodeID, r CallResult)
+	// Silent records that nothing is heard of the node of the endpoint.
+	Silent(now Instant, n NodeID)
+	// Heard records that the node of the endpoint is in reach.
+	Heard(n NodeID)
 	// Known reports whether any endpoint of the service is known, in any state.
 	Known(s Service) bool
 }
--- a/cassiatally/router/answer.go
+++ b/cassiatally/router/answer.go
@@ -1,6 +1,8 @@
 package router
 
 import (
+	"slices"
+
 	"github.com/cassiatally/cassiatally/cassiatally"
 	"github.com/cassiatally/cassiatally/cassiatally/faultswitch"
 )
@@ -107,7 +109,8 @@
 		return r.deliver(now, p, a)
 	}
 	if r.mayRedirect(p, a) {
-		return r.redirect(now, p, a.Endpoint.Node)
+		p.avoid = append(p.avoid, a.Endpoint.Node)
+		return r.redirect(now, p)
 	}
 	if !r.takeRetry(now, p) {
 		return r.deliver(now, p, a)
@@ -134,13 +137,21 @@
 }
 
 // redirect sends a call that ran nothing to another endpoint.
-func (r *Router) redirect(now cassiatally.Instant, p *pending, from cassiatally.NodeID) []cassiatally.Action {
+func (r *Router) redirect(now cassiatally.Instant, p *pending) []cassiatally.Action {
 	p.redirects++
 	r.counts.Redirects++
-	p.avoid = append(p.avoid, from)
 	return r.sendRun(now, p)
 }
 
+// holdRun keeps a call for which the only endpoint left is being dialled.
+func (r *Router) holdRun(now cassiatally.Instant, p *pending) []cassiatally.Action {
+	p.holds++
+	p.waiting = true
+	p.avoid = nil
+	r.scheduleWake(p, now.Add(holdPause))
+	return nil
+}
+
 // mayRepeat reports whether the request may be run by another endpoint. A
 // non-idempotent one may only when it is certain that it was not run.
 func (r *Router) mayRepeat(p *pending, a cassiatally.Answer) bool {
@@ -165,7 +176,7 @@
 }
 
 func (r *Router) takeRetry(now cassiatally.Instant, p *pending) bool {
-	if p.left == 0 || (p.req.Sends > 0 && p.sends >= p.req.Sends) || !r.budgetAllows(now, p) {
+	if p.left == 0 || !r.sendsLeft(p, 0) || !r.budgetAllows(now, p) {
 		r.counts.RetriesDenied++
 		return false
 	}
@@ -175,6 +186,12 @@
 	return true
 }
 
+// sendsLeft reports whether the request may be sent to one more endpoint, besides
+// those that an attempt in flight counts for.
+func (r *Router) sendsLeft(p *pending, inFlight int) bool {
+	return p.req.Sends <= 0 || p.sends+inFlight < p.req.Sends
+}
+
 // budgetAllows takes a token of the service pair. A request that has lost an
 // endpoint stays one that has when the next endpoint refuses it.
 func (r *Router) budgetAllows(now cassiatally.Instant, p *pending) bool {
@@ -195,6 +212,40 @@
 	return actions
 }
 
+// LinkSilent takes that nothing is heard of a node to which a link is open. Idempotent
+// calls that were sent there go to another endpoint if the retry budget allows it;
+// the others wait on, since an answer may still come.
+func (r *Router) LinkSilent(now cassiatally.Instant, peer cassiatally.NodeRef) []cassiatally.Action {
+	r.cfg.Balancer.Silent(now, peer.Node)
+	var actions []cassiatally.Action
+	for _, p := range r.attemptsTo(peer.Node) {
+		if !p.claim && p.req.Policy.Idempotent && r.sendsLeft(p, 1) && r.hasOther(now, p) && r.takeRetry(now, p) {
+			actions = append(actions, r.leaveSilent(now, p)...)
+		}
+	}
+	return actions
+}
+
+// hasOther reports whether an endpoint is left that a call was not sent to.
+func (r *Router) hasOther(now cassiatally.Instant, p *pending) bool {
+	_, ok := r.cfg.Balancer.Choose(now, p.req.Service, append(slices.Clone(p.avoid), p.target))
+	return ok
+}
+
+// leaveSilent sends a call to another endpoint than the silent one that has it.
+func (r *Router) leaveSilent(now cassiatally.Instant, p *pending) []cassiatally.Action {
+	silent, attempt := p.target, p.attempt
+	p.spent += p.given
+	p.given = 0
+	p.mayHaveRun = true
+	p.sends++
+	p.lost = true
+	p.avoid = append(p.avoid, silent)
+	r.finishAttempt(now, p, cassiatally.CallResult{Took: now.Sub(p.sentAt), Failed: true, Unreached: true})
+	cancel := cassiatally.Send{To: silent, Message: cassiatally.Cancel{ID: attempt}}
+	return append(r.sendRun(now, p), cancel)
+}
+
 func (r *Router) attemptsTo(n cassiatally.NodeID) []*pending {
 	var out []*pending
 	for _, p := range r.attempts {
@@ -262,8 +313,13 @@
 	if p.claim {
 		return r.holdClaim(now, p)
 	}
-	if p.redirects < maxRedirects && !now.Reached(p.req.Deadline) {
-		return r.redirect(now, p, to)
+	p.avoid = append(p.avoid, to)
+	switch _, other := r.cfg.Balancer.Choose(now, p.req.Service, p.avoid); {
+	case now.Reached(p.req.Deadline):
+	case other && p.redirects < maxRedirects:
+		return r.redirect(now, p)
+	case !other && p.holds < maxHolds:
+		return r.holdRun(now, p)
 	}
 	a := refusal(cassiatally.KindUnreachable, "the node of the backend server cannot be reached")
 	a.Endpoint.Node = to
--- a/cassiatally/router/router.go
+++ b/cassiatally/router/router.go
@@ -38,6 +38,11 @@
 	// maxRedirects bounds how often a call moves on from endpoints that are leaving
 	// or out of reach. Such a call ran nothing and spends no retry.
 	maxRedirects = 3
+	// holdPause is the pause before a call goes again to the only endpoint left, which
+	// could not be reached, and maxHolds bounds the pauses. A node that answers again is
+	// dialled within them.
+	holdPause = 50 * time.Millisecond
+	maxHolds  = 4
 	// comeBackPart is the part of the time left within which callers come back after a
 	// refusal, and leastComeBack the part of that before which none does. Callers come
 	// back spread over that time, so that they don't meet again.
@@ -99,6 +104,8 @@
 	left      cassiatally.RetryCount
 	spent     cassiatally.RetryCount
 	redirects int
+	// holds counts the pauses in which the only endpoint left was dialled.
+	holds int
 	// sends counts the endpoints that the request was sent to and that may have run
 	// it.
 	sends int
@@ -299,6 +306,8 @@
 	switch {
 	case p.waiting && p.claim:
 		return r.sendClaim(now, p)
+	case p.waiting:
+		return r.sendRun(now, p)
 	case p.querying:
 		return r.query(now, p)
 	default:
@@ -323,6 +332,8 @@
 		return unresolved(cassiatally.KindUnavailable, "no holder of the key's shard is in reach; look the key up later")
 	case p.target == "" && p.claim:
 		return refusal(cassiatally.KindUnavailable, "no holder of the key's shard is in reach; send again later")
+	case p.target == "":
+		return refusal(cassiatally.KindUnreachable, "no node of a backend server could be reached")
 	case p.claim || !p.req.Policy.Idempotent:
 		return unresolved(cassiatally.KindOutcomeUnknown, "the deadline passed before an answer came; look the key up")
 	default:
--- a/node/dispatcher/dispatcher.go
+++ b/node/dispatcher/dispatcher.go
@@ -77,6 +77,8 @@
 		answer cassiatally.Answer
 	}
 	lostEvent   struct{ peer cassiatally.NodeRef }
+	silentEvent struct{ peer cassiatally.NodeRef }
+	heardEvent  struct{ peer cassiatally.NodeRef }
 	failedEvent struct {
 		to cassiatally.NodeID
 		m  cassiatally.Message
@@ -167,6 +169,18 @@
 	d.inbox.Push(context.Background(), lostEvent{peer: peer})
 }
 
+// LinkSilent hands over that nothing is heard of a node to which a link is open.
+// Without room it is lost, and the link ends soon.
+func (d *Dispatcher) LinkSilent(peer cassiatally.NodeRef) {
+	d.inbox.Offer(silentEvent{peer: peer}, 0)
+}
+
+// LinkHeard hands over that a node is in reach. Without room it is lost, and the
+// endpoint is tried again later.
+func (d *Dispatcher) LinkHeard(peer cassiatally.NodeRef) {
+	d.inbox.Offer(heardEvent{peer: peer}, 0)
+}
+
 // SendFailed hands over a message that was certainly not delivered.
 func (d *Dispatcher) SendFailed(to cassiatally.NodeID, m cassiatally.Message) {
 	// The duty itself may be the sender, so this must not wait for room.
@@ -221,6 +235,12 @@
 	d.carryOut(now, d.Router.LinkLost(now, e.peer))
 }
 
+func (e silentEvent) apply(d *Dispatcher, now cassiatally.Instant) {
+	d.carryOut(now, d.Router.LinkSilent(now, e.peer))
+}
+
+func (e heardEvent) apply(d *Dispatcher, _ cassiatally.Instant) { d.Balancer.Heard(e.peer.Node) }
+
 func (e failedEvent) apply(d *Dispatcher, now cassiatally.Instant) {
 	d.carryOut(now, d.Router.SendFailed(now, e.to, e.m))
 }
--- a/node/gatekeeper/gatekeeper.go
+++ b/node/gatekeeper/gatekeeper.go
@@ -51,11 +51,14 @@
 	outboxSize = 4096
 	// Requests in flight wait for linkDeadAfter when a data centre is cut off, of
 	// deadlines of 400 ms to 6 s. The timing of gossip is that of cassiatally-node.
-	linkHeartbeat  = 300 * time.Millisecond
-	linkDeadAfter  = time.Second
-	gossipInterval = time.Second
-	suspectAfter   = 3 * time.Second
-	removeAfter    = 10 * time.Second
+	linkHeartbeat = 300 * time.Millisecond
+	linkDeadAfter = time.Second
+	// linkSilentAfter is a heartbeat and half of one more, for a link on which one was
+	// late. Calls of 400 to 700 ms have time left for another endpoint then.
+	linkSilentAfter = linkHeartbeat * 3 / 2
+	gossipInterval  = time.Second
+	suspectAfter    = 3 * time.Second
+	removeAfter     = 10 * time.Second
 	// drainPoll is how often Drain looks whether the work in flight has ended.
 	drainPoll = 20 * time.Millisecond
 	// heartbeatsMissed is the number of reports of the backend server that may be
@@ -237,10 +240,13 @@
 		Logger:      g.logs,
 		Heartbeat:   linkHeartbeat,
 		DeadAfter:   linkDeadAfter,
+		SilentAfter: linkSilentAfter,
 		RingSize:    outboxSize,
 		AddressOf:   func(n cassiatally.NodeID) (cassiatally.Address, bool) { return g.members.AddressOf(n) },
 		Inbound:     g.inbound,
 		Lost:        func(peer cassiatally.NodeRef) { g.dispatcher.LinkLost(peer) },
+		Silent:      func(peer cassiatally.NodeRef) { g.dispatcher.LinkSilent(peer) },
+		Heard:       func(peer cassiatally.NodeRef) { g.dispatcher.LinkHeard(peer) },
 		Undelivered: func(to cassiatally.NodeID, m cassiatally.Message) { g.dispatcher.SendFailed(to, m) },
 	}
 	if err := g.links.Listening(); err != nil {
--- a/node/linker/link.go
+++ b/node/linker/link.go
@@ -20,6 +20,8 @@
 	outbound bool
 	// expected is the node that the address belongs to, when that is known.
 	expected cassiatally.NodeID
+	// doubtful is set when the last attempt to open a link to the address failed.
+	doubtful bool
 	// served is guarded by the mutex of the owner.
 	served bool
 	outbox *ring.Ring[cassiatally.Message]
@@ -31,15 +33,18 @@
 	lastRequest, lastControl atomic.Int64
 	// lastRead is when anything last arrived.
 	lastRead atomic.Int64
+	// silent is set while the owner has been told that the link is silent.
+	silent atomic.Bool
 
 	mu sync.Mutex
 	// woken tells the writer that the link became busy.
 	woken chan struct{}
-	// watchdog ends the link when it is silent; wokenAt is when it last started.
-	watchdog *time.Timer
-	wokenAt  time.Time
-	conn     *websocket.Conn
-	why      string
+	// watchdog ends the link when it is silent; wokenAt is when it last started, and
+	// checkAt when it fires next.
+	watchdog         *time.Timer
+	wokenAt, checkAt time.Time
+	conn             *websocket.Conn
+	why              string
 }
 
 func newLink(l *Linker, addr cassiatally.Address) *link {
@@ -117,14 +122,14 @@
 	beat := time.NewTimer(k.beatTime())
 	defer beat.Stop()
 	var seq uint64
-	wrote := false
+	wrote := time.Now()
 	for {
 		select {
 		case <-k.outbox.Ready():
 			if !k.writeQueued() {
 				return
 			}
-			wrote = true
+			wrote = time.Now()
 		case <-k.woken:
 			beat.Reset(k.beatTime())
 		case <-beat.C:
@@ -132,13 +137,17 @@
 				k.end("idle")
 				return
 			}
-			if !wrote {
-				seq++
-				if k.writeFrame(k.ctx, cassiatally.Ping{Seq: seq}) != nil {
-					return
-				}
+			// Counted from the last message, so that no more than one heartbeat passes
+			// without any: the other end takes a longer silence for a fault.
+			if left := k.beatTime() - time.Since(wrote); left > 0 {
+				beat.Reset(left)
+				continue
 			}
-			wrote = false
+			seq++
+			if k.writeFrame(k.ctx, cassiatally.Ping{Seq: seq}) != nil {
+				return
+			}
+			wrote = time.Now()
 			beat.Reset(k.beatTime())
 		case <-k.ctx.Done():
 			return
@@ -189,11 +198,28 @@
 	case k.woken <- struct{}{}:
 	default:
 	}
+	k.checkAt = k.wokenAt.Add(k.owner.firstCheck())
 	if k.watchdog == nil {
-		k.watchdog = time.AfterFunc(k.owner.DeadAfter, k.checkSilence)
+		k.watchdog = time.AfterFunc(k.owner.firstCheck(), k.checkSilence)
 		return
 	}
-	k.watchdog.Reset(k.owner.DeadAfter)
+	k.watchdog.Reset(k.owner.firstCheck())
+}
+
+// checkIn has the watchdog look again after a time.
+func (k *link) checkIn(d time.Duration) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.checkAt = time.Now().Add(d)
+	k.watchdog.Reset(d)
+}
+
+// firstCheck is the time of silence after which a busy link is looked at.
+func (l *Linker) firstCheck() time.Duration {
+	if l.SilentAfter > 0 {
+		return l.SilentAfter
+	}
+	return l.DeadAfter
 }
 
 func (k *link) sleep() {
@@ -209,23 +235,31 @@
 		return
 	}
 	k.mu.Lock()
-	since := k.wokenAt
+	since, due := k.wokenAt, k.checkAt
 	k.mu.Unlock()
+	if time.Since(due) > stallTime {
+		k.checkIn(stallTime)
+		return
+	}
 	if read := time.Unix(0, k.lastRead.Load()); read.After(since) {
 		since = read
 	}
+	passed := time.Since(since)
 	allowed := quietSilence
 	if k.busy() {
 		allowed = k.owner.DeadAfter
 	}
-	left := allowed - time.Since(since)
-	if left <= 0 {
+	if passed >= allowed {
 		k.end("silent")
 		return
 	}
-	k.mu.Lock()
-	defer k.mu.Unlock()
-	k.watchdog.Reset(left)
+	left := allowed - passed
+	if first := k.owner.firstCheck(); k.busy() && passed < first {
+		left = first - passed
+	} else if k.busy() && first < allowed && !k.silent.Swap(true) {
+		k.owner.silent(k)
+	}
+	k.checkIn(left)
 }
 
 // writeQueued writes messages one by one, so that those not yet written are
@@ -271,6 +305,9 @@
 			return
 		}
 		k.lastRead.Store(time.Now().UnixNano())
+		if k.silent.Load() && k.silent.Swap(false) {
+			k.owner.heard(k)
+		}
 		k.handle(m)
 	}
 }
--- a/node/linker/linker.go
+++ b/node/linker/linker.go
@@ -52,6 +52,9 @@
 	// rest used 3 to 5% of a core.
 	quietBeat    = 5 * time.Second
 	quietSilence = 15 * time.Second
+	// stallTime is how late a check of a link may be. After a longer stall of this
+	// process, what has arrived meanwhile is read before a link is judged.
+	stallTime = 100 * time.Millisecond
 	// linkPath is where nodes accept links.
 	linkPath = "/v1/link"
 	// dataCentreHeader names the data centre of the node that opens a link, so that
@@ -74,6 +77,9 @@
 	Logger    cassiatally.Logger
 	Heartbeat time.Duration
 	DeadAfter time.Duration
+	// SilentAfter is the time without any message after which a link that carries
+	// requests counts as silent; 0 means never.
+	SilentAfter time.Duration
 	// RingSize bounds the messages that wait to be written to one link.
 	RingSize int
 	// AddressOf returns where a node accepts links.
@@ -83,6 +89,9 @@
 	Inbound func(from cassiatally.NodeRef, m cassiatally.Message)
 	// Lost is called when a link that carried requests has ended.
 	Lost func(peer cassiatally.NodeRef)
+	// Silent is called when a link that carries requests is silent, and Heard when a
+	// link opens or a silent one is heard again. They must not block; nil is allowed.
+	Silent, Heard func(peer cassiatally.NodeRef)
 	// Undelivered is called with each message that was certainly not sent.
 	Undelivered func(to cassiatally.NodeID, m cassiatally.Message)
 
@@ -194,6 +203,10 @@
 	if err != nil {
 		return err
 	}
+	if _, isCall := m.(cassiatally.Call); isCall && k.doubtful {
+		// Another endpoint can serve the call while this one is dialled.
+		return cassiatally.NewError(cassiatally.KindUnreachable, "node %s could not be reached lately", to)
+	}
 	return k.push(m)
 }
 
@@ -215,11 +228,12 @@
 	if l.closed {
 		return nil, cassiatally.NewError(cassiatally.KindUnreachable, "the node stops")
 	}
-	if f, ok := l.failed[to]; ok && time.Since(f.at) < f.pause {
+	f, failed := l.failed[to]
+	if failed && time.Since(f.at) < f.pause {
 		return nil, cassiatally.NewError(cassiatally.KindUnreachable, "address %s could not be reached a moment ago", to)
 	}
 	k := newLink(l, to)
-	k.expected = node
+	k.expected, k.doubtful = node, failed
 	l.byAddr[to] = k
 	l.all[k] = struct{}{}
 	l.running.Go(func() { l.open(k) })
@@ -316,6 +330,7 @@
 	k.served = true
 	delete(l.failed, k.addr)
 	l.mu.Unlock()
+	l.heard(k)
 	l.Logger.Debug("link opened", "peer", k.peer, "address", k.addr)
 	var reader sync.WaitGroup
 	reader.Go(k.read)
@@ -331,6 +346,18 @@
 	l.Lost(k.peer)
 }
 
+func (l *Linker) heard(k *link) {
+	if l.Heard != nil {
+		l.Heard(k.peer)
+	}
+}
+
+func (l *Linker) silent(k *link) {
+	if l.Silent != nil {
+		l.Silent(k.peer)
+	}
+}
+
 // forget removes an ended link and reports the messages that were not sent.
 func (l *Linker) forget(k *link) {
 	l.mu.Lock()
