linker: send heartbeats only while somebody waits; introducer: load once

Cause: every link that had carried a request within a minute sent a heartbeat each 300 ms in both directions. Between 80 nodes that is more frames than their calls. A starting node also read the list of members three times although the first reading had found the others. Change: both ends of a link keep the calls that have no answer yet, and send heartbeats and watch for silence only while there are some. One timer a link does both. A node reads the members again only while it knows nobody.

--- a/node/introducer/introducer.go
+++ b/node/introducer/introducer.go
@@ -1,7 +1,7 @@
 // Package introducer is the duty by which the nodes of a fleet find each other: it
 // saves where this node is in a store that all nodes reach, and loads where the
-// others are. Gossip does the rest, so that the store is read and written a few
-// times at the start of a node, and again while the node is alone.
+// others are. Gossip does the rest, so that the store is read and written once at
+// the start of a node, and read again while the node is alone.
 //
 // # Usage
 //
@@ -29,8 +29,9 @@
 	lookEvery = 3 * time.Second
 )
 
-// settlePauses are the times between the first loads. Nodes that start together
-// load before the last of them has saved where it is.
+// settlePauses are the times between the first looks whether the node is alone. Of
+// the nodes that start together, the first loads before any other has saved where it
+// is. Those that found one another tell the rest by gossip.
 var settlePauses = []time.Duration{300 * time.Millisecond, 1500 * time.Millisecond}
 
 // Introducer is the duty. Its fields are set before Run.
@@ -68,7 +69,9 @@
 		if !wait(ctx, pause) {
 			return
 		}
-		_, _ = i.load(ctx)
+		if i.Alone() {
+			_, _ = i.load(ctx)
+		}
 	}
 	for wait(ctx, lookEvery) {
 		if i.Alone() {
--- a/node/linker/link.go
+++ b/node/linker/link.go
@@ -9,7 +9,6 @@
 	"github.com/coder/websocket"
 
 	"github.com/cassiatally/cassiatally/cassiatally"
-	"github.com/cassiatally/cassiatally/cassiatally/faultswitch"
 	"github.com/cassiatally/cassiatally/cassiatally/protocol"
 	"github.com/cassiatally/cassiatally/cassiatally/ring"
 )
@@ -31,20 +30,22 @@
 	// lastRequest and lastControl are when a message of a request, or any other but
 	// a heartbeat, was last sent or received.
 	lastRequest, lastControl atomic.Int64
-	// lastRead is when anything last arrived.
-	lastRead atomic.Int64
+	// lastRead and lastWrite are when anything last arrived or was written.
+	lastRead, lastWrite atomic.Int64
 	// silent is set while the owner has been told that the link is silent.
 	silent atomic.Bool
+	calls  openCalls
+	// opened is when the link began to carry messages.
+	opened time.Time
+	// beats counts the heartbeats; only the timer uses it.
+	beats uint64
 
 	mu sync.Mutex
-	// woken tells the writer that the link became busy.
-	woken chan struct{}
-	// watchdog ends the link when it is silent; wokenAt is when it last started, and
-	// checkAt when it fires next.
-	watchdog         *time.Timer
-	wokenAt, checkAt time.Time
-	conn             *websocket.Conn
-	why              string
+	// pulse sends heartbeats and watches for silence; pulseAt is when it fires next.
+	pulse   *time.Timer
+	pulseAt time.Time
+	conn    *websocket.Conn
+	why     string
 }
 
 func newLink(l *Linker, addr cassiatally.Address) *link {
@@ -56,7 +57,6 @@
 		outbox:   ring.New[cassiatally.Message](l.RingSize, ring.RefuseNewest),
 		ctx:      ctx,
 		cancel:   cancel,
-		woken:    make(chan struct{}, 1),
 	}
 	k.lastControl.Store(time.Now().UnixNano())
 	return k
@@ -119,50 +119,18 @@
 
 func (k *link) write() {
 	defer k.end("writer ended")
-	beat := time.NewTimer(k.beatTime())
-	defer beat.Stop()
-	var seq uint64
-	wrote := time.Now()
 	for {
 		select {
 		case <-k.outbox.Ready():
 			if !k.writeQueued() {
 				return
 			}
-			wrote = time.Now()
-		case <-k.woken:
-			beat.Reset(k.beatTime())
-		case <-beat.C:
-			if k.idle() {
-				k.end("idle")
-				return
-			}
-			// Counted from the last message, so that no more than one heartbeat passes
-			// without any: the other end takes a longer silence for a fault.
-			if left := k.beatTime() - time.Since(wrote); left > 0 {
-				beat.Reset(left)
-				continue
-			}
-			seq++
-			if k.writeFrame(k.ctx, cassiatally.Ping{Seq: seq}) != nil {
-				return
-			}
-			wrote = time.Now()
-			beat.Reset(k.beatTime())
 		case <-k.ctx.Done():
 			return
 		}
 	}
 }
 
-// beatTime returns the time between heartbeats.
-func (k *link) beatTime() time.Duration {
-	if k.busy() {
-		return k.owner.Heartbeat
-	}
-	return quietBeat
-}
-
 func (k *link) idle() bool {
 	return k.outbound && k.quiet() && !k.owner.otherLinkActive(k)
 }
@@ -172,96 +140,19 @@
 	return now-k.lastRequest.Load() > int64(requestIdle) && now-k.lastControl.Load() > int64(controlIdle)
 }
 
+// touch records a message that is written or was read.
 func (k *link) touch(m cassiatally.Message) {
-	now := time.Now().UnixNano()
-	if !isAwaited(m) {
-		k.lastControl.Store(now)
-		return
+	now := time.Now()
+	if isAwaited(m) {
+		k.lastRequest.Store(now.UnixNano())
+	} else {
+		k.lastControl.Store(now.UnixNano())
 	}
-	if was := k.lastRequest.Swap(now); now-was > int64(requestIdle) {
-		k.wake()
+	if k.calls.pass(now, m) {
+		k.hasten(k.owner.Heartbeat)
 	}
 }
 
-// busy reports whether somebody waited for an answer on the link lately. Then its
-// ends send heartbeats often.
-func (k *link) busy() bool {
-	return time.Now().UnixNano()-k.lastRequest.Load() <= int64(requestIdle)
-}
-
-// wake starts the watchdog, or starts it anew when the link becomes busy.
-func (k *link) wake() {
-	k.mu.Lock()
-	defer k.mu.Unlock()
-	k.wokenAt = time.Now()
-	select {
-	case k.woken <- struct{}{}:
-	default:
-	}
-	k.checkAt = k.wokenAt.Add(k.owner.firstCheck())
-	if k.watchdog == nil {
-		k.watchdog = time.AfterFunc(k.owner.firstCheck(), k.checkSilence)
-		return
-	}
-	k.watchdog.Reset(k.owner.firstCheck())
-}
-
-// checkIn has the watchdog look again after a time.
-func (k *link) checkIn(d time.Duration) {
-	k.mu.Lock()
-	defer k.mu.Unlock()
-	k.checkAt = time.Now().Add(d)
-	k.watchdog.Reset(d)
-}
-
-// firstCheck is the time of silence after which a busy link is looked at.
-func (l *Linker) firstCheck() time.Duration {
-	if l.SilentAfter > 0 {
-		return l.SilentAfter
-	}
-	return l.DeadAfter
-}
-
-func (k *link) sleep() {
-	k.mu.Lock()
-	defer k.mu.Unlock()
-	k.watchdog.Stop()
-}
-
-// checkSilence ends the link when nothing arrived for longer than its state
-// allows.
-func (k *link) checkSilence() {
-	if faultswitch.Off(faultswitch.LinkSilence) || k.ctx.Err() != nil {
-		return
-	}
-	k.mu.Lock()
-	since, due := k.wokenAt, k.checkAt
-	k.mu.Unlock()
-	if time.Since(due) > stallTime {
-		k.checkIn(stallTime)
-		return
-	}
-	if read := time.Unix(0, k.lastRead.Load()); read.After(since) {
-		since = read
-	}
-	passed := time.Since(since)
-	allowed := quietSilence
-	if k.busy() {
-		allowed = k.owner.DeadAfter
-	}
-	if passed >= allowed {
-		k.end("silent")
-		return
-	}
-	left := allowed - passed
-	if first := k.owner.firstCheck(); k.busy() && passed < first {
-		left = first - passed
-	} else if k.busy() && first < allowed && !k.silent.Swap(true) {
-		k.owner.silent(k)
-	}
-	k.checkIn(left)
-}
-
 // writeQueued writes messages one by one, so that those not yet written are
 // still in the ring when the link ends and can be reported as not sent.
 func (k *link) writeQueued() bool {
@@ -270,10 +161,13 @@
 		if !ok {
 			return false
 		}
-		k.touch(m)
+		if _, isPing := m.(cassiatally.Ping); !isPing {
+			k.touch(m)
+		}
 		if k.writeFrame(k.ctx, m) != nil {
 			return false
 		}
+		k.lastWrite.Store(time.Now().UnixNano())
 	}
 	return true
 }
@@ -293,8 +187,8 @@
 
 func (k *link) read() {
 	defer k.end("reader ended")
-	k.wake()
-	defer k.sleep()
+	k.startPulse()
+	defer k.stopPulse()
 	for {
 		m, err := k.readFrame(k.ctx)
 		if err != nil {
--- a/node/linker/linker.go
+++ b/node/linker/linker.go
@@ -3,10 +3,10 @@
 // on, so that its loss is noticed by the node that waits.
 //
 // Each link has two duties: a writer that takes messages from a bounded ring, and
-// a reader that hands messages to Inbound. While a link carries requests, both
-// ends send a Ping when they have nothing else to send, and close the link when
-// nothing arrives for DeadAfter. That finds connections that have gone silent for
-// good. Links on which nobody waits for an answer have few heartbeats.
+// a reader that hands messages to Inbound. While somebody waits for an answer on a
+// link, both ends send a Ping when they have nothing else to send, and close the
+// link when nothing arrives for DeadAfter. That finds connections that have gone
+// silent for good. Other links have few heartbeats.
 //
 // # Usage
 //
@@ -47,14 +47,16 @@
 	// seldom.
 	requestIdle = time.Minute
 	controlIdle = 15 * time.Second
-	// quietBeat and quietSilence apply to links on which nobody waited for an
-	// answer within requestIdle. With frequent heartbeats on all of them, a node at
-	// rest used 3 to 5% of a core.
+	// quietBeat and quietSilence apply to links on which nobody waits for an answer.
+	// With frequent heartbeats on all links, a node at rest used 3 to 5% of a core, and
+	// heartbeats were most of the frames of a fleet of 80 nodes.
 	quietBeat    = 5 * time.Second
 	quietSilence = 15 * time.Second
 	// stallTime is how late a check of a link may be. After a longer stall of this
 	// process, what has arrived meanwhile is read before a link is judged.
 	stallTime = 100 * time.Millisecond
+	// leastPulse bounds how often a link is looked at.
+	leastPulse = 5 * time.Millisecond
 	// linkPath is where nodes accept links.
 	linkPath = "/v1/link"
 	// dataCentreHeader names the data centre of the node that opens a link, so that
--- a/node/linker/linker_test.go
+++ b/node/linker/linker_test.go
@@ -346,3 +346,37 @@
 	receive(t, a.received)
 	is.Equal(len(a.lost), 0)
 }
+
+// Guards against a link that is taken for dead while a call is answered late, and
+// against frequent heartbeats on links on which nobody waits for an answer: with
+// many nodes they were most of the messages.
+func TestHeartbeatsFollowOpenCalls(t *testing.T) {
+	defer goleak.VerifyNone(t)
+	is := is.New(t)
+	b := &book{addresses: make(map[cassiatally.NodeID]cassiatally.Address)}
+	one, two := newPeer(t, b, "one"), newPeer(t, b, "two")
+	defer one.Close()
+	defer two.Close()
+	id := cassiatally.CallID{Origin: 1, Seq: 1}
+	is.NoErr(one.Send("two", cassiatally.Call{ID: id, Service: "avail-svc"}))
+	receive(t, two.received)
+	time.Sleep(3 * one.DeadAfter)
+	is.Equal(len(one.lost)+len(two.lost), 0)
+	is.True(heartbeats(one, two) > 0)
+
+	is.NoErr(two.Send("one", cassiatally.Answer{ID: id}))
+	receive(t, one.received)
+	time.Sleep(2 * one.Heartbeat) // one that was due
+	before := heartbeats(one, two)
+	time.Sleep(3 * one.DeadAfter)
+	is.Equal(heartbeats(one, two), before)
+	is.Equal(len(one.lost)+len(two.lost), 0)
+}
+
+// heartbeats returns the bytes that are not of requests.
+func heartbeats(peers ...*peer) (n uint64) {
+	for _, p := range peers {
+		n += p.Bytes().ControlSent
+	}
+	return n
+}
--- /dev/null
+++ b/node/linker/pulse.go
@@ -0,0 +1,108 @@
+package linker
+
+import (
+	"time"
+
+	"github.com/cassiatally/cassiatally/cassiatally"
+	"github.com/cassiatally/cassiatally/cassiatally/faultswitch"
+)
+
+// rhythm has the times that apply to a link in its present state.
+type rhythm struct {
+	// beat is the time without a message from this end after which it sends a
+	// heartbeat.
+	beat time.Duration
+	// silent and dead are the times without a message from the other end after which
+	// the link counts as silent, and is ended; 0 for silent means never.
+	silent, dead time.Duration
+	// since is when the state began.
+	since time.Time
+}
+
+func (k *link) rhythm(now time.Time) rhythm {
+	if since, active := k.calls.activeSince(now); active {
+		return rhythm{beat: k.owner.Heartbeat, silent: k.owner.SilentAfter, dead: k.owner.DeadAfter, since: since}
+	}
+	return rhythm{beat: quietBeat, dead: quietSilence, since: k.opened}
+}
+
+// startPulse starts the timer that sends heartbeats and watches for silence.
+func (k *link) startPulse() {
+	k.opened = time.Now()
+	k.lastRead.Store(k.opened.UnixNano())
+	k.lastWrite.Store(k.opened.UnixNano())
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.pulseAt = k.opened.Add(k.owner.Heartbeat)
+	k.pulse = time.AfterFunc(k.owner.Heartbeat, k.beat)
+}
+
+func (k *link) stopPulse() {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.pulse.Stop()
+}
+
+// hasten has the timer fire within a time.
+func (k *link) hasten(d time.Duration) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if at := time.Now().Add(d); k.pulse != nil && at.Before(k.pulseAt) {
+		k.pulseAt = at
+		k.pulse.Reset(d)
+	}
+}
+
+func (k *link) beatAgain(d time.Duration) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.pulseAt = time.Now().Add(d)
+	k.pulse.Reset(d)
+}
+
+// beat sends a heartbeat if one is due, ends the link when nothing arrived for
+// longer than its state allows, and sets the timer anew.
+func (k *link) beat() {
+	if k.ctx.Err() != nil {
+		return
+	}
+	k.mu.Lock()
+	due := k.pulseAt
+	k.mu.Unlock()
+	now := time.Now()
+	if now.Sub(due) > stallTime {
+		k.beatAgain(stallTime)
+		return
+	}
+	r := k.rhythm(now)
+	heard := now.Sub(later(r.since, k.lastRead.Load()))
+	wrote := now.Sub(later(r.since, k.lastWrite.Load()))
+	switch {
+	case heard >= r.dead && !faultswitch.Off(faultswitch.LinkSilence):
+		k.end("silent")
+		return
+	case k.idle():
+		k.end("idle")
+		return
+	}
+	next := r.dead - heard
+	if r.silent > heard {
+		next = min(next, r.silent-heard)
+	} else if r.silent > 0 && !k.silent.Swap(true) {
+		k.owner.silent(k)
+	}
+	if wrote >= r.beat {
+		k.beats++
+		_ = k.push(cassiatally.Ping{Seq: k.beats})
+		wrote = 0
+	}
+	k.beatAgain(max(min(next, r.beat-wrote), leastPulse))
+}
+
+// later returns the later of a time and a reading of the clock in nanoseconds.
+func later(t time.Time, unixNano int64) time.Time {
+	if u := time.Unix(0, unixNano); u.After(t) {
+		return u
+	}
+	return t
+}
