instancekeeper: check the health of the backend server again after a restart

Cause: a node that starts again beside a running backend server made one health check when its first routes came. When that one got no answer, the backend server stayed unused until its next report. The log of that check was not kept, so that this is the likely cause, not a shown one.

--- a/node/gatekeeper/gatekeeper_test.go
+++ b/node/gatekeeper/gatekeeper_test.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"github.com/charmbracelet/log"
+	"github.com/cockroachdb/errors"
 	"github.com/matryer/is"
 
 	"github.com/cassiatally/cassiatally/cassiatally"
@@ -86,6 +87,8 @@
 	healthy bool
 	// untold makes the health check leave the slots out.
 	untold bool
+	// failures is how many health checks fail before one succeeds.
+	failures atomic.Int32
 }
 
 func (b *backend) Do(ctx context.Context, _ cassiatally.BackendTarget, c cassiatally.Call) cassiatally.RunResult {
@@ -93,6 +96,9 @@
 }
 
 func (b *backend) Probe(context.Context, cassiatally.Address, string) (cassiatally.BackendHealth, error) {
+	if b.failures.Add(-1) >= 0 {
+		return cassiatally.BackendHealth{}, errors.New("no answer in time")
+	}
 	if b.untold {
 		return cassiatally.BackendHealth{Instance: "i-1", Healthy: b.healthy}, nil
 	}
@@ -476,3 +482,14 @@
 		_ = resp.Body.Close()
 	}
 }
+
+// Guards against a node, started again beside a running backend server, that leaves
+// it unused until its next report because one health check got no answer.
+func TestHealthCheckAfterARestartFailsOnce(t *testing.T) {
+	f := &fleet{store: newStore()}
+	f.store.publish(table(3))
+	b := &backend{healthy: true, run: func(context.Context, cassiatally.Call) cassiatally.RunResult { return answer("avail") }}
+	b.failures.Store(1)
+	g := f.add(t, gatekeeper.Settings{Node: "a", Service: "avail-svc", Backend: "127.0.0.1:1", Restarted: true}, b, false)
+	eventually(t, "the backend server is used without a report", served(g, "avail"))
+}
--- a/node/instancekeeper/instancekeeper.go
+++ b/node/instancekeeper/instancekeeper.go
@@ -29,6 +29,8 @@
 	// trustAfter is the number of reports after which a node that was restarted
 	// believes an instance whose health check does not confirm it.
 	trustAfter = 3
+	// mostProbes bounds the health checks after a restart that no report asked for.
+	mostProbes = 5
 )
 
 // Keeper is the duty. Its fields are set before Run.
@@ -47,7 +49,7 @@
 
 	inbox   *ring.Ring[event]
 	duty    looper.Looper[event]
-	probes  sync.WaitGroup
+	checks  sync.WaitGroup
 	ctx     context.Context
 	cancel  context.CancelFunc
 	routes  *matcher.Matcher
@@ -56,7 +58,10 @@
 	// counts the reports of one that was not.
 	confirmed cassiatally.InstanceID
 	doubt     map[cassiatally.InstanceID]int
-	probed    bool
+	// probes counts the health checks that no report asked for, and probing is set
+	// while one of them is under way.
+	probes  int
+	probing bool
 	// pending is the last report that waits for the health check.
 	pending cassiatally.InstanceReport
 }
@@ -96,7 +101,7 @@
 		Clock:  k.Clock,
 		Inbox:  k.inbox,
 		Handle: func(now cassiatally.Instant, e event) { e.apply(k, now) },
-		Tick:   func(cassiatally.Instant) {},
+		Tick:   func(cassiatally.Instant) { k.lookBeside() },
 		Every:  tickEvery,
 	}
 	k.duty.Run()
@@ -105,7 +110,7 @@
 // Close stops the duty and waits for it and its health checks.
 func (k *Keeper) Close() {
 	k.cancel()
-	k.probes.Wait()
+	k.checks.Wait()
 	k.duty.Close()
 }
 
@@ -185,13 +190,24 @@
 
 func (e routesEvent) apply(k *Keeper, _ cassiatally.Instant) {
 	k.routes = e.routes
-	if k.Restarted && !k.probed {
-		k.probed = true
-		k.probe(k.Address, k.Service)
-	}
+	k.lookBeside()
 	k.announce()
 }
 
+// lookBeside checks, after a restart, the health of the backend server that the
+// settings expect, until one is known. A check may fail because it comes too early or
+// waits for a slot.
+func (k *Keeper) lookBeside() {
+	_, known := k.Tracker.Current()
+	if !k.Restarted || known || k.probing || k.routes == nil || k.probes >= mostProbes {
+		return
+	}
+	if k.probe(k.Address, k.Service) {
+		k.probes++
+		k.probing = true
+	}
+}
+
 func (e expectEvent) apply(k *Keeper, _ cassiatally.Instant) {
 	k.Service, k.Address = e.service, e.address
 	if _, known := k.Tracker.Current(); !known {
@@ -215,23 +231,26 @@
 	})
 }
 
-func (k *Keeper) probe(a cassiatally.Address, s cassiatally.Service) {
+// probe starts a health check and reports whether it could.
+func (k *Keeper) probe(a cassiatally.Address, s cassiatally.Service) bool {
 	if k.routes == nil {
-		return
+		return false
 	}
 	spec, ok := k.routes.Table().Service(s)
 	if !ok || a == "" {
-		return
+		return false
 	}
-	k.probes.Go(func() {
+	k.checks.Go(func() {
 		ctx, cancel := context.WithTimeout(k.ctx, probeTimeout)
 		defer cancel()
 		h, err := k.Prober.Probe(ctx, a, spec.HealthPath)
 		k.inbox.Push(k.ctx, probeEvent{health: h, err: err})
 	})
+	return true
 }
 
 func (e probeEvent) apply(k *Keeper, now cassiatally.Instant) {
+	k.probing = false
 	k.Logger.Info("health check of the backend server", "instance", e.health.Instance, "healthy", e.health.Healthy, "error", e.err)
 	if e.err != nil || !e.health.Healthy || e.health.Instance == "" {
 		return
