runner: a run cut off during an onward call does not tell that its server is slow

The timeout of that route is 1.2 s; runs that were cut off while calls below them got no answer counted as runs of 2.4 s, so that two of them had every later call refused as too late, and no run was left to show the pace. Ruled out: queues (empty) and demand (a tenth of the slots). Change: such a run counts with its own time. Measured: TestRunsCutOffInAnOnwardCall fails without it.

--- a/cassiatally/runner/result.go
+++ b/cassiatally/runner/result.go
@@ -50,11 +50,13 @@
 	if r.tells(res, self) {
 		r.limiter.Observe(now, cassiatally.RunSample{Self: self, InFlight: rec.concurrency, Failed: failed})
 	}
-	busy := now.Sub(rec.started)
 	if cutOff(res) {
-		r.admitter.Cut(now, rec.call.Rank, busy)
+		// A run that was cut off while it waited for an onward call does not tell that
+		// this backend server is slow. Counted in full, a few of them had all calls
+		// refused as too late, and then no run was left to show that it was fast.
+		r.admitter.Cut(now, rec.call.Rank, self)
 	} else {
-		r.admitter.Done(now, rec.call.Rank, busy)
+		r.admitter.Done(now, rec.call.Rank, now.Sub(rec.started))
 	}
 	switch res.Kind {
 	case cassiatally.ResultTimedOut, cassiatally.ResultAborted:
--- a/cassiatally/runner/runner_test.go
+++ b/cassiatally/runner/runner_test.go
@@ -1,12 +1,14 @@
 package runner_test
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
 	"github.com/matryer/is"
 
 	"github.com/cassiatally/cassiatally/cassiatally"
+	"github.com/cassiatally/cassiatally/cassiatally/admitter"
 	"github.com/cassiatally/cassiatally/cassiatally/fifo"
 	"github.com/cassiatally/cassiatally/cassiatally/fixedlimiter"
 	"github.com/cassiatally/cassiatally/cassiatally/runner"
@@ -349,6 +351,49 @@
 	is.Equal(len(h.quarantine.crashes), 2)
 }
 
+// Guards against a backend server whose calls are all refused as too late after some
+// of its runs were cut off at their deadline while a service below did not answer:
+// the runs themselves are short.
+func TestRunsCutOffInAnOnwardCall(t *testing.T) {
+	is := is.New(t)
+	h := newHarness(100)
+	h.Runner = runner.New(cassiatally.NodeRef{Node: "depot-1", Incarnation: 1}, &admitter.Admitter{}, &fixedlimiter.Limiter{Fixed: 100}, h.quarantine, func() cassiatally.CallID {
+		h.seq++
+		return cassiatally.CallID{Origin: 1, Seq: h.seq}
+	})
+	h.Announce(start, cassiatally.Endpoint{Service: "depot-svc", Slots: 100, State: cassiatally.EndpointReady}, time.Hour)
+	const runTime = 200 * time.Millisecond
+	now, seq := start, uint64(0)
+	next := func() cassiatally.Call {
+		seq++
+		return call(seq, fmt.Sprint(seq))
+	}
+	for range 20 {
+		c := next()
+		h.HandleCall(now, entry, c)
+		now = now.Add(runTime)
+		h.Finished(now, c.ID, cassiatally.RunResult{Kind: cassiatally.ResultAnswered, Status: 200})
+		h.Tick(now)
+	}
+	var cut []cassiatally.Call
+	for range 10 {
+		c := next()
+		h.HandleCall(now, entry, c)
+		h.BeginChild(now.Add(runTime/2), childOf(c, seq, true))
+		cut = append(cut, c)
+	}
+	now = now.Add(cut[0].Remaining)
+	for _, c := range cut {
+		h.Finished(now, c.ID, cassiatally.RunResult{Kind: cassiatally.ResultTimedOut})
+	}
+	started := false
+	for _, a := range h.HandleCall(now, entry, next()) {
+		_, isStart := a.(cassiatally.StartRun)
+		started = started || isStart
+	}
+	is.True(started)
+}
+
 func childOf(parent cassiatally.Call, waiter uint64, idempotent bool) runner.ChildCall {
 	return runner.ChildCall{
 		Waiter:     cassiatally.CallID{Origin: 5, Seq: waiter},
