--- a/node/gatekeeper/gatekeeper.go
+++ b/node/gatekeeper/gatekeeper.go
@@ -85,6 +85,8 @@
 	DataCentre cassiatally.DataCentre
 	// Links is where the node accepts links of other nodes.
 	Links cassiatally.Address
+	// Advertise is where other nodes reach Links; empty means Links.
+	Advertise cassiatally.Address
 	Seeds []cassiatally.Address
 	// Service and Backend are those of the backend server of this host.
 	Service cassiatally.Service
@@ -236,6 +238,7 @@
 		Self:        g.self,
 		DataCentre:  g.Settings.DataCentre,
 		Listen:      g.Settings.Links,
+		Advertise:   g.Settings.Advertise,
 		Codec:       codec,
 		Logger:      g.logs,
 		Heartbeat:   linkHeartbeat,
