platform: end all servers within the last sixth of the grace period

The drain takes up to five sixths of the 6 s; then four servers in turn each waited up to 500 ms for connections on which no request had come, and the links' server up to 2 s. Ruled out: the end of the duties themselves, which took 4 ms in the log of the test.

--- a/node/linker/linker.go
+++ b/node/linker/linker.go
@@ -64,8 +64,9 @@
 	dataCentreHeader = "Cassiatally-Data-Centre"
 	// nodeHeader names the node that opens a link, for the same reason.
 	nodeHeader = "Cassiatally-Node"
-	// shutdownGrace bounds the closing of the HTTP server.
-	shutdownGrace = 2 * time.Second
+	// shutdownGrace bounds the closing of the HTTP server, on which only links that are
+	// being opened are requests.
+	shutdownGrace = 200 * time.Millisecond
 )
 
 // Linker owns the links of a node. Its fields are set before Run.
