admitter: bound what one run tells about the pace of a backend server

Ranks share it. A rank whose runs had taken 1 ms had one of 300 ms, and the pace followed that ratio. Then all calls of all ranks were too late, entries were told so, and no run was left to show otherwise. Runs cut off at the deadline, by the node or by the endpoint's own 504, had the same effect in small: each counted as twice as long as its deadline. TestOneLongRunOfAnotherRank, TestTwoRunsCutOff and TestRunsCutOffInAnOnwardCall/by_the_backend_server fail without it.

--- a/cassiatally/admitter/runtimes.go
+++ b/cassiatally/admitter/runtimes.go
@@ -15,6 +15,11 @@
 	// weight, exponential run times (d = 0.74) move the pace by a third by chance, so
 	// that calls which can finish are refused.
 	paceNoise = 0.02
+	// mostPaceRise bounds what one run tells about the pace: it counts as at most that
+	// many times as long as expected. Kinds of work of one rank may differ a
+	// hundredfold; a single run of 300 ms, of a rank whose runs took 1 ms before, had the
+	// pace rise to 48 and the calls of all ranks refused as too late.
+	mostPaceRise = 5
 	// learnRuns is the number of runs of a rank that set its usual run time before
 	// they tell about the pace.
 	learnRuns = 10
@@ -28,6 +33,11 @@
 	// cutWeight is the weight of a run that was cut off. It is higher, since each of
 	// them costs more than a run that ends.
 	cutWeight = 0.05
+	// cutShareWeight is the weight of one run in the part of the runs that are cut off.
+	// Now and then a run takes several times as long as others. Two such runs in a row,
+	// counted in full, had all calls of a backend server refused whose runs took half
+	// of the time that they had.
+	cutShareWeight = 0.3
 	// anchorWeight is the part of the pace that each run hands over to the run times
 	// of all ranks. Only their product is observed, so both would drift apart
 	// otherwise.
@@ -55,6 +65,8 @@
 	// noise is the mean relative deviation over a long time.
 	noise float64
 	runs  int
+	// cutShare is the part of the latest runs that were cut off.
+	cutShare float64
 }
 
 // ended learns from a run that ended by itself. Probe tells that calls of its rank
@@ -63,6 +75,7 @@
 	t.all = smooth(t.all, busy)
 	s := &t.ranks[r]
 	s.runs++
+	s.cutShare -= cutShareWeight * s.cutShare
 	if t.pace == 0 {
 		t.pace = 1
 	}
@@ -72,7 +85,7 @@
 	}
 	t.anchor()
 	if s.runs > learnRuns {
-		t.pace = max(t.pace+s.paceWeight()*(float64(busy)/float64(s.typical)-t.pace), leastPace)
+		t.follow(s.paceWeight(), float64(busy)/float64(s.typical))
 	}
 	usual := time.Duration(float64(busy) / t.pace)
 	weight := max(usualWeight, 1/float64(s.runs))
@@ -89,6 +102,11 @@
 	return min(paceWeight, paceNoise/max(s.noise*s.noise, paceNoise))
 }
 
+// follow moves the pace towards that of one run.
+func (t *runTimes) follow(weight, pace float64) {
+	t.pace = max(t.pace+weight*(min(pace, mostPaceRise*t.pace)-t.pace), leastPace)
+}
+
 func (t *runTimes) anchor() {
 	f := 1 + anchorWeight*(t.pace-1)
 	t.pace /= f
@@ -108,9 +126,10 @@
 	if s.typical == 0 || busy <= s.typical {
 		return
 	}
+	s.cutShare += cutShareWeight * (1 - s.cutShare)
 	least := busy + max(t.typical(r), busy)
-	t.pace += s.paceWeight() * max(float64(least)/float64(s.typical)-t.pace, 0)
-	s.typical += time.Duration(cutWeight * max(float64(least)/t.pace-float64(s.typical), 0))
+	t.follow(s.cutShare*s.paceWeight(), max(float64(least)/float64(s.typical), t.pace))
+	s.typical += time.Duration(s.cutShare * cutWeight * max(float64(least)/t.pace-float64(s.typical), 0))
 	t.all = smooth(t.all, max(t.all, busy))
 }
 
--- a/cassiatally/admitter/runtimes_test.go
+++ b/cassiatally/admitter/runtimes_test.go
@@ -235,3 +235,33 @@
 		})
 	}
 }
+
+// Guards against calls that are all refused as too late after one run of another rank
+// took far longer than the runs of that rank before, since that rank has several kinds
+// of work.
+func TestOneLongRunOfAnotherRank(t *testing.T) {
+	is := is.New(t)
+	s := &server{}
+	const timeout, short, long = 1200 * time.Millisecond, time.Millisecond, 300 * time.Millisecond
+	for range 50 {
+		is.True(s.run(0, timeout, short))
+		is.True(s.run(1, timeout, long))
+	}
+	is.True(s.run(0, timeout, long))
+	is.True(s.offer(1, timeout))
+}
+
+// Guards against calls that are refused as too late after two runs in a row that took
+// several times as long as the others and were cut off.
+func TestTwoRunsCutOff(t *testing.T) {
+	is := is.New(t)
+	s := &server{}
+	const timeout, usual, tail = 1200 * time.Millisecond, 400 * time.Millisecond, 2 * time.Second
+	for range 50 {
+		is.True(s.run(1, timeout, usual))
+	}
+	for range 2 {
+		is.True(s.run(1, timeout, tail))
+	}
+	is.True(s.offer(1, timeout))
+}
--- a/cassiatally/runner/result.go
+++ b/cassiatally/runner/result.go
@@ -9,6 +9,10 @@
 const (
 	firstServerError    = 500
 	internalServerError = 500
+	gatewayTimeout      = 504
+	// deadlineMargin is how early before its deadline a backend server may give up a
+	// run: the time left is told in whole milliseconds, and the answer travels.
+	deadlineMargin = 20 * time.Millisecond
 )
 
 // Finished takes the result of a run.
@@ -50,7 +54,7 @@
 	if r.tells(res, self) {
 		r.limiter.Observe(now, cassiatally.RunSample{Self: self, InFlight: rec.concurrency, Failed: failed})
 	}
-	if cutOff(res) {
+	if cutOff(res) || rec.gaveUp(now, res) {
 		// A run that was cut off while it waited for an onward call does not tell that
 		// this backend server is slow. Counted in full, a few of them had all calls
 		// refused as too late, and then no run was left to show that it was fast.
@@ -74,6 +78,11 @@
 	return res.Kind == cassiatally.ResultTimedOut || res.Kind == cassiatally.ResultAborted
 }
 
+// gaveUp reports whether the backend server answered that the deadline has passed.
+func (rec *record) gaveUp(now cassiatally.Instant, res cassiatally.RunResult) bool {
+	return res.Kind == cassiatally.ResultAnswered && res.Status == gatewayTimeout && now.Reached(rec.deadline.Add(-deadlineMargin))
+}
+
 // tells reports whether the end of a run says anything about the backend server. A
 // run that was cut off early says nothing. One that was cut off late took long,
 // which the limiter tells from queueing by its own test; as a failure it would cut
--- a/cassiatally/runner/runner_test.go
+++ b/cassiatally/runner/runner_test.go
@@ -355,6 +355,16 @@
 // of its runs were cut off at their deadline while a service below did not answer:
 // the runs themselves are short.
 func TestRunsCutOffInAnOnwardCall(t *testing.T) {
+	t.Run("by the node", func(t *testing.T) {
+		cutOffInAnOnwardCall(t, cassiatally.RunResult{Kind: cassiatally.ResultTimedOut})
+	})
+	t.Run("by the backend server", func(t *testing.T) {
+		cutOffInAnOnwardCall(t, cassiatally.RunResult{Kind: cassiatally.ResultAnswered, Status: 504})
+	})
+}
+
+func cutOffInAnOnwardCall(t *testing.T, res cassiatally.RunResult) {
+	t.Helper()
 	is := is.New(t)
 	h := newHarness(100)
 	h.Runner = runner.New(cassiatally.NodeRef{Node: "depot-1", Incarnation: 1}, &admitter.Admitter{}, &fixedlimiter.Limiter{Fixed: 100}, h.quarantine, func() cassiatally.CallID {
@@ -376,7 +386,7 @@
 		h.Tick(now)
 	}
 	var cut []cassiatally.Call
-	for range 10 {
+	for range 40 {
 		c := next()
 		h.HandleCall(now, entry, c)
 		h.BeginChild(now.Add(runTime/2), childOf(c, seq, true))
@@ -384,7 +394,7 @@
 	}
 	now = now.Add(cut[0].Remaining)
 	for _, c := range cut {
-		h.Finished(now, c.ID, cassiatally.RunResult{Kind: cassiatally.ResultTimedOut})
+		h.Finished(now, c.ID, res)
 	}
 	started := false
 	for _, a := range h.HandleCall(now, entry, next()) {
