--- a/node/gatekeeper/gatekeeper.go
+++ b/node/gatekeeper/gatekeeper.go
@@ -87,7 +87,7 @@
 	Links cassiatally.Address
 	// Advertise is where other nodes reach Links; empty means Links.
 	Advertise cassiatally.Address
-	Seeds []cassiatally.Address
+	Seeds     []cassiatally.Address
 	// Service and Backend are those of the backend server of this host.
 	Service cassiatally.Service
 	Backend cassiatally.Address
