--- a/cassiatally/loadtracker/loadtracker.go
+++ b/cassiatally/loadtracker/loadtracker.go
@@ -213,6 +213,9 @@
 	r.weight += weight * (max(load.Weight, 1) - r.weight)
 	for i := range r.levels {
 		from, to := max(r.levels[i], leastLevel), max(levelAt(load.Levels, i), leastLevel)
+		if from == to {
+			continue // most levels are 1 most of the time
+		}
 		r.levels[i] = from * cassiatally.Level(math.Pow(float64(to/from), weight))
 	}
 }
--- a/cassiatally/protocol/codec.go
+++ b/cassiatally/protocol/codec.go
@@ -24,6 +24,10 @@
 	// MaxFrame bounds a frame, in bytes: a body and its envelope.
 	MaxFrame = cassiatally.MaxBody + 64<<10
 
+	// arrayOfThree begins a CBOR array of three elements. Numbers below 24 are one byte.
+	arrayOfThree = 0x83
+	frameHeader  = 3
+
 	maxArrayElements = 1 << 14
 	maxMapPairs      = 1 << 10
 	maxNesting       = 8
@@ -72,10 +76,11 @@
 	if err != nil {
 		return nil, cassiatally.NewError(cassiatally.KindInternal, "encode %T: %v", m, err)
 	}
-	out, err := c.enc.Marshal(frame{Version: Version, Type: t, Body: body})
-	if err != nil {
-		return nil, cassiatally.NewError(cassiatally.KindInternal, "encode frame: %v", err)
-	}
+	// The three elements of the frame, of which the first two are numbers of one byte;
+	// to marshal them around the body would copy and check it once more.
+	out := make([]byte, 0, frameHeader+len(body))
+	out = append(out, arrayOfThree, Version, byte(t))
+	out = append(out, body...)
 	if len(out) > MaxFrame {
 		return nil, cassiatally.NewError(cassiatally.KindTooLarge, "frame of %d bytes exceeds %d", len(out), MaxFrame)
 	}
--- a/cassiatally/runner/children.go
+++ b/cassiatally/runner/children.go
@@ -345,12 +345,20 @@
 
 func blend(a, b cassiatally.ServiceLoad) cassiatally.ServiceLoad {
 	total := a.Weight + b.Weight
-	if total <= 0 || len(a.Levels) != len(b.Levels) {
+	if total <= 0 {
 		return b
 	}
-	levels := make([]cassiatally.Level, len(a.Levels))
+	levels := make([]cassiatally.Level, max(len(a.Levels), len(b.Levels)))
 	for i := range levels {
-		levels[i] = cassiatally.Level((float64(a.Levels[i])*a.Weight + float64(b.Levels[i])*b.Weight) / total)
+		levels[i] = cassiatally.Level((levelAt(a, i)*a.Weight + levelAt(b, i)*b.Weight) / total)
 	}
 	return cassiatally.ServiceLoad{Service: a.Service, Weight: total, Levels: levels}
 }
+
+// levelAt returns the level of a rank, which is 1 when it is left out.
+func levelAt(l cassiatally.ServiceLoad, rank int) float64 {
+	if rank >= len(l.Levels) {
+		return 1
+	}
+	return float64(l.Levels[rank])
+}
--- a/cassiatally/runner/runner.go
+++ b/cassiatally/runner/runner.go
@@ -436,10 +436,19 @@
 	return []cassiatally.ServiceLoad{{
 		Service: r.endpoint.Service,
 		Weight:  float64(r.limiter.Limit()),
-		Levels:  r.admitter.Levels(),
+		Levels:  withoutFull(r.admitter.Levels()),
 	}}
 }
 
+// withoutFull leaves out the levels of 1 at the end, which are those of most services
+// most of the time. Ranks that are left out have level 1.
+func withoutFull(levels []cassiatally.Level) []cassiatally.Level {
+	for len(levels) > 0 && levels[len(levels)-1] >= 1 {
+		levels = levels[:len(levels)-1]
+	}
+	return levels
+}
+
 // conclude answers a call and keeps the answer for a sender whose link was lost.
 func (r *Runner) conclude(actions []cassiatally.Action, now cassiatally.Instant, rec *record, a cassiatally.Answer) []cassiatally.Action {
 	r.settle(now, rec, a)
--- a/cassiatally/runner/runner_test.go
+++ b/cassiatally/runner/runner_test.go
@@ -351,6 +351,31 @@
 	is.Equal(len(h.quarantine.crashes), 2)
 }
 
+// Guards against levels of 1 that travel with every answer, and against levels that are
+// left out and taken for others when those of two endpoints are joined.
+func TestLevelsOfOneAreLeftOut(t *testing.T) {
+	is := is.New(t)
+	h := newHarness(2)
+	h.Runner = runner.New(cassiatally.NodeRef{Node: "depot-1", Incarnation: 1}, &admitter.Admitter{}, &fixedlimiter.Limiter{Fixed: 2}, h.quarantine, func() cassiatally.CallID {
+		h.seq++
+		return cassiatally.CallID{Origin: 1, Seq: h.seq}
+	})
+	h.Announce(start, cassiatally.Endpoint{Service: "depot-svc", Slots: 2, State: cassiatally.EndpointReady}, time.Hour)
+	parent := call(1, "a")
+	h.HandleCall(start, entry, parent)
+	for i, levels := range [][]cassiatally.Level{{0.5}, nil} {
+		req := h.BeginChild(start, childOf(parent, uint64(i), true))[0].(cassiatally.Submit).Request
+		h.ChildAnswered(start, req.ID, cassiatally.Answer{
+			Outcome: cassiatally.OutcomeRan, Loads: []cassiatally.ServiceLoad{{Service: "dispatch-svc", Weight: 2, Levels: levels}},
+		})
+	}
+	got := answers(h.Finished(start, parent.ID, cassiatally.RunResult{Kind: cassiatally.ResultAnswered, Status: 200}))
+	is.Equal(got[0].Loads, []cassiatally.ServiceLoad{
+		{Service: "depot-svc", Weight: 2, Levels: []cassiatally.Level{}},
+		{Service: "dispatch-svc", Weight: 4, Levels: []cassiatally.Level{0.75}},
+	})
+}
+
 // Guards against a backend server whose calls are all refused as too late after some
 // of its runs were cut off at their deadline while a service below did not answer:
 // the runs themselves are short.
--- a/node/linker/link.go
+++ b/node/linker/link.go
@@ -32,6 +32,10 @@
 	lastRequest, lastControl atomic.Int64
 	// lastRead and lastWrite are when anything last arrived or was written.
 	lastRead, lastWrite atomic.Int64
+	// writeBegan is when the write under way began; 0 when there is none. The pulse
+	// bounds its time, since a context with a deadline for each frame costs more than
+	// the frame.
+	writeBegan atomic.Int64
 	// silent is set while the owner has been told that the link is silent.
 	silent atomic.Bool
 	calls  openCalls
@@ -180,9 +184,10 @@
 		return nil
 	}
 	k.owner.bytes.sent(m, len(frame))
-	ctx, cancel := context.WithTimeout(ctx, k.owner.DeadAfter)
-	defer cancel()
-	return k.conn.Write(ctx, websocket.MessageBinary, frame)
+	k.writeBegan.Store(time.Now().UnixNano())
+	err = k.conn.Write(ctx, websocket.MessageBinary, frame)
+	k.writeBegan.Store(0)
+	return err
 }
 
 func (k *link) read() {
--- a/node/linker/pulse.go
+++ b/node/linker/pulse.go
@@ -81,6 +81,9 @@
 	case heard >= r.dead && !faultswitch.Off(faultswitch.LinkSilence):
 		k.end("silent")
 		return
+	case k.writeStuck(now):
+		k.end("write stuck")
+		return
 	case k.idle():
 		k.end("idle")
 		return
@@ -99,6 +102,12 @@
 	k.beatAgain(max(min(next, r.beat-wrote), leastPulse))
 }
 
+// writeStuck reports whether the other end has not taken a frame for too long.
+func (k *link) writeStuck(now time.Time) bool {
+	began := k.writeBegan.Load()
+	return began != 0 && now.Sub(time.Unix(0, began)) >= k.owner.DeadAfter
+}
+
 // later returns the later of a time and a reading of the clock in nanoseconds.
 func later(t time.Time, unixNano int64) time.Time {
 	if u := time.Unix(0, unixNano); u.After(t) {
