linker: measure silence on the steady clock

Cause: found while reading the diff: when something last arrived on a link was kept as nanoseconds of the time of day, so that a step of the clock by more than a second ended all links with open calls as silent. Ruled out: other timers, which keep the steady reading of time.Time. Change: readings count from the start of the process. Measured: no test, since none of ours can step a machine's clock; the linker's and the gatekeeper's tests pass.

--- a/node/linker/link.go
+++ b/node/linker/link.go
@@ -62,7 +62,7 @@
 		ctx:      ctx,
 		cancel:   cancel,
 	}
-	k.lastControl.Store(time.Now().UnixNano())
+	k.lastControl.Store(steady())
 	return k
 }
 
@@ -140,17 +140,17 @@
 }
 
 func (k *link) quiet() bool {
-	now := time.Now().UnixNano()
-	return now-k.lastRequest.Load() > int64(requestIdle) && now-k.lastControl.Load() > int64(controlIdle)
+	now, requested := steady(), k.lastRequest.Load()
+	return (requested == 0 || now-requested > int64(requestIdle)) && now-k.lastControl.Load() > int64(controlIdle)
 }
 
 // touch records a message that is written or was read.
 func (k *link) touch(m cassiatally.Message) {
 	now := time.Now()
 	if isAwaited(m) {
-		k.lastRequest.Store(now.UnixNano())
+		k.lastRequest.Store(steady())
 	} else {
-		k.lastControl.Store(now.UnixNano())
+		k.lastControl.Store(steady())
 	}
 	if k.calls.pass(now, m) {
 		k.hasten(k.owner.Heartbeat)
@@ -171,7 +171,7 @@
 		if k.writeFrame(k.ctx, m) != nil {
 			return false
 		}
-		k.lastWrite.Store(time.Now().UnixNano())
+		k.lastWrite.Store(steady())
 	}
 	return true
 }
@@ -184,7 +184,7 @@
 		return nil
 	}
 	k.owner.bytes.sent(m, len(frame))
-	k.writeBegan.Store(time.Now().UnixNano())
+	k.writeBegan.Store(steady())
 	err = k.conn.Write(ctx, websocket.MessageBinary, frame)
 	k.writeBegan.Store(0)
 	return err
@@ -203,7 +203,7 @@
 			}
 			return
 		}
-		k.lastRead.Store(time.Now().UnixNano())
+		k.lastRead.Store(steady())
 		if k.silent.Load() && k.silent.Swap(false) {
 			k.owner.heard(k)
 		}
--- a/node/linker/pulse.go
+++ b/node/linker/pulse.go
@@ -29,8 +29,8 @@
 // startPulse starts the timer that sends heartbeats and watches for silence.
 func (k *link) startPulse() {
 	k.opened = time.Now()
-	k.lastRead.Store(k.opened.UnixNano())
-	k.lastWrite.Store(k.opened.UnixNano())
+	k.lastRead.Store(steady())
+	k.lastWrite.Store(steady())
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	k.pulseAt = k.opened.Add(k.owner.Heartbeat)
@@ -105,12 +105,22 @@
 // writeStuck reports whether the other end has not taken a frame for too long.
 func (k *link) writeStuck(now time.Time) bool {
 	began := k.writeBegan.Load()
-	return began != 0 && now.Sub(time.Unix(0, began)) >= k.owner.DeadAfter
+	return began != 0 && now.Sub(at(began)) >= k.owner.DeadAfter
 }
 
-// later returns the later of a time and a reading of the clock in nanoseconds.
-func later(t time.Time, unixNano int64) time.Time {
-	if u := time.Unix(0, unixNano); u.After(t) {
+// processStart is what readings of the steady clock count from.
+var processStart = time.Now()
+
+// steady returns the nanoseconds since the start of the process. Unlike the time of
+// day it does not jump, which would end all links as silent.
+func steady() int64 { return int64(time.Since(processStart)) }
+
+// at returns the time of a reading of the steady clock.
+func at(reading int64) time.Time { return processStart.Add(time.Duration(reading)) }
+
+// later returns the later of a time and a reading of the steady clock.
+func later(t time.Time, reading int64) time.Time {
+	if u := at(reading); u.After(t) {
 		return u
 	}
 	return t
