linker, sidecartest: name things by their usual terms

Read through as a newcomer: the timer of a link, the retry of a dial, the health check after a restart, the faults of the soak that last. No behaviour changes.

--- a/cassiatally/runner/runner.go
+++ b/cassiatally/runner/runner.go
@@ -436,13 +436,13 @@
 	return []cassiatally.ServiceLoad{{
 		Service: r.endpoint.Service,
 		Weight:  float64(r.limiter.Limit()),
-		Levels:  withoutFull(r.admitter.Levels()),
+		Levels:  trimFullLevels(r.admitter.Levels()),
 	}}
 }
 
-// withoutFull leaves out the levels of 1 at the end, which are those of most services
+// trimFullLevels leaves out the levels of 1 at the end, which are those of most services
 // most of the time. Ranks that are left out have level 1.
-func withoutFull(levels []cassiatally.Level) []cassiatally.Level {
+func trimFullLevels(levels []cassiatally.Level) []cassiatally.Level {
 	for len(levels) > 0 && levels[len(levels)-1] >= 1 {
 		levels = levels[:len(levels)-1]
 	}
--- a/node/instancekeeper/instancekeeper.go
+++ b/node/instancekeeper/instancekeeper.go
@@ -101,7 +101,7 @@
 		Clock:  k.Clock,
 		Inbox:  k.inbox,
 		Handle: func(now cassiatally.Instant, e event) { e.apply(k, now) },
-		Tick:   func(cassiatally.Instant) { k.lookBeside() },
+		Tick:   func(cassiatally.Instant) { k.probeExpected() },
 		Every:  tickEvery,
 	}
 	k.duty.Run()
@@ -190,14 +190,14 @@
 
 func (e routesEvent) apply(k *Keeper, _ cassiatally.Instant) {
 	k.routes = e.routes
-	k.lookBeside()
+	k.probeExpected()
 	k.announce()
 }
 
-// lookBeside checks, after a restart, the health of the backend server that the
+// probeExpected checks, after a restart, the health of the backend server that the
 // settings expect, until one is known. A check may fail because it comes too early or
 // waits for a slot.
-func (k *Keeper) lookBeside() {
+func (k *Keeper) probeExpected() {
 	_, known := k.Tracker.Current()
 	if !k.Restarted || known || k.probing || k.routes == nil || k.probes >= mostProbes {
 		return
--- a/node/linker/pulse.go
+++ b/node/linker/heartbeat.go
@@ -7,8 +7,8 @@
 	"github.com/cassiatally/cassiatally/cassiatally/faultswitch"
 )
 
-// rhythm has the times that apply to a link in its present state.
-type rhythm struct {
+// timing has the times that apply to a link in its present state.
+type timing struct {
 	// beat is the time without a message from this end after which it sends a
 	// heartbeat.
 	beat time.Duration
@@ -19,62 +19,62 @@
 	since time.Time
 }
 
-func (k *link) rhythm(now time.Time) rhythm {
+func (k *link) timing(now time.Time) timing {
 	if since, active := k.calls.activeSince(now); active {
-		return rhythm{beat: k.owner.Heartbeat, silent: k.owner.SilentAfter, dead: k.owner.DeadAfter, since: since}
+		return timing{beat: k.owner.Heartbeat, silent: k.owner.SilentAfter, dead: k.owner.DeadAfter, since: since}
 	}
-	return rhythm{beat: quietBeat, dead: quietSilence, since: k.opened}
+	return timing{beat: quietBeat, dead: quietSilence, since: k.opened}
 }
 
-// startPulse starts the timer that sends heartbeats and watches for silence.
-func (k *link) startPulse() {
+// startTimer starts the timer that sends heartbeats and watches for silence.
+func (k *link) startTimer() {
 	k.opened = time.Now()
 	k.lastRead.Store(steady())
 	k.lastWrite.Store(steady())
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	k.pulseAt = k.opened.Add(k.owner.Heartbeat)
-	k.pulse = time.AfterFunc(k.owner.Heartbeat, k.beat)
+	k.firesAt = k.opened.Add(k.owner.Heartbeat)
+	k.timer = time.AfterFunc(k.owner.Heartbeat, k.onTimer)
 }
 
-func (k *link) stopPulse() {
+func (k *link) stopTimer() {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	k.pulse.Stop()
+	k.timer.Stop()
 }
 
-// hasten has the timer fire within a time.
-func (k *link) hasten(d time.Duration) {
+// fireWithin has the timer fire within a time.
+func (k *link) fireWithin(d time.Duration) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	if at := time.Now().Add(d); k.pulse != nil && at.Before(k.pulseAt) {
-		k.pulseAt = at
-		k.pulse.Reset(d)
+	if at := time.Now().Add(d); k.timer != nil && at.Before(k.firesAt) {
+		k.firesAt = at
+		k.timer.Reset(d)
 	}
 }
 
-func (k *link) beatAgain(d time.Duration) {
+func (k *link) fireIn(d time.Duration) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	k.pulseAt = time.Now().Add(d)
-	k.pulse.Reset(d)
+	k.firesAt = time.Now().Add(d)
+	k.timer.Reset(d)
 }
 
-// beat sends a heartbeat if one is due, ends the link when nothing arrived for
+// onTimer sends a heartbeat if one is due, ends the link when nothing arrived for
 // longer than its state allows, and sets the timer anew.
-func (k *link) beat() {
+func (k *link) onTimer() {
 	if k.ctx.Err() != nil {
 		return
 	}
 	k.mu.Lock()
-	due := k.pulseAt
+	due := k.firesAt
 	k.mu.Unlock()
 	now := time.Now()
 	if now.Sub(due) > stallTime {
-		k.beatAgain(stallTime)
+		k.fireIn(stallTime)
 		return
 	}
-	r := k.rhythm(now)
+	r := k.timing(now)
 	heard := now.Sub(later(r.since, k.lastRead.Load()))
 	wrote := now.Sub(later(r.since, k.lastWrite.Load()))
 	switch {
@@ -99,7 +99,7 @@
 		_ = k.push(cassiatally.Ping{Seq: k.beats})
 		wrote = 0
 	}
-	k.beatAgain(max(min(next, r.beat-wrote), leastPulse))
+	k.fireIn(max(min(next, r.beat-wrote), leastInterval))
 }
 
 // writeStuck reports whether the other end has not taken a frame for too long.
--- a/node/linker/link.go
+++ b/node/linker/link.go
@@ -19,8 +19,8 @@
 	outbound bool
 	// expected is the node that the address belongs to, when that is known.
 	expected cassiatally.NodeID
-	// doubtful is set when the last attempt to open a link to the address failed.
-	doubtful bool
+	// redialling is set when the last attempt to open a link to the address failed.
+	redialling bool
 	// served is guarded by the mutex of the owner.
 	served bool
 	outbox *ring.Ring[cassiatally.Message]
@@ -32,7 +32,7 @@
 	lastRequest, lastControl atomic.Int64
 	// lastRead and lastWrite are when anything last arrived or was written.
 	lastRead, lastWrite atomic.Int64
-	// writeBegan is when the write under way began; 0 when there is none. The pulse
+	// writeBegan is when the write under way began; 0 when there is none. The timer
 	// bounds its time, since a context with a deadline for each frame costs more than
 	// the frame.
 	writeBegan atomic.Int64
@@ -45,9 +45,9 @@
 	beats uint64
 
 	mu sync.Mutex
-	// pulse sends heartbeats and watches for silence; pulseAt is when it fires next.
-	pulse   *time.Timer
-	pulseAt time.Time
+	// timer sends heartbeats and watches for silence; firesAt is when it fires next.
+	timer   *time.Timer
+	firesAt time.Time
 	conn    *websocket.Conn
 	why     string
 }
@@ -153,7 +153,7 @@
 		k.lastControl.Store(steady())
 	}
 	if k.calls.pass(now, m) {
-		k.hasten(k.owner.Heartbeat)
+		k.fireWithin(k.owner.Heartbeat)
 	}
 }
 
@@ -192,8 +192,8 @@
 
 func (k *link) read() {
 	defer k.end("reader ended")
-	k.startPulse()
-	defer k.stopPulse()
+	k.startTimer()
+	defer k.stopTimer()
 	for {
 		m, err := k.readFrame(k.ctx)
 		if err != nil {
--- a/node/linker/linker.go
+++ b/node/linker/linker.go
@@ -55,8 +55,8 @@
 	// stallTime is how late a check of a link may be. After a longer stall of this
 	// process, what has arrived meanwhile is read before a link is judged.
 	stallTime = 100 * time.Millisecond
-	// leastPulse bounds how often a link is looked at.
-	leastPulse = 5 * time.Millisecond
+	// leastInterval bounds how often a link is looked at.
+	leastInterval = 5 * time.Millisecond
 	// linkPath is where nodes accept links.
 	linkPath = "/v1/link"
 	// dataCentreHeader names the data centre of the node that opens a link, so that
@@ -206,7 +206,7 @@
 	if err != nil {
 		return err
 	}
-	if _, isCall := m.(cassiatally.Call); isCall && k.doubtful {
+	if _, isCall := m.(cassiatally.Call); isCall && k.redialling {
 		// Another endpoint can serve the call while this one is dialled.
 		return cassiatally.NewError(cassiatally.KindUnreachable, "node %s could not be reached lately", to)
 	}
@@ -236,7 +236,7 @@
 		return nil, cassiatally.NewError(cassiatally.KindUnreachable, "address %s could not be reached a moment ago", to)
 	}
 	k := newLink(l, to)
-	k.expected, k.doubtful = node, failed
+	k.expected, k.redialling = node, failed
 	l.byAddr[to] = k
 	l.all[k] = struct{}{}
 	l.running.Go(func() { l.open(k) })
