claimer: keep keys of the epoch taken over, replace a lost standby at once

A standby that takes over without a complete copy proposed its own new epoch as CompleteFrom, so that the keys of the epoch in force expired. Change: a standby without a complete copy takes over from the epoch in force. memberGrace applies only to nodes that were never live in the assignment. A standby that learns of its role asks for the copy.

--- a/cassiatally/claimer/claimer.go
+++ b/cassiatally/claimer/claimer.go
@@ -112,7 +112,9 @@
 
 // applyAssignment moves a shard to the next assignment. The claims are kept only by a
 // holder that remains the holder, and by a standby with a complete copy that
-// takes over.
+// takes over. A standby without one discards the claims of earlier epochs. No claim
+// of the epoch that it takes over from was acted on: the holder needs its
+// acknowledgement for that, which it gives only once its copy is complete.
 func (c *Claimer) applyAssignment(now cassiatally.Instant, s *shard, a cassiatally.Assignment) {
 	oldRole, previous := s.role, s.inForce
 	s.inForce = a
@@ -126,6 +128,8 @@
 	switch {
 	case keepClaims:
 		s.completeFrom = max(s.completeFrom, a.CompleteFrom)
+	case continues && oldRole == roleStandby:
+		s.completeFrom = max(a.CompleteFrom, previous.Epoch)
 	case s.role == roleHolder:
 		s.completeFrom = a.Epoch
 	default:
@@ -137,6 +141,8 @@
 	c.dropBelowCompleteFrom(s)
 	c.resetRotation(now, s, keepClaims && oldRole == roleHolder)
 	s.assignedAt = now
+	s.holderWasLive, s.standbyWasLive = false, false
+	s.noteLive(c.live)
 	s.proposal = nil
 	s.rotating = false
 	s.sealed = false
@@ -144,8 +150,12 @@
 	s.receivedSeq = 0
 	s.copyComplete = false
 	s.outbox = outbox{}
-	if s.role == roleHolder {
+	switch s.role {
+	case roleHolder:
 		c.startCopy(now, s)
+	case roleStandby:
+		c.requestCopy(s)
+	case roleNone:
 	}
 }
 
@@ -207,6 +217,9 @@
 func (c *Claimer) MembersChanged(now cassiatally.Instant, live []cassiatally.Member) []cassiatally.Action {
 	c.live = append(c.live[:0:0], live...)
 	c.haveMembers = true
+	for _, s := range c.shards {
+		s.noteLive(c.live)
+	}
 	return c.Tick(now)
 }
 
@@ -303,11 +316,18 @@
 }
 
 // memberTableReady reports whether absence from the member table means that a
-// node is gone.
+// node is gone, also when it was never in the table.
 func (c *Claimer) memberTableReady(now cassiatally.Instant, s *shard) bool {
 	return c.haveMembers && now.Reached(s.assignedAt.Add(memberGrace))
 }
 
+// gone reports whether a node of the assignment in force has left the member table.
+// A node that was never there is given memberGrace to appear.
+func (c *Claimer) gone(now cassiatally.Instant, s *shard, ref cassiatally.NodeRef, wasLive bool) bool {
+	_, live := c.member(ref)
+	return !live && c.haveMembers && (wasLive || c.memberTableReady(now, s))
+}
+
 // standbyFor chooses the standby of a holder among the live members that are not
 // excluded. It returns the zero reference when there is none.
 func (c *Claimer) standbyFor(s *shard, holder cassiatally.NodeRef, except ...cassiatally.NodeRef) cassiatally.NodeRef {
--- a/cassiatally/claimer/holder.go
+++ b/cassiatally/claimer/holder.go
@@ -119,6 +119,9 @@
 		s.standbySealed = true
 		return nil
 	}
+	if m.Seq == 0 {
+		s.outbox.resend(now)
+	}
 	for _, e := range s.outbox.ack(now, m.Seq) {
 		for _, k := range e.keys {
 			if cl := s.claims[k]; cl != nil {
@@ -356,10 +359,11 @@
 	next := s.inForce
 	next.Epoch++
 	next.CompleteFrom = s.completeFrom
-	standby, live := c.member(s.inForce.Standby)
+	standby, _ := c.member(s.inForce.Standby)
+	gone := c.gone(now, s, s.inForce.Standby, s.standbyWasLive)
 	synced := len(s.outbox.entries) == 0 && !s.standbySealed
 	switch {
-	case c.memberTableReady(now, s) && (!live || standby.Leaving || s.outbox.stalled(now)):
+	case gone || c.memberTableReady(now, s) && (standby.Leaving || s.outbox.stalled(now)):
 		next.Standby = c.standbyFor(s, c.self, s.inForce.Standby)
 		if !next.Standby.IsZero() {
 			c.propose(now, s, next)
--- a/cassiatally/claimer/outbox.go
+++ b/cassiatally/claimer/outbox.go
@@ -10,6 +10,10 @@
 	// resendAfter is how long a holder waits for an acknowledgement before it
 	// resends.
 	resendAfter = time.Second
+	// minResendInterval is the minimum time between two resends that a standby without
+	// any record causes. Each message that it drops for lack of an earlier one causes
+	// such an acknowledgement.
+	minResendInterval = 100 * time.Millisecond
 	// replaceAfter is how long a holder waits for a new acknowledgement before it
 	// replaces its standby.
 	replaceAfter = 3 * time.Second
@@ -74,6 +78,14 @@
 	return due
 }
 
+// resend makes all entries due again. The standby got none of those sent before: it
+// learned of its role after the holder.
+func (o *outbox) resend(now cassiatally.Instant) {
+	if o.acked == 0 && now.Reached(o.sentAt.Add(minResendInterval)) {
+		o.sentCount = 0
+	}
+}
+
 // ack removes the entries up to seq and returns them.
 func (o *outbox) ack(now cassiatally.Instant, seq uint64) []outboxEntry {
 	if seq <= o.acked || seq > o.seq {
--- a/cassiatally/claimer/shard.go
+++ b/cassiatally/claimer/shard.go
@@ -20,7 +20,11 @@
 	inForce    cassiatally.Assignment
 	role       role
 	assignedAt cassiatally.Instant
-	claims     map[cassiatally.Key]*claim
+	// holderWasLive and standbyWasLive are set once the node was in the member table
+	// during the assignment in force.
+	holderWasLive, standbyWasLive bool
+
+	claims map[cassiatally.Key]*claim
 	// completeFrom is the lowest epoch of which this node has all claims.
 	completeFrom cassiatally.Epoch
 	// sealed is set when this node, as the standby, stopped recording claims of the
@@ -62,6 +66,14 @@
 	}
 }
 
+// noteLive records whether holder and standby are among the live members.
+func (s *shard) noteLive(live []cassiatally.Member) {
+	for _, m := range live {
+		s.holderWasLive = s.holderWasLive || m.Ref == s.inForce.Holder
+		s.standbyWasLive = s.standbyWasLive || m.Ref == s.inForce.Standby
+	}
+}
+
 // keys returns the keys in sorted order, so that the order of the actions is
 // deterministic.
 func (s *shard) keys() []cassiatally.Key {
--- a/cassiatally/claimer/standby.go
+++ b/cassiatally/claimer/standby.go
@@ -62,6 +62,12 @@
 	c.send(from, ack)
 }
 
+// requestCopy tells the holder that this node knows its role as standby and has
+// recorded nothing yet.
+func (c *Claimer) requestCopy(s *shard) {
+	c.send(s.inForce.Holder.Node, cassiatally.ClaimAck{Shard: s.ref, Epoch: s.inForce.Epoch, From: c.self})
+}
+
 func (c *Claimer) applyClaim(now cassiatally.Instant, s *shard, m cassiatally.Claim) {
 	parts, err := cassiatally.ParseKey(m.Key)
 	if err != nil || parts.Epoch < s.completeFrom || faultswitch.Off(faultswitch.StandbyRecord) {
@@ -82,10 +88,7 @@
 // before the append, so that no claim is acknowledged after the state that this
 // node takes over.
 func (c *Claimer) tickStandby(now cassiatally.Instant, s *shard) {
-	if !c.memberTableReady(now, s) {
-		return
-	}
-	if _, live := c.member(s.inForce.Holder); live && !s.sealed {
+	if !s.sealed && !c.gone(now, s, s.inForce.Holder, s.holderWasLive) {
 		return
 	}
 	s.sealed = true
@@ -94,7 +97,7 @@
 	next.Holder = c.self
 	next.CompleteFrom = s.completeFrom
 	if !s.copyComplete && !c.faults.partialCopy {
-		next.CompleteFrom = next.Epoch
+		next.CompleteFrom = s.inForce.Epoch
 	}
 	next.Standby = c.standbyFor(s, c.self)
 	c.propose(now, s, next)
