--- a/cassiatally/logclient/client.go
+++ b/cassiatally/logclient/client.go
@@ -46,6 +46,8 @@
 	minRecords = 1
 	// maxResponseBytes bounds a response: four records of MaxRecordBytes in base64.
 	maxResponseBytes = 6 << 20
+	// maxHeadBytes bounds the head of a response, which may come without end.
+	maxHeadBytes = 64 << 10
 	// maxExcerpt bounds what an error quotes from a response, in bytes.
 	maxExcerpt = 256
 )
@@ -159,7 +161,7 @@
 		c.client = &http.Client{
 			// No proxy: addresses are IP addresses of the platform. The transport retries
 			// a POST by itself only when nothing of it was written.
-			Transport: &http.Transport{},
+			Transport: &http.Transport{MaxResponseHeaderBytes: maxHeadBytes},
 			// A redirected append would be sent twice.
 			CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 		}
--- a/node/backendclient/client.go
+++ b/node/backendclient/client.go
@@ -28,6 +28,7 @@
 	backendDialTimeout = time.Second
 	idleConnTimeout    = 30 * time.Second
 	defaultConnections = 256
+	maxHeadBytes       = 64 << 10
 )
 
 // Client calls backend servers. The zero value is ready for use.
@@ -62,6 +63,8 @@
 		MaxIdleConnsPerHost: limit,
 		IdleConnTimeout:     idleConnTimeout,
 		DisableCompression:  true,
+		// A faulty backend server may send header fields without end.
+		MaxResponseHeaderBytes: maxHeadBytes,
 	}}
 }
 
