node: keep requests and answers at a stop, and panics to one message

By reading: the answers of the last runs were discarded with the queues of the links, and a route message could meet a duty that had not started. No duty recovered from panics, so that one message could end the process. Change: from the end of the readiness delay on, Drain refuses new requests as not run with a Retry-After; onward calls of runs in flight are served. A linker that closes writes what is queued and closes its links in an orderly way, within 300 ms. Routes start before links. Duties, link readers, workers, the route source and the introducer recover from panics, with a log line that has the stack. Measured: TestCloseSendsWhatIsQueued and TestDrain fail without the change; TestPanicOfAReceiver and TestPanicEndsOneEventOnly end the process without it.

--- a/cassiatally/looper/looper.go
+++ b/cassiatally/looper/looper.go
@@ -22,6 +22,7 @@
 	"time"
 
 	"github.com/cassiatally/cassiatally/cassiatally"
+	"github.com/cassiatally/cassiatally/cassiatally/recoverer"
 	"github.com/cassiatally/cassiatally/cassiatally/ring"
 )
 
@@ -38,6 +39,9 @@
 	Tick     func(now cassiatally.Instant)
 	Interval time.Duration
 	NextWake func() (cassiatally.Instant, bool)
+	// Recoverer is optional. With it, a panic of Handle or Tick ends the handling of that
+	// event or tick only.
+	Recoverer *recoverer.Recoverer
 
 	running    sync.WaitGroup
 	batch      []T
@@ -80,12 +84,22 @@
 	}
 	now := l.Clock.Now()
 	for i, e := range l.batch {
-		l.Handle(now, e)
+		l.handle(now, e)
 		var zero T
 		l.batch[i] = zero
 	}
 }
 
+func (l *Looper[T]) handle(now cassiatally.Instant, e T) {
+	defer l.Recoverer.Recover()
+	l.Handle(now, e)
+}
+
+func (l *Looper[T]) tick(now cassiatally.Instant) {
+	defer l.Recoverer.Recover()
+	l.Tick(now)
+}
+
 func (l *Looper[T]) untilWake() time.Duration {
 	wake := l.nextTickAt
 	if l.NextWake != nil {
@@ -115,5 +129,5 @@
 	if now.Reached(l.nextTickAt) {
 		l.nextTickAt = l.nextTick(now)
 	}
-	l.Tick(now)
+	l.tick(now)
 }
--- a/cassiatally/looper/looper_test.go
+++ b/cassiatally/looper/looper_test.go
@@ -1,13 +1,16 @@
 package looper_test
 
 import (
+	"io"
 	"testing"
 	"time"
 
+	"github.com/charmbracelet/log"
 	"github.com/matryer/is"
 
 	"github.com/cassiatally/cassiatally/cassiatally"
 	"github.com/cassiatally/cassiatally/cassiatally/looper"
+	"github.com/cassiatally/cassiatally/cassiatally/recoverer"
 	"github.com/cassiatally/cassiatally/cassiatally/ring"
 )
 
@@ -50,3 +53,32 @@
 	}
 	l.Close()
 }
+
+// Guards against an event whose handling panics and that ends the duty, the other events
+// of its batch, or the process.
+func TestPanicEndsOneEventOnly(t *testing.T) {
+	is := is.New(t)
+	handled := make(chan int, 4)
+	inbox := ring.New[int](4, ring.RefuseNewest)
+	for i := range 4 {
+		inbox.Offer(i, 0)
+	}
+	l := &looper.Looper[int]{
+		Clock:     &steppingClock{},
+		Inbox:     inbox,
+		Recoverer: &recoverer.Recoverer{Logger: log.New(io.Discard), Duty: "test"},
+		Handle: func(_ cassiatally.Instant, i int) {
+			if i == 1 {
+				panic("event")
+			}
+			handled <- i
+		},
+		Tick:     func(cassiatally.Instant) { panic("tick") },
+		Interval: step,
+	}
+	l.Run()
+	for _, want := range []int{0, 2, 3} {
+		is.Equal(<-handled, want)
+	}
+	l.Close()
+}
--- a/node/claimkeeper/claimkeeper.go
+++ b/node/claimkeeper/claimkeeper.go
@@ -22,6 +22,7 @@
 	"github.com/cassiatally/cassiatally/cassiatally/faultswitch"
 	"github.com/cassiatally/cassiatally/cassiatally/looper"
 	"github.com/cassiatally/cassiatally/cassiatally/protocol"
+	"github.com/cassiatally/cassiatally/cassiatally/recoverer"
 	"github.com/cassiatally/cassiatally/cassiatally/registrar"
 	"github.com/cassiatally/cassiatally/cassiatally/ring"
 	"github.com/cassiatally/cassiatally/node/logdriver"
@@ -93,11 +94,12 @@
 	k.pulledAt = make(map[cassiatally.DataCentre]cassiatally.Instant)
 	k.view.Store(&shardView{ownDataCentre: k.DataCentre, ownView: k.Assigner.Snapshot()})
 	k.duty = looper.Looper[event]{
-		Clock:    k.Clock,
-		Inbox:    k.inbox,
-		Handle:   func(now cassiatally.Instant, e event) { e.apply(k, now) },
-		Tick:     k.tick,
-		Interval: tickInterval,
+		Clock:     k.Clock,
+		Recoverer: &recoverer.Recoverer{Logger: k.Logger, Duty: "claimkeeper"},
+		Inbox:     k.inbox,
+		Handle:    func(now cassiatally.Instant, e event) { e.apply(k, now) },
+		Tick:      k.tick,
+		Interval:  tickInterval,
 	}
 	k.duty.Run()
 	k.helpers.Go(k.serveAppends)
--- a/node/dispatcher/dispatcher.go
+++ b/node/dispatcher/dispatcher.go
@@ -19,6 +19,7 @@
 	"github.com/cassiatally/cassiatally/cassiatally"
 	"github.com/cassiatally/cassiatally/cassiatally/faultswitch"
 	"github.com/cassiatally/cassiatally/cassiatally/looper"
+	"github.com/cassiatally/cassiatally/cassiatally/recoverer"
 	"github.com/cassiatally/cassiatally/cassiatally/registrar"
 	"github.com/cassiatally/cassiatally/cassiatally/ring"
 	"github.com/cassiatally/cassiatally/cassiatally/router"
@@ -45,6 +46,7 @@
 	Loads     cassiatally.LoadTracker
 	Clock     cassiatally.Clock
 	Transport cassiatally.Transport
+	Logger    cassiatally.Logger
 	// Splitter chooses the service of each request whose route has several.
 	Splitter *splitter.Splitter
 
@@ -121,12 +123,13 @@
 	d.queries = make(map[cassiatally.CallID]pendingQuery)
 	d.counts.Store(&router.Counts{})
 	d.duty = looper.Looper[event]{
-		Clock:    d.Clock,
-		Inbox:    d.inbox,
-		Handle:   func(now cassiatally.Instant, e event) { e.apply(d, now) },
-		Tick:     d.tick,
-		Interval: tickInterval,
-		NextWake: d.Router.NextWake,
+		Clock:     d.Clock,
+		Recoverer: &recoverer.Recoverer{Logger: d.Logger, Duty: "dispatcher"},
+		Inbox:     d.inbox,
+		Handle:    func(now cassiatally.Instant, e event) { e.apply(d, now) },
+		Tick:      d.tick,
+		Interval:  tickInterval,
+		NextWake:  d.Router.NextWake,
 	}
 	d.duty.Run()
 }
--- a/node/executor/executor.go
+++ b/node/executor/executor.go
@@ -18,6 +18,7 @@
 
 	"github.com/cassiatally/cassiatally/cassiatally"
 	"github.com/cassiatally/cassiatally/cassiatally/looper"
+	"github.com/cassiatally/cassiatally/cassiatally/recoverer"
 	"github.com/cassiatally/cassiatally/cassiatally/ring"
 	"github.com/cassiatally/cassiatally/cassiatally/runner"
 )
@@ -155,11 +156,12 @@
 	x.counts.Store(&runner.Counts{})
 	x.suspects.Store(&suspectCounts{})
 	x.duty = looper.Looper[event]{
-		Clock:    x.Clock,
-		Inbox:    x.inbox,
-		Handle:   func(now cassiatally.Instant, e event) { e.apply(x, now) },
-		Tick:     x.tick,
-		Interval: tickInterval,
+		Clock:     x.Clock,
+		Recoverer: &recoverer.Recoverer{Logger: x.Logger, Duty: "executor"},
+		Inbox:     x.inbox,
+		Handle:    func(now cassiatally.Instant, e event) { e.apply(x, now) },
+		Tick:      x.tick,
+		Interval:  tickInterval,
 		NextWake: func() (cassiatally.Instant, bool) {
 			return x.lastTick.Add(queueTickInterval), x.Runner.Queued() > 0
 		},
@@ -476,7 +478,15 @@
 			return
 		}
 		began := x.Clock.Now()
-		res := x.Backend.Do(j.ctx, *x.target.Load(), j.call)
+		res := x.runAtBackend(j)
 		x.inbox.Push(x.ctx, resultEvent{id: j.call.ID, name: j.call.Name, res: res, took: x.Clock.Now().Sub(began)})
 	}
 }
+
+// runAtBackend sends a call to the backend server. After a panic the call may have been
+// sent, so that its outcome is unknown.
+func (x *Executor) runAtBackend(j job) (res cassiatally.RunResult) {
+	res = cassiatally.RunResult{Kind: cassiatally.ResultLost, Detail: "the answer could not be processed"}
+	defer x.duty.Recoverer.Recover()
+	return x.Backend.Do(j.ctx, *x.target.Load(), j.call)
+}
--- a/node/forwarder/forwarder.go
+++ b/node/forwarder/forwarder.go
@@ -54,8 +54,13 @@
 	LocalService func() cassiatally.Service
 
 	inFlight atomic.Int64
+	refusing atomic.Bool
 }
 
+// Refuse makes the forwarder refuse new requests. Onward calls of runs in flight on this
+// host are still served.
+func (f *Forwarder) Refuse() { f.refusing.Store(true) }
+
 // InFlight returns the number of requests that wait for an answer.
 func (f *Forwarder) InFlight() int { return int(f.inFlight.Load()) }
 
@@ -144,6 +149,9 @@
 			return a
 		}
 	}
+	if f.refusing.Load() {
+		return refuse(cassiatally.KindDraining, "the node stops; send again to another one", refusalRetryAfter)
+	}
 	return f.awaitRequest(ctx, req, arrived)
 }
 
--- a/node/gatekeeper/gatekeeper.go
+++ b/node/gatekeeper/gatekeeper.go
@@ -198,7 +198,8 @@
 
 // Drain announces to other nodes that this one is leaving, refuses new runs, and waits
 // until the work in flight has ended or ctx is done. It waits at least minWait, the time
-// that callers need to notice that the node is not ready.
+// that callers need to notice that the node is not ready. From then on it refuses new
+// requests, so that none is in flight when Drain returns before the end of ctx.
 func (g *Gatekeeper) Drain(ctx context.Context, minWait time.Duration) {
 	g.leaving.Store(true)
 	g.members.Leave()
@@ -207,8 +208,11 @@
 	defer poll.Stop()
 	earliest := g.Clock.Now().Add(minWait)
 	for {
-		if g.Clock.Now().Reached(earliest) && g.idle() {
-			return
+		if g.Clock.Now().Reached(earliest) {
+			g.forwarder.Refuse()
+			if g.idle() {
+				return
+			}
 		}
 		select {
 		case <-poll.C:
@@ -303,6 +307,7 @@
 		Loads:     loads,
 		Clock:     g.Clock,
 		Transport: g.links,
+		Logger:    g.logs,
 		Splitter:  splitter.New(newRand()),
 		Router: router.New(router.Config{
 			Self:     g.self,
@@ -365,13 +370,13 @@
 	g.flusher = &flusher{clock: g.Clock, flush: g.logs.Flush}
 }
 
-// start starts all duties; those that receive calls and gossip start before the links.
+// start starts all duties; those that receive messages start before the links.
 func (g *Gatekeeper) start() error {
 	g.members.Open()
 	for _, d := range []interface {
 		Run()
 		Close()
-	}{g.flusher, g.dispatcher, g.executor, g.instances, g.members, g.links, g.routes, g.introducer} {
+	}{g.flusher, g.dispatcher, g.executor, g.instances, g.routes, g.members, g.links, g.introducer} {
 		d.Run()
 		g.onClose(d.Close)
 	}
--- a/node/gatekeeper/gatekeeper_test.go
+++ b/node/gatekeeper/gatekeeper_test.go
@@ -209,12 +209,19 @@
 // twoNodes starts an entry node for depot-svc and a node for avail-svc. Runs of
 // depot-svc call avail-svc.
 func twoNodes(t testing.TB, avail *backend) (*fleet, *gatekeeper.Gatekeeper, *gatekeeper.Gatekeeper) {
+	return twoNodesWith(t, avail, func() {})
+}
+
+// twoNodesWith is twoNodes with a function that runs of depot-svc call before their
+// onward call.
+func twoNodesWith(t testing.TB, avail *backend, beforeOnward func()) (*fleet, *gatekeeper.Gatekeeper, *gatekeeper.Gatekeeper) {
 	f := &fleet{store: newStore()}
 	f.store.publish(table(3))
 	depot := &backend{}
 	a := f.add(t, gatekeeper.Settings{Node: "a", Service: "depot-svc"}, depot, false)
 	b := f.add(t, gatekeeper.Settings{Node: "b", Service: "avail-svc"}, avail, false)
 	depot.run = func(ctx context.Context, c cassiatally.Call) cassiatally.RunResult {
+		beforeOnward()
 		in := inbound(c.Name+".1", "avail")
 		in.Root, in.Parent = c.Name, c.Name
 		child := a.Forward(ctx, in)
@@ -387,6 +394,41 @@
 	close(h.release)
 	is.Equal(string((<-got).Body), "avail")
 	<-done
+	// A request that arrives after the last check of the work in flight would be cut off.
+	late := b.Forward(context.Background(), inbound("late", "depot"))
+	is.Equal(late.Kind, cassiatally.KindDraining)
+	is.Equal(late.Outcome, cassiatally.OutcomeNotRun)
+	is.True(late.RetryAfter > 0)
+}
+
+// Guards against a run in flight that fails because the stopping node beside it refuses
+// its onward call together with the new requests of callers.
+func TestDrainServesOnwardCalls(t *testing.T) {
+	is := is.New(t)
+	avail := &backend{run: func(context.Context, cassiatally.Call) cassiatally.RunResult { return answer("avail") }}
+	started, goOn := make(chan struct{}), make(chan struct{})
+	var holding atomic.Bool
+	_, a, b := twoNodesWith(t, avail, func() {
+		if holding.CompareAndSwap(true, false) {
+			close(started)
+			<-goOn
+		}
+	})
+	holding.Store(true)
+	got := make(chan cassiatally.Answer, 1)
+	go func() { got <- b.Forward(context.Background(), inbound("held", "depot")) }()
+	<-started
+	done := make(chan struct{})
+	go func() {
+		a.Drain(context.Background(), 0)
+		close(done)
+	}()
+	eventually(t, "new requests are refused", func() bool {
+		return a.Forward(context.Background(), inbound("late", "avail")).Kind == cassiatally.KindDraining
+	})
+	close(goOn)
+	is.Equal(string((<-got).Body), "depot:avail")
+	<-done
 }
 
 // Guards against a restarted node that waits for the next report although its backend
--- a/node/instancekeeper/instancekeeper.go
+++ b/node/instancekeeper/instancekeeper.go
@@ -19,6 +19,7 @@
 	"github.com/cassiatally/cassiatally/cassiatally/instancetracker"
 	"github.com/cassiatally/cassiatally/cassiatally/looper"
 	"github.com/cassiatally/cassiatally/cassiatally/matcher"
+	"github.com/cassiatally/cassiatally/cassiatally/recoverer"
 	"github.com/cassiatally/cassiatally/cassiatally/ring"
 )
 
@@ -100,11 +101,12 @@
 	service := k.Service
 	k.service.Store(&service)
 	k.duty = looper.Looper[event]{
-		Clock:    k.Clock,
-		Inbox:    k.inbox,
-		Handle:   func(now cassiatally.Instant, e event) { e.apply(k, now) },
-		Tick:     func(cassiatally.Instant) { k.probeExpected() },
-		Interval: tickInterval,
+		Clock:     k.Clock,
+		Recoverer: &recoverer.Recoverer{Logger: k.Logger, Duty: "instancekeeper"},
+		Inbox:     k.inbox,
+		Handle:    func(now cassiatally.Instant, e event) { e.apply(k, now) },
+		Tick:      func(cassiatally.Instant) { k.probeExpected() },
+		Interval:  tickInterval,
 	}
 	k.duty.Run()
 }
--- a/node/introducer/introducer.go
+++ b/node/introducer/introducer.go
@@ -17,6 +17,7 @@
 	"time"
 
 	"github.com/cassiatally/cassiatally/cassiatally"
+	"github.com/cassiatally/cassiatally/cassiatally/recoverer"
 )
 
 const (
@@ -108,9 +109,7 @@
 }
 
 func (i *Introducer) load(ctx context.Context) ([]cassiatally.Member, error) {
-	ctx, cancel := context.WithTimeout(ctx, callTimeout)
-	defer cancel()
-	members, err := i.Store.Load(ctx)
+	members, err := i.readStore(ctx)
 	if err != nil {
 		i.Logger.Warn("members not loaded", "error", err)
 		return nil, err
@@ -120,6 +119,16 @@
 	return members, nil
 }
 
+// readStore loads the members. A record that cannot be processed is an error.
+func (i *Introducer) readStore(ctx context.Context) (members []cassiatally.Member, err error) {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	err = cassiatally.NewError(cassiatally.KindProtocol, "the records of the store could not be processed")
+	r := recoverer.Recoverer{Logger: i.Logger, Duty: "introducer"}
+	defer r.Recover()
+	return i.Store.Load(ctx)
+}
+
 func (i *Introducer) save(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
--- a/node/linker/link.go
+++ b/node/linker/link.go
@@ -40,6 +40,8 @@
 	// silent is set while the link is reported to the owner as silent.
 	silent atomic.Bool
 	calls  openCalls
+	// flushed is closed when the writer has ended.
+	flushed chan struct{}
 	// opened is when the reader of the link started.
 	opened time.Time
 	// heartbeats counts the heartbeats sent; only the timer uses it.
@@ -60,6 +62,7 @@
 		addr:     addr,
 		outbound: addr != "",
 		outbox:   ring.New[cassiatally.Message](l.RingSize, ring.RefuseNewest),
+		flushed:  make(chan struct{}),
 		ctx:      ctx,
 		cancel:   cancel,
 	}
@@ -109,8 +112,9 @@
 	}
 	conn := k.conn
 	k.mu.Unlock()
-	k.outbox.Close()
+	// The writer must not take messages for a link that has ended.
 	k.cancel()
+	k.outbox.Close()
 	if conn != nil {
 		_ = conn.CloseNow()
 	}
@@ -124,18 +128,40 @@
 
 func (k *link) write() {
 	defer k.end("writer ended")
+	defer close(k.flushed)
 	for {
 		select {
 		case <-k.outbox.Ready():
 			if !k.writeQueued() {
 				return
 			}
+		case <-k.outbox.Done():
+			if k.ctx.Err() == nil && k.writeQueued() {
+				_ = k.conn.Close(websocket.StatusGoingAway, "node stops")
+			}
+			return
 		case <-k.ctx.Done():
 			return
 		}
 	}
 }
 
+// flush closes the link after the messages that are queued, and waits for that until ctx
+// ends.
+func (k *link) flush(ctx context.Context) {
+	k.outbox.Close()
+	k.owner.mu.Lock()
+	established := k.established
+	k.owner.mu.Unlock()
+	if !established {
+		return
+	}
+	select {
+	case <-k.flushed:
+	case <-ctx.Done():
+	}
+}
+
 // idle reports whether this end should close the link: it opened the link, and neither
 // this link nor another one to the same node is in use.
 func (k *link) idle() bool {
@@ -221,7 +247,7 @@
 	if err != nil {
 		return nil, err
 	}
-	m, err := k.owner.Codec.Decode(frame)
+	m, err := k.decode(frame)
 	if err != nil {
 		return nil, err
 	}
@@ -229,7 +255,16 @@
 	return m, nil
 }
 
+// decode returns the message of a frame. A panic of the decoder ends the link only.
+func (k *link) decode(frame []byte) (m cassiatally.Message, err error) {
+	err = cassiatally.NewError(cassiatally.KindProtocol, "the frame could not be decoded")
+	defer k.owner.recoverer.Recover()
+	return k.owner.Codec.Decode(frame)
+}
+
+// handle passes a message on. A panic of its receiver drops the message only.
 func (k *link) handle(m cassiatally.Message) {
+	defer k.owner.recoverer.Recover()
 	switch m := m.(type) {
 	case cassiatally.Ping, cassiatally.Hello:
 	default:
--- a/node/linker/linker.go
+++ b/node/linker/linker.go
@@ -30,6 +30,7 @@
 
 	"github.com/cassiatally/cassiatally/cassiatally"
 	"github.com/cassiatally/cassiatally/cassiatally/protocol"
+	"github.com/cassiatally/cassiatally/cassiatally/recoverer"
 )
 
 const (
@@ -68,6 +69,9 @@
 	// shutdownGrace bounds the shutdown of the HTTP server. The only requests that it
 	// waits for are links that are being opened.
 	shutdownGrace = 200 * time.Millisecond
+	// flushGrace bounds the time in which Close writes the messages that are queued. They
+	// include the answers of the last runs.
+	flushGrace = 300 * time.Millisecond
 )
 
 // Linker owns the links of a node. Its fields are set before Run.
@@ -107,6 +111,8 @@
 	server   *http.Server
 	running  sync.WaitGroup
 	bytes    counters
+	// recoverer handles panics of the readers of links.
+	recoverer recoverer.Recoverer
 
 	mu       sync.Mutex
 	closed   bool
@@ -126,6 +132,7 @@
 // message can arrive.
 func (l *Linker) OpenListener() error {
 	l.ctx, l.cancel = context.WithCancel(context.Background())
+	l.recoverer = recoverer.Recoverer{Logger: l.Logger, Duty: "link reader"}
 	l.byNode = make(map[cassiatally.NodeID]*link)
 	l.byAddr = make(map[cassiatally.Address]*link)
 	l.all = make(map[*link]struct{})
@@ -157,25 +164,43 @@
 	return cassiatally.Address(l.listener.Addr().String())
 }
 
-// Close ends all links and waits for their duties.
+// Close writes the messages that are queued, ends all links and waits for their duties.
 func (l *Linker) Close() {
 	l.mu.Lock()
 	l.closed = true
 	l.mu.Unlock()
+	l.flush()
 	l.cancel()
 	ctx, cancel := context.WithTimeout(context.Background(), shutdownGrace)
 	defer cancel()
 	_ = l.server.Shutdown(ctx)
+	for _, k := range l.openLinks() {
+		k.end("node stops")
+	}
+	l.running.Wait()
+}
+
+// flush closes all links in an orderly way after their queued messages. A link that is
+// ended abruptly may be reset, which discards what the other end has not read yet.
+func (l *Linker) flush() {
+	ctx, cancel := context.WithTimeout(l.ctx, flushGrace)
+	defer cancel()
+	var flushing sync.WaitGroup
+	for _, k := range l.openLinks() {
+		flushing.Go(func() { k.flush(ctx) })
+	}
+	flushing.Wait()
+}
+
+// openLinks returns the links that are open or being opened.
+func (l *Linker) openLinks() []*link {
 	l.mu.Lock()
+	defer l.mu.Unlock()
 	links := make([]*link, 0, len(l.all))
 	for k := range l.all {
 		links = append(links, k)
 	}
-	l.mu.Unlock()
-	for _, k := range links {
-		k.end("node stops")
-	}
-	l.running.Wait()
+	return links
 }
 
 // Bytes returns the bytes of frames sent and received so far. The bodies of calls and
--- a/node/linker/linker_test.go
+++ b/node/linker/linker_test.go
@@ -195,6 +195,50 @@
 	is.Equal(receive(t, one.received), cassiatally.Message(cassiatally.ShardPull{Have: 8}))
 }
 
+// Guards against one message whose handling panics and that ends the process or the
+// link, which other calls share.
+func TestPanicOfAReceiver(t *testing.T) {
+	defer goleak.VerifyNone(t)
+	is := is.New(t)
+	b := &addressBook{addresses: make(map[cassiatally.NodeID]cassiatally.Address)}
+	one, two := newPeer(t, b, "one"), newPeer(t, b, "two")
+	defer one.Close()
+	defer two.Close()
+	deliver := two.Inbound
+	two.Inbound = func(from cassiatally.NodeRef, m cassiatally.Message) {
+		if _, ok := m.(cassiatally.ShardPull); ok {
+			panic("a message that the receiver cannot process")
+		}
+		deliver(from, m)
+	}
+	is.NoErr(one.Send("two", cassiatally.ShardPull{}))
+	is.NoErr(one.Send("two", cassiatally.SheetPull{Have: 1}))
+	is.Equal(receive(t, two.received), cassiatally.Message(cassiatally.SheetPull{Have: 1}))
+	is.Equal(one.Links(), 1)
+}
+
+// Guards against answers of the last runs that a stopping node has queued and never
+// sends, or that a reset discards at the other end before they are read.
+func TestCloseSendsWhatIsQueued(t *testing.T) {
+	defer goleak.VerifyNone(t)
+	is := is.New(t)
+	b := &addressBook{addresses: make(map[cassiatally.NodeID]cassiatally.Address)}
+	one, two := newPeer(t, b, "one"), newPeer(t, b, "two")
+	defer two.Close()
+	is.NoErr(one.Send("two", cassiatally.SheetPull{}))
+	receive(t, two.received)
+	is.NoErr(two.Send("one", cassiatally.ShardPull{})) // stays unread at the stopping node
+	const queued = 8                                   // the ring of a link is full
+	body := make([]byte, 512<<10)
+	for i := range uint64(queued) {
+		is.NoErr(one.Send("two", cassiatally.Answer{ID: cassiatally.CallID{Origin: 1, Seq: i}, Body: body}))
+	}
+	one.Close()
+	for i := range uint64(queued) {
+		is.Equal(receive(t, two.received).(cassiatally.Answer).ID.Seq, i)
+	}
+}
+
 // Guards against a link that stays open after its connection has begun to drop all
 // data silently, although new connections work.
 func TestSilentConnection(t *testing.T) {
--- a/node/memberkeeper/memberkeeper.go
+++ b/node/memberkeeper/memberkeeper.go
@@ -17,6 +17,7 @@
 
 	"github.com/cassiatally/cassiatally/cassiatally"
 	"github.com/cassiatally/cassiatally/cassiatally/looper"
+	"github.com/cassiatally/cassiatally/cassiatally/recoverer"
 	"github.com/cassiatally/cassiatally/cassiatally/registrar"
 	"github.com/cassiatally/cassiatally/cassiatally/ring"
 )
@@ -78,11 +79,12 @@
 	k.loggedMembers = make(map[cassiatally.NodeID]cassiatally.Incarnation)
 	k.view.Store(k.Registrar.View(k.Clock.Now()))
 	k.duty = looper.Looper[event]{
-		Clock:    k.Clock,
-		Inbox:    k.inbox,
-		Handle:   func(now cassiatally.Instant, e event) { e.apply(k, now) },
-		Tick:     k.tick,
-		Interval: tickInterval,
+		Clock:     k.Clock,
+		Recoverer: &recoverer.Recoverer{Logger: k.Logger, Duty: "memberkeeper"},
+		Inbox:     k.inbox,
+		Handle:    func(now cassiatally.Instant, e event) { e.apply(k, now) },
+		Tick:      k.tick,
+		Interval:  tickInterval,
 	}
 	k.duty.Run()
 }
--- a/node/routekeeper/routekeeper.go
+++ b/node/routekeeper/routekeeper.go
@@ -19,6 +19,7 @@
 	"github.com/cassiatally/cassiatally/cassiatally"
 	"github.com/cassiatally/cassiatally/cassiatally/looper"
 	"github.com/cassiatally/cassiatally/cassiatally/matcher"
+	"github.com/cassiatally/cassiatally/cassiatally/recoverer"
 	"github.com/cassiatally/cassiatally/cassiatally/ring"
 )
 
@@ -78,11 +79,12 @@
 	k.ctx, k.cancel = context.WithCancel(context.Background())
 	k.inbox = ring.New[event](inboxSize, ring.RefuseNewest)
 	k.duty = looper.Looper[event]{
-		Clock:    k.Clock,
-		Inbox:    k.inbox,
-		Handle:   func(now cassiatally.Instant, e event) { e.apply(k, now) },
-		Tick:     func(cassiatally.Instant) {},
-		Interval: tickInterval,
+		Clock:     k.Clock,
+		Recoverer: &recoverer.Recoverer{Logger: k.Logger, Duty: "routekeeper"},
+		Inbox:     k.inbox,
+		Handle:    func(now cassiatally.Instant, e event) { e.apply(k, now) },
+		Tick:      func(cassiatally.Instant) {},
+		Interval:  tickInterval,
 	}
 	k.duty.Run()
 	k.reader.Go(k.readSource)
@@ -140,7 +142,7 @@
 	backoff := minRetryBackoff
 	lost := false
 	for {
-		table, err := k.Source.Next(k.ctx)
+		table, err := k.nextTable()
 		switch {
 		case k.ctx.Err() != nil:
 			return
@@ -164,6 +166,13 @@
 	}
 }
 
+// nextTable waits for a table. A record that cannot be processed counts as a lost source.
+func (k *Keeper) nextTable() (t cassiatally.RouteTable, err error) {
+	err = cassiatally.NewError(cassiatally.KindProtocol, "the record of the source could not be processed")
+	defer k.duty.Recoverer.Recover()
+	return k.Source.Next(k.ctx)
+}
+
 func (e tableEvent) apply(k *Keeper, _ cassiatally.Instant) {
 	v := k.Version()
 	if e.table.Version <= v {
--- a/node/sheetkeeper/sheetkeeper.go
+++ b/node/sheetkeeper/sheetkeeper.go
@@ -22,6 +22,7 @@
 	"github.com/cassiatally/cassiatally/cassiatally/looper"
 	"github.com/cassiatally/cassiatally/cassiatally/protocol"
 	"github.com/cassiatally/cassiatally/cassiatally/ranker"
+	"github.com/cassiatally/cassiatally/cassiatally/recoverer"
 	"github.com/cassiatally/cassiatally/cassiatally/registrar"
 	"github.com/cassiatally/cassiatally/cassiatally/ring"
 	"github.com/cassiatally/cassiatally/cassiatally/sheetparser"
@@ -90,11 +91,12 @@
 	k.inbox = ring.New[event](inboxSize, ring.Wait)
 	k.appends = ring.New[cassiatally.SheetRecord](appendRingSize, ring.RefuseNewest)
 	k.duty = looper.Looper[event]{
-		Clock:    k.Clock,
-		Inbox:    k.inbox,
-		Handle:   func(now cassiatally.Instant, e event) { e.apply(k, now) },
-		Tick:     func(now cassiatally.Instant) { k.carryOut(k.Follower.Tick(now)) },
-		Interval: tickInterval,
+		Clock:     k.Clock,
+		Recoverer: &recoverer.Recoverer{Logger: k.Logger, Duty: "sheetkeeper"},
+		Inbox:     k.inbox,
+		Handle:    func(now cassiatally.Instant, e event) { e.apply(k, now) },
+		Tick:      func(now cassiatally.Instant) { k.carryOut(k.Follower.Tick(now)) },
+		Interval:  tickInterval,
 	}
 	k.duty.Run()
 	k.helpers.Go(k.serveAppends)
--- a/node/supervisor/supervisor.go
+++ b/node/supervisor/supervisor.go
@@ -179,6 +179,7 @@
 		Loads:     loads,
 		Clock:     s.Clock,
 		Transport: s.links,
+		Logger:    s.logs,
 		Router: router.New(router.Config{
 			Self:     s.self,
 			Balancer: balancer,
