looper, recoverer: test without the logger of the programs

Cause: both tests imported charmbracelet/log, which the library module does not require. Change: small loggers beside the tests. Measured: go test ./cassiatally/looper ./cassiatally/recoverer passes.

--- a/cassiatally/looper/looper_test.go
+++ b/cassiatally/looper/looper_test.go
@@ -1,11 +1,9 @@
 package looper_test
 
 import (
-	"io"
 	"testing"
 	"time"
 
-	"github.com/charmbracelet/log"
 	"github.com/matryer/is"
 
 	"github.com/cassiatally/cassiatally/cassiatally"
@@ -54,6 +52,13 @@
 	l.Close()
 }
 
+type silentLogger struct{}
+
+func (silentLogger) Debug(any, ...any) {}
+func (silentLogger) Info(any, ...any)  {}
+func (silentLogger) Warn(any, ...any)  {}
+func (silentLogger) Error(any, ...any) {}
+
 // Guards against an event whose handling panics and that ends the duty, the other events
 // of its batch, or the process.
 func TestPanicEndsOneEventOnly(t *testing.T) {
@@ -66,7 +71,7 @@
 	l := &looper.Looper[int]{
 		Clock:     &steppingClock{},
 		Inbox:     inbox,
-		Recoverer: &recoverer.Recoverer{Logger: log.New(io.Discard), Duty: "test"},
+		Recoverer: &recoverer.Recoverer{Logger: silentLogger{}, Duty: "test"},
 		Handle: func(_ cassiatally.Instant, i int) {
 			if i == 1 {
 				panic("event")
--- a/cassiatally/recoverer/recoverer_test.go
+++ b/cassiatally/recoverer/recoverer_test.go
@@ -1,27 +1,35 @@
 package recoverer_test
 
 import (
-	"bytes"
+	"fmt"
 	"strings"
 	"testing"
 
-	"github.com/charmbracelet/log"
 	"github.com/matryer/is"
 
 	"github.com/cassiatally/cassiatally/cassiatally/recoverer"
 )
 
+// errorLog collects the lines of errors.
+type errorLog struct{ strings.Builder }
+
+func (*errorLog) Debug(any, ...any) {}
+func (*errorLog) Info(any, ...any)  {}
+func (*errorLog) Warn(any, ...any)  {}
+
+func (l *errorLog) Error(event any, fields ...any) { fmt.Fprintln(l, event, fields) }
+
 // Guards against a panic that ends the process, or that leaves no trace in the log.
 func TestRecover(t *testing.T) {
 	is := is.New(t)
-	var out bytes.Buffer
-	r := &recoverer.Recoverer{Logger: log.New(&out), Duty: "executor"}
+	var out errorLog
+	r := &recoverer.Recoverer{Logger: &out, Duty: "executor"}
 	func() {
 		defer r.Recover()
 		var m map[string]int
 		m["a"]++
 	}()
-	is.True(strings.Contains(out.String(), "duty=executor"))
+	is.True(strings.Contains(out.String(), "duty executor"))
 	is.True(strings.Contains(out.String(), "nil map"))
 	is.True(strings.Contains(out.String(), "recoverer_test.go"))
 }
