balancer, runner: share the failure rates of endpoints

Change: the node beside an endpoint measures which fraction of its recent runs failed by the endpoint's own fault (failuremeter: half-life 1 s, falls without runs) and reports it with the load. The balancer adds the cost of a failed call to the predicted wait, and takes a sound endpoint in place of an unsound one unless that would take longer.

--- a/cassiatally/balancer/balancer.go
+++ b/cassiatally/balancer/balancer.go
@@ -57,6 +57,12 @@
 	unknownLimit                 = 4
 	// callWeight is the weight of one call in the smoothed duration and failure rate.
 	callWeight = 0.1
+	// unsoundRate is the failure rate, as its node reports it, from which on an endpoint
+	// is chosen only if a sound one would take longer even so. failureCost is the
+	// predicted wait of a call that fails, in run times: the call is sent once more or is
+	// lost.
+	unsoundRate = 0.1
+	failureCost = 10.0
 	// minOutlierCalls is the number of calls from which on the failure rate counts.
 	minOutlierCalls = 10
 	// minOutlierRate is the lowest failure rate of an outlier, and outlierFactor the
@@ -174,19 +180,33 @@
 			break
 		}
 	}
+	chosen, wait := b.nearOrFar(now)
+	if chosen == nil {
+		return "", false
+	}
+	if unsound(chosen) {
+		b.near, b.far = slices.DeleteFunc(b.near, unsound), slices.DeleteFunc(b.far, unsound)
+		if sound, soundWait := b.nearOrFar(now); sound != nil && soundWait < wait {
+			chosen = sound
+		}
+	}
+	return chosen.candidate.Ref.Node, true
+}
+
+// nearOrFar returns one of the eligible endpoints and its predicted wait, or nil when
+// there is none.
+func (b *Balancer) nearOrFar(now cassiatally.Instant) (*endpoint, float64) {
 	near, nearWait := b.betterOfTwo(now, b.near)
 	far, farWait := b.betterOfTwo(now, b.far)
-	switch {
-	case near == nil && far == nil:
-		return "", false
-	case near == nil:
-		return far.candidate.Ref.Node, true
-	case far != nil && nearWait > b.farThreshold(farWait):
-		return far.candidate.Ref.Node, true
+	if near == nil || far != nil && nearWait > b.farThreshold(farWait) {
+		return far, farWait
 	}
-	return near.candidate.Ref.Node, true
+	return near, nearWait
 }
 
+// unsound reports whether many of the runs at the endpoint fail.
+func unsound(e *endpoint) bool { return e.load.FailureRate >= unsoundRate }
+
 // filter selects which endpoints may be chosen.
 type filter int
 
@@ -274,7 +294,7 @@
 		limit = unknownLimit
 	}
 	used := (float64(e.inFlight) + others + 1) / float64(limit)
-	return float64(typical) * slowdown(used) / b.weight(now, e)
+	return float64(typical) * (slowdown(used) + failureCost*float64(e.load.FailureRate)) / b.weight(now, e)
 }
 
 // minTypical stands in for the run time of an endpoint without completed runs. It is
--- a/cassiatally/message.go
+++ b/cassiatally/message.go
@@ -124,6 +124,9 @@
 	Queued   int
 	// TypicalSelfTime is the smoothed self time of a run.
 	TypicalSelfTime time.Duration
+	// FailureRate is the fraction of the recent runs that the endpoint failed or refused
+	// by its own fault.
+	FailureRate FailureRate
 }
 
 // ServiceLoad has the level of each rank at an endpoint of a service, or the mean over
--- a/cassiatally/protocol/wire.go
+++ b/cassiatally/protocol/wire.go
@@ -64,6 +64,7 @@
 	InFlight        cassiatally.Concurrency `cbor:"3,keyasint,omitempty"`
 	Queued          int                     `cbor:"4,keyasint,omitempty"`
 	TypicalSelfTime time.Duration           `cbor:"5,keyasint,omitempty"`
+	FailureRate     cassiatally.FailureRate `cbor:"6,keyasint,omitempty"`
 }
 
 func toEndpointLoad(m cassiatally.EndpointLoad) wireEndpointLoad { return wireEndpointLoad(m) }
--- a/cassiatally/runner/result.go
+++ b/cassiatally/runner/result.go
@@ -14,6 +14,10 @@
 	// run: the remaining time is sent in whole milliseconds, and the answer takes
 	// time to arrive.
 	deadlineMargin = 20 * time.Millisecond
+	// droppedRunFactor is the number of typical self times after which a run without an
+	// answer counts as dropped by the backend server. The longest of a hundred runs
+	// takes five times as long as others.
+	droppedRunFactor = 6
 )
 
 // Finished records the result of a run and answers its call.
@@ -33,6 +37,7 @@
 	}
 	r.recordResult(now, rec, res)
 	a := r.answerFor(rec, res)
+	r.recordFailure(now, rec, res)
 	if a.Outcome == cassiatally.OutcomeNotRun {
 		r.countShed(rec.call.Rank, a.Kind)
 	}
@@ -49,6 +54,35 @@
 	return r.startQueued(now, r.queueHeldSuspects(actions, now))
 }
 
+// recordFailure records whether the backend server failed the run by its own fault. A run
+// that was cancelled shows neither.
+func (r *Runner) recordFailure(now cassiatally.Instant, rec *record, res cassiatally.RunResult) {
+	failed := false
+	switch res.Kind {
+	case cassiatally.ResultAborted:
+		return
+	case cassiatally.ResultAnswered:
+		failed = res.Status == internalServerError && !rec.children.anyFailed
+	case cassiatally.ResultTimedOut:
+		if !r.neverAnswered(now, rec) {
+			return
+		}
+		failed = true
+	default:
+		failed = true
+	}
+	r.failures.Record(now, failed)
+	r.failureRate = r.failures.Rate(now)
+}
+
+// neverAnswered reports whether a run that was cut off had far more time than others
+// need, so that the backend server has probably dropped it. Runs that wait for onward
+// calls, and all runs of a backend server that has become slow, are no evidence.
+func (r *Runner) neverAnswered(now cassiatally.Instant, rec *record) bool {
+	typical := r.limiter.TypicalSelfTime()
+	return typical > 0 && rec.children.outstanding == 0 && rec.children.selfTime(rec.started, now) >= droppedRunFactor*typical
+}
+
 func (r *Runner) recordResult(now cassiatally.Instant, rec *record, res cassiatally.RunResult) {
 	self := rec.children.selfTime(rec.started, now)
 	failed := res.Kind != cassiatally.ResultAnswered && res.Kind != cassiatally.ResultTimedOut
--- a/cassiatally/runner/runner.go
+++ b/cassiatally/runner/runner.go
@@ -26,6 +26,7 @@
 	"time"
 
 	"github.com/cassiatally/cassiatally/cassiatally"
+	"github.com/cassiatally/cassiatally/cassiatally/failuremeter"
 )
 
 const (
@@ -99,7 +100,10 @@
 	peers        map[cassiatally.Service][]cassiatally.NodeID
 	// unacknowledgedCrashes holds the crashes that not all peers have acknowledged.
 	unacknowledgedCrashes []*crash
-	lastCrashAt           cassiatally.Instant
+	failures              failuremeter.Meter
+	// failureRate is that of failures as of the last tick or end of a run.
+	failureRate cassiatally.FailureRate
+	lastCrashAt cassiatally.Instant
 	// lastProgress is when a run last ended or made an onward call, or when the
 	// first of those in flight started.
 	lastProgress cassiatally.Instant
@@ -185,6 +189,7 @@
 		InFlight:        cassiatally.Concurrency(r.running),
 		Queued:          r.admitter.Len(),
 		TypicalSelfTime: r.limiter.TypicalSelfTime(),
+		FailureRate:     r.failureRate,
 	}
 }
 
@@ -336,6 +341,7 @@
 		actions = r.Withdraw(now)
 	}
 	r.evictFinished(now)
+	r.failureRate = r.failures.Rate(now)
 	r.admitter.Tick(now, r.limiter.Limit())
 	actions = r.resendCrashReports(actions, now)
 	return r.startQueued(now, r.abortStalledRuns(r.queueHeldSuspects(actions, now), now))
--- a/cassiatally/units.go
+++ b/cassiatally/units.go
@@ -28,6 +28,8 @@
 	Level float64
 	// Share is a fraction of capacity in [0, 1].
 	Share float64
+	// FailureRate is the fraction of runs in [0, 1] that failed.
+	FailureRate float64
 	// Concurrency counts requests that run at the same time.
 	Concurrency int
 	// RetryCount counts retries.
