granter: grant retries of refused calls beside the endpoint

Change: the node beside an endpoint decides which refused calls are sent once more (granter): the most urgent rank first, then chains that are furthest. Its bound counts the calls of all senders and the retries that they decided upon. A sender spends its own budget on a refused call only while most endpoints of the service do not refuse. slidingcounter has the window that windowbudgeter had.

--- a/cassiatally/balancer/balancer.go
+++ b/cassiatally/balancer/balancer.go
@@ -431,6 +431,20 @@
 // HasEndpoint reports whether any endpoint of the service is listed, in any state.
 func (b *Balancer) HasEndpoint(s cassiatally.Service) bool { return len(b.services[s]) > 0 }
 
+// FailureRate returns the mean reported failure rate of the ready endpoints of the
+// service.
+func (b *Balancer) FailureRate(s cassiatally.Service) cassiatally.FailureRate {
+	var sum cassiatally.FailureRate
+	n := 0
+	for _, e := range b.services[s] {
+		if e.candidate.State == cassiatally.EndpointReady {
+			sum += e.load.FailureRate
+			n++
+		}
+	}
+	return sum / cassiatally.FailureRate(max(n, 1))
+}
+
 func positiveOr(v, fallback float64) float64 {
 	if v > 0 {
 		return v
--- a/cassiatally/interfaces.go
+++ b/cassiatally/interfaces.go
@@ -144,6 +144,9 @@
 	MarkResponding(n NodeID)
 	// HasEndpoint reports whether the service has an endpoint, in any state.
 	HasEndpoint(s Service) bool
+	// FailureRate returns the mean failure rate of the endpoints of the service that take
+	// work, as their nodes report it.
+	FailureRate(s Service) FailureRate
 }
 
 // CallResult is the measurement of a finished call for the balancer.
@@ -175,6 +178,16 @@
 	Succeeded(now Instant, p ServicePair)
 }
 
+// RetryGranter decides, at the node beside an endpoint, which of the calls that the
+// endpoint refused may be sent once more.
+type RetryGranter interface {
+	// Arrived records a call that is passed to the endpoint.
+	Arrived(now Instant, c Call)
+	// Grant reports whether a call that the endpoint refused may be sent once more, and
+	// counts the retry if so.
+	Grant(now Instant, c Call) bool
+}
+
 // LoadTracker decides at the entry whether the call chain of a request has the
 // capacity to finish it.
 type LoadTracker interface {
--- a/cassiatally/message.go
+++ b/cassiatally/message.go
@@ -51,11 +51,29 @@
 	// Repeated is set when the request, or one further up its chain, was sent before
 	// and may have run.
 	Repeated bool
+	// Send tells whether the call was sent before, without being run.
+	Send SendKind
+	// Progress is the number of onward calls that the run which makes this call has
+	// completed.
+	Progress uint8
 	Name     RequestName
 	Body     []byte
 	Digest   Digest
 }
 
+// SendKind tells which bound a send of a call counts towards.
+type SendKind uint8
+
+const (
+	// SendFirst is the first send of a call, or one after a send that did not reach an
+	// endpoint.
+	SendFirst SendKind = iota
+	// SendRetry is a retry that the sender's budget paid for.
+	SendRetry
+	// SendGranted is a retry that the node beside an endpoint granted.
+	SendGranted
+)
+
 // Fingerprint returns the fingerprint of the request. The kind of work includes the
 // target of Head.
 func (c Call) Fingerprint() Fingerprint {
@@ -86,6 +104,9 @@
 	// OwnFailure is set when the backend server failed although all its onward calls
 	// succeeded, so that another one may succeed.
 	OwnFailure bool
+	// RetryGranted is set when the endpoint refused the call and its node grants a retry,
+	// which the budget of the sender need not pay for.
+	RetryGranted bool
 	// RetriesSpent counts retries of the call and of all calls below it.
 	RetriesSpent RetryCount
 	// Endpoint is the load of the endpoint that answered.
--- a/cassiatally/protocol/codec_test.go
+++ b/cassiatally/protocol/codec_test.go
@@ -22,7 +22,7 @@
 	answer := cassiatally.Answer{
 		ID: id, Request: 11, Outcome: cassiatally.OutcomeRan, Status: 200, ContentType: "text/plain",
 		Body: []byte("ok"), Digest: cassiatally.DigestOf([]byte("ok")), RetryAfter: time.Second,
-		OwnFailure: true, RetriesSpent: 1, Fields: []cassiatally.Field{{Name: "A", Value: "b"}}, Endpoint: load, Loads: []cassiatally.ServiceLoad{levels},
+		OwnFailure: true, RetryGranted: true, RetriesSpent: 1, Fields: []cassiatally.Field{{Name: "A", Value: "b"}}, Endpoint: load, Loads: []cassiatally.ServiceLoad{levels},
 	}
 	member := cassiatally.Member{
 		Ref: ref, DataCentre: "north", Address: "127.0.0.1:1", Heartbeat: 4, Revision: 2, Leaving: true, SheetVersion: 3,
@@ -33,7 +33,7 @@
 	return []cassiatally.Message{
 		cassiatally.Hello{From: ref, DataCentre: "north", Address: "127.0.0.1:1"},
 		cassiatally.Ping{Seq: 1},
-		cassiatally.Call{ID: id, Stage: cassiatally.StageClaim, Root: cassiatally.RootID{1}, Service: "avail-svc", Work: "check", Tenant: "t", Rank: 1, Order: 0.25, Idempotent: true, Key: claim.Key, Remaining: time.Second, Retries: 2, Depth: 3, Attempt: 1, Head: cassiatally.Head{Method: "GET", Target: "/a?b", Fields: []cassiatally.Field{{Name: "A", Value: "b"}}}, Caller: "depot-svc", Name: "n", Repeated: true, Body: []byte("x"), Digest: cassiatally.DigestOf([]byte("x"))},
+		cassiatally.Call{ID: id, Stage: cassiatally.StageClaim, Root: cassiatally.RootID{1}, Service: "avail-svc", Work: "check", Tenant: "t", Rank: 1, Order: 0.25, Idempotent: true, Key: claim.Key, Remaining: time.Second, Retries: 2, Depth: 3, Attempt: 1, Head: cassiatally.Head{Method: "GET", Target: "/a?b", Fields: []cassiatally.Field{{Name: "A", Value: "b"}}}, Caller: "depot-svc", Name: "n", Repeated: true, Send: cassiatally.SendGranted, Progress: 2, Body: []byte("x"), Digest: cassiatally.DigestOf([]byte("x"))},
 		answer,
 		cassiatally.Cancel{ID: id},
 		cassiatally.RunQuery{ID: id, Target: 7, Request: 11},
--- a/cassiatally/protocol/wire.go
+++ b/cassiatally/protocol/wire.go
@@ -291,6 +291,8 @@
 	Caller     cassiatally.Service     `cbor:"20,keyasint,omitempty"`
 	Name       cassiatally.RequestName `cbor:"21,keyasint,omitempty"`
 	Repeated   bool                    `cbor:"22,keyasint,omitempty"`
+	Send       cassiatally.SendKind    `cbor:"23,keyasint,omitempty"`
+	Progress   uint8                   `cbor:"24,keyasint,omitempty"`
 }
 
 func toCall(m cassiatally.Call) wireCall {
@@ -317,6 +319,8 @@
 		Caller:     m.Caller,
 		Name:       m.Name,
 		Repeated:   m.Repeated,
+		Send:       m.Send,
+		Progress:   m.Progress,
 	}
 }
 
@@ -340,6 +344,8 @@
 		Caller:     w.Caller,
 		Name:       w.Name,
 		Repeated:   w.Repeated,
+		Send:       w.Send,
+		Progress:   w.Progress,
 		Body:       w.Body,
 		Digest:     w.Digest,
 	}
@@ -361,6 +367,7 @@
 	Request      cassiatally.RequestTag `cbor:"13,keyasint,omitempty"`
 	Fields       []wireField            `cbor:"14,keyasint,omitempty"`
 	OwnFailure   bool                   `cbor:"15,keyasint,omitempty"`
+	RetryGranted bool                   `cbor:"16,keyasint,omitempty"`
 }
 
 func toAnswer(m cassiatally.Answer) wireAnswer {
@@ -380,6 +387,7 @@
 		Request:      m.Request,
 		Fields:       convertAll(m.Fields, toField),
 		OwnFailure:   m.OwnFailure,
+		RetryGranted: m.RetryGranted,
 	}
 }
 
@@ -400,6 +408,7 @@
 		Request:      w.Request,
 		Fields:       convertAll(w.Fields, fromField),
 		OwnFailure:   w.OwnFailure,
+		RetryGranted: w.RetryGranted,
 	}
 }
 
--- a/cassiatally/request.go
+++ b/cassiatally/request.go
@@ -33,6 +33,8 @@
 	// Repeated is set when a run further up the chain was retried and makes its calls
 	// again.
 	Repeated bool
+	// Progress is the number of onward calls that the parent's run has completed.
+	Progress uint8
 	Attempt  uint16
 	// Parent is the service whose backend server makes the call; empty at the entry.
 	Parent Service
--- a/cassiatally/router/answer.go
+++ b/cassiatally/router/answer.go
@@ -107,6 +107,9 @@
 		p.sends++
 	}
 	p.endpointLost = p.endpointLost || isEndpointLoss(a.Kind)
+	if a.RetryGranted && a.Outcome == cassiatally.OutcomeNotRun && p.grants < maxGrants && now.Before(p.req.Deadline) {
+		return r.resendGranted(now, p, a.Endpoint.Node)
+	}
 	if (!r.mayRetry(p, a) && !r.mayRedirect(p, a)) || now.Reached(p.req.Deadline) {
 		return r.deliver(now, p, a)
 	}
@@ -121,6 +124,16 @@
 	return r.sendRun(now, p)
 }
 
+// resendGranted sends a call that an endpoint refused once more, preferably to another
+// one, without a retry of the request or of the budget.
+func (r *Router) resendGranted(now cassiatally.Instant, p *pending, refusedBy cassiatally.NodeID) []cassiatally.Action {
+	p.grants++
+	p.sendKind = cassiatally.SendGranted
+	p.avoid = append(p.avoid, refusedBy)
+	r.counts.Granted++
+	return r.sendRun(now, p)
+}
+
 // mayRedirect reports whether a call that was not run may be sent to another endpoint
 // without a retry. A call refused under load is redirected at most LoadRedirects times:
 // endpoints differ in speed and queue, but when two have no room, most have none.
@@ -158,7 +171,7 @@
 // request may be retried only when it is certain that it was not run.
 func (r *Router) mayRetry(p *pending, a cassiatally.Answer) bool {
 	if a.Outcome == cassiatally.OutcomeNotRun {
-		return a.Kind.Spec().Retryable
+		return a.Kind.Spec().Retryable && !r.needsGrant(p, a.Kind)
 	}
 	if !p.req.Policy.Idempotent {
 		return false
@@ -166,6 +179,12 @@
 	return isEndpointLoss(a.Kind) || a.OwnFailure
 }
 
+// needsGrant reports whether a refused call may only be sent once more when the node
+// beside an endpoint grants it, since most endpoints of the service refuse calls.
+func (r *Router) needsGrant(p *pending, kind cassiatally.ErrorKind) bool {
+	return r.cfg.Granted && kind == cassiatally.KindBackendRefused && r.cfg.Balancer.FailureRate(p.req.Service) >= refusingRate
+}
+
 // isEndpointLoss reports whether a call with this kind of error failed because its
 // endpoint, the node of the endpoint or the connection was lost.
 func isEndpointLoss(k cassiatally.ErrorKind) bool {
@@ -184,6 +203,7 @@
 	}
 	p.retriesLeft--
 	p.retriesSpent++
+	p.sendKind = cassiatally.SendRetry
 	r.counts.Retries++
 	return true
 }
--- a/cassiatally/router/router.go
+++ b/cassiatally/router/router.go
@@ -36,6 +36,13 @@
 	// queryInterval is the time before the outcome of a call whose link was lost is
 	// queried again.
 	queryInterval = 200 * time.Millisecond
+	// maxGrants bounds the retries of a request that the nodes beside endpoints grant. At
+	// endpoints that refuse half of what they get, one call in 250 needs more.
+	maxGrants = 7
+	// refusingRate is the mean failure rate of the endpoints of a service from which on
+	// refused calls are sent once more only when that is granted: another endpoint would
+	// refuse as many.
+	refusingRate = 0.25
 	// maxRedirects bounds the redirects of a call away from endpoints that are draining
 	// or unreachable. Such a call was not run and spends no retry.
 	maxRedirects = 3
@@ -62,12 +69,15 @@
 	// LoadRedirects bounds the redirects of a call, without a retry, away from endpoints
 	// that refused it under load.
 	LoadRedirects int
+	// Granted is set if the nodes beside endpoints grant retries of refused calls.
+	Granted bool
 }
 
 // Counts are totals since the start of the router, for operators.
 type Counts struct {
 	RefusedAtEntry    uint64
 	Retries           uint64
+	Granted           uint64
 	Redirects         uint64
 	RetriesDenied     uint64
 	LateAnswers       uint64
@@ -110,7 +120,10 @@
 	deferrals int
 	// sends counts the endpoints that received the request and may have run it.
 	sends int
-	avoid []cassiatally.NodeID
+	// sendKind is that of the current attempt, and grants counts those that were granted.
+	sendKind cassiatally.SendKind
+	grants   int
+	avoid    []cassiatally.NodeID
 }
 
 // New returns a router without pending requests.
@@ -261,6 +274,8 @@
 		Caller:     p.req.Caller,
 		Name:       p.req.Name,
 		Repeated:   p.req.Repeated || p.mayHaveRun,
+		Send:       p.sendKind,
+		Progress:   p.req.Progress,
 		Body:       p.req.Body,
 		Digest:     cassiatally.DigestOf(p.req.Body),
 	}
--- a/cassiatally/router/router_test.go
+++ b/cassiatally/router/router_test.go
@@ -16,7 +16,12 @@
 )
 
 // listBalancer chooses the first node that is not in the list of nodes to avoid.
-type listBalancer struct{ nodes, silent []cassiatally.NodeID }
+type listBalancer struct {
+	nodes, silent []cassiatally.NodeID
+	failureRate   cassiatally.FailureRate
+}
+
+func (b *listBalancer) FailureRate(cassiatally.Service) cassiatally.FailureRate { return b.failureRate }
 
 func (b *listBalancer) MarkSilent(_ cassiatally.Instant, n cassiatally.NodeID) {
 	b.silent = append(b.silent, n)
@@ -600,3 +605,53 @@
 	is.True(earliest > 0)
 	is.True(latest >= 3*earliest)
 }
+
+// Guards against a granted retry that the sender's budget denies, that is not marked as
+// granted, or that is repeated without end, and against retries of the sender's own while
+// the whole service refuses calls.
+func TestGrantedRetries(t *testing.T) {
+	refused := func(c cassiatally.Call, granted bool) cassiatally.Answer {
+		return cassiatally.Answer{
+			ID: c.ID, Outcome: cassiatally.OutcomeNotRun, Kind: cassiatally.KindBackendRefused, RetryGranted: granted,
+		}
+	}
+	newRouter := func(denied bool, rate cassiatally.FailureRate) *router.Router {
+		h := newHarness([]cassiatally.NodeID{"a", "b"}, stubBudget{denied: denied}, stubLoads{})
+		cfg := h.config(0)
+		cfg.Granted = true
+		cfg.Balancer = &listBalancer{nodes: []cassiatally.NodeID{"a", "b"}, failureRate: rate}
+		return router.New(cfg)
+	}
+	t.Run("granted", func(t *testing.T) {
+		is := is.New(t)
+		r := newRouter(true, 0.5)
+		to, c := sent(t, r.Submit(start, request(false)))
+		is.Equal(c.Send, cassiatally.SendFirst)
+		grants := 0
+		for {
+			actions := r.HandleAnswer(start, to, refused(c, true))
+			if r.InFlight() == 0 {
+				is.Equal(delivered(t, actions).Outcome, cassiatally.OutcomeNotRun)
+				break
+			}
+			grants++
+			to, c = sent(t, actions)
+			is.Equal(c.Send, cassiatally.SendGranted)
+		}
+		is.True(grants > 2)
+		is.True(grants < 10)
+	})
+	t.Run("not granted by a service that refuses", func(t *testing.T) {
+		is := is.New(t)
+		r := newRouter(false, 0.5)
+		to, c := sent(t, r.Submit(start, request(false)))
+		is.Equal(delivered(t, r.HandleAnswer(start, to, refused(c, false))).Kind, cassiatally.KindBackendRefused)
+	})
+	t.Run("not granted by one endpoint", func(t *testing.T) {
+		is := is.New(t)
+		r := newRouter(false, 0.1)
+		to, c := sent(t, r.Submit(start, request(false)))
+		_, again := sent(t, r.HandleAnswer(start, to, refused(c, false)))
+		is.Equal(again.Send, cassiatally.SendRetry)
+	})
+}
--- a/cassiatally/runner/children.go
+++ b/cassiatally/runner/children.go
@@ -1,6 +1,7 @@
 package runner
 
 import (
+	"math"
 	"time"
 
 	"github.com/cassiatally/cassiatally/cassiatally"
@@ -70,8 +71,10 @@
 	// attempts holds the idempotent calls that have not succeeded.
 	attempts    map[childKey]attemptState
 	outstanding int
-	// anyFailed is set once an onward call has failed.
+	// anyFailed is set once an onward call has failed; completed counts those that have
+	// not.
 	anyFailed    bool
+	completed    uint8
 	waitingSince cassiatally.Instant
 	waited       time.Duration
 	retriesLeft  cassiatally.RetryCount
@@ -239,6 +242,7 @@
 		Retries:  granted,
 		Depth:    parent.call.Depth + 1,
 		Repeated: parent.call.Repeated,
+		Progress: parent.children.completed,
 		Attempt:  c.Attempt,
 		Parent:   parent.call.Service,
 		Body:     c.Body,
@@ -264,7 +268,11 @@
 	answered := parent.children.calls[ref.key]
 	parent.children.callEnded(now)
 	parent.children.recordAttempt(ref.attemptKey, a)
-	parent.children.anyFailed = parent.children.anyFailed || a.Kind != cassiatally.KindNone
+	if a.Kind != cassiatally.KindNone {
+		parent.children.anyFailed = true
+	} else if parent.children.completed < math.MaxUint8 {
+		parent.children.completed++
+	}
 	spent := min(a.RetriesSpent, answered.retriesGranted)
 	parent.children.retriesLeft += answered.retriesGranted - spent
 	parent.children.retriesSpent += spent
--- a/cassiatally/runner/result.go
+++ b/cassiatally/runner/result.go
@@ -18,6 +18,8 @@
 	// answer counts as dropped by the backend server. The longest of a hundred runs
 	// takes five times as long as others.
 	droppedRunFactor = 6
+	// minGrantLevel is the level of a rank below which its capacity is short.
+	minGrantLevel = 0.9
 )
 
 // Finished records the result of a run and answers its call.
@@ -38,6 +40,7 @@
 	r.recordResult(now, rec, res)
 	a := r.answerFor(rec, res)
 	r.recordFailure(now, rec, res)
+	a.RetryGranted = res.Kind == cassiatally.ResultRefused && r.grantsRetry(now, rec.call)
 	if a.Outcome == cassiatally.OutcomeNotRun {
 		r.countShed(rec.call.Rank, a.Kind)
 	}
@@ -54,6 +57,19 @@
 	return r.startQueued(now, r.queueHeldSuspects(actions, now))
 }
 
+// grantsRetry reports whether a call that the backend server refused may be sent once
+// more. While capacity is short, a retry would take it from other calls.
+func (r *Runner) grantsRetry(now cassiatally.Instant, c cassiatally.Call) bool {
+	if r.Granter == nil {
+		return false
+	}
+	levels := r.admitter.Levels()
+	if int(c.Rank) < len(levels) && levels[c.Rank] < minGrantLevel {
+		return false
+	}
+	return r.Granter.Grant(now, c)
+}
+
 // recordFailure records whether the backend server failed the run by its own fault. A run
 // that was cancelled shows neither.
 func (r *Runner) recordFailure(now cassiatally.Instant, rec *record, res cassiatally.RunResult) {
--- a/cassiatally/runner/runner.go
+++ b/cassiatally/runner/runner.go
@@ -78,8 +78,13 @@
 	children children
 }
 
-// Runner holds the state of the calls at one backend server.
+// Runner holds the state of the calls at one backend server. Its fields are set before
+// its first use.
 type Runner struct {
+	// Granter, if set, decides which of the calls that the backend server refused may be
+	// sent once more.
+	Granter cassiatally.RetryGranter
+
 	self       cassiatally.NodeRef
 	admitter   cassiatally.Admitter
 	limiter    cassiatally.Limiter
@@ -405,6 +410,9 @@
 		r.recordProgress(now)
 	}
 	r.running++
+	if r.Granter != nil {
+		r.Granter.Arrived(now, rec.call)
+	}
 	rec.concurrency = cassiatally.Concurrency(r.running)
 	call := rec.call
 	call.Remaining = rec.deadline.Sub(now)
--- a/cassiatally/runner/runner_test.go
+++ b/cassiatally/runner/runner_test.go
@@ -614,3 +614,57 @@
 	late := h.BeginChild(start, child)
 	is.Equal(late[0].(cassiatally.Deliver).Answer.Kind, cassiatally.KindUnknownParent)
 }
+
+// stubGranter grants all retries and counts the calls that arrive.
+type stubGranter struct{ arrived int }
+
+func (g *stubGranter) Arrived(cassiatally.Instant, cassiatally.Call)    { g.arrived++ }
+func (g *stubGranter) Grant(cassiatally.Instant, cassiatally.Call) bool { return true }
+
+// Guards against a retry that is granted for a call which may have run, and against calls
+// that the granter does not see.
+func TestGrantedRetry(t *testing.T) {
+	for kind, granted := range map[cassiatally.RunResultKind]bool{
+		cassiatally.ResultRefused: true, cassiatally.ResultLost: false, cassiatally.ResultAnswered: false,
+	} {
+		is := is.New(t)
+		h := newHarness(2)
+		g := &stubGranter{}
+		h.Granter = g
+		h.HandleCall(start, entry, call(1, "a"))
+		got := answers(h.Finished(start, call(1, "a").ID, cassiatally.RunResult{Kind: kind, Status: 200}))
+		is.Equal(got[0].RetryGranted, granted)
+		is.Equal(g.arrived, 1)
+	}
+}
+
+// Guards against a faulty backend server that reports no failures, and against failures
+// that are not its own: cancelled runs, failed onward calls, and all runs being slow.
+func TestFailureRate(t *testing.T) {
+	const runs = 20
+	cases := []struct {
+		name   string
+		result cassiatally.RunResult
+		failed bool
+	}{
+		{"answer lost", cassiatally.RunResult{Kind: cassiatally.ResultLost}, true},
+		{"refused", cassiatally.RunResult{Kind: cassiatally.ResultRefused}, true},
+		{"failure of its own", cassiatally.RunResult{Kind: cassiatally.ResultAnswered, Status: 500}, true},
+		{"cancelled", cassiatally.RunResult{Kind: cassiatally.ResultAborted}, false},
+		{"cut off at the deadline", cassiatally.RunResult{Kind: cassiatally.ResultTimedOut}, false},
+		{"answered", cassiatally.RunResult{Kind: cassiatally.ResultAnswered, Status: 200}, false},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			h := newHarness(2)
+			now := start
+			for i := range uint64(runs) {
+				now = now.Add(10 * time.Millisecond)
+				h.HandleCall(now, entry, call(i, "a"))
+				h.Finished(now, call(i, "a").ID, c.result)
+			}
+			is.Equal(h.Endpoint().Load.FailureRate > 0.5, c.failed)
+		})
+	}
+}
--- a/cassiatally/windowbudgeter/windowbudgeter.go
+++ b/cassiatally/windowbudgeter/windowbudgeter.go
@@ -20,13 +20,10 @@
 	"time"
 
 	"github.com/cassiatally/cassiatally/cassiatally"
+	"github.com/cassiatally/cassiatally/cassiatally/slidingcounter"
 )
 
 const (
-	// slotCount is the number of slots of a window. Requests and retries of the current
-	// slot count in full.
-	slotCount     = 10
-	defaultWindow = 10 * time.Second
 	// maxServices bounds the services that have an account. Others get no retries.
 	maxServices = 1024
 	// shortageLevel is the level below which a service is short of capacity. Retries
@@ -52,26 +49,22 @@
 	services map[cassiatally.Service]*account
 }
 
-// account counts the requests and retries of a service in a window, by slot.
-type account struct {
-	slot              int64
-	requests, retries [slotCount]float64
-}
+// account counts the requests and retries of a service in a window.
+type account struct{ requests, retries slidingcounter.Counter }
 
 var _ cassiatally.RetryBudget = (*Budgeter)(nil)
 
 // Requested counts the first send of a request, or a retry if the request is repeated
 // because a run further up the call chain was.
 func (b *Budgeter) Requested(now cassiatally.Instant, p cassiatally.ServicePair, repeated bool) {
-	a := b.accountOf(now, p.To)
-	if a == nil {
-		return
-	}
-	if repeated {
-		a.retries[a.slot%slotCount]++
-		return
+	a := b.accountOf(p.To)
+	switch {
+	case a == nil:
+	case repeated:
+		a.retries.Add(now, 1)
+	default:
+		a.requests.Add(now, 1)
 	}
-	a.requests[a.slot%slotCount]++
 }
 
 // Succeeded changes nothing, since requests count whether they succeed or not.
@@ -95,44 +88,23 @@
 // takeRetry counts a retry and returns true, unless the retry would exceed that fraction
 // of the allowed ones.
 func (b *Budgeter) takeRetry(now cassiatally.Instant, p cassiatally.ServicePair, fraction float64) bool {
-	a := b.accountOf(now, p.To)
-	if a == nil || sum(a.retries)+1 > fraction*(b.Ratio*sum(a.requests)+b.Slack) {
+	a := b.accountOf(p.To)
+	if a == nil || a.retries.Sum(now)+1 > fraction*(b.Ratio*a.requests.Sum(now)+b.Slack) {
 		return false
 	}
-	a.retries[a.slot%slotCount]++
+	a.retries.Add(now, 1)
 	return true
 }
 
-func sum(counts [slotCount]float64) float64 {
-	total := 0.0
-	for _, n := range counts {
-		total += n
-	}
-	return total
-}
-
-// accountOf returns the account of a service, after clearing the slots that are no
-// longer in the window. It returns nil if there are too many services.
-func (b *Budgeter) accountOf(now cassiatally.Instant, s cassiatally.Service) *account {
-	window := b.Window
-	if window <= 0 {
-		window = defaultWindow
-	}
-	slot := int64(time.Duration(now) / (window / slotCount))
+// accountOf returns the account of a service, or nil if there are too many services.
+func (b *Budgeter) accountOf(s cassiatally.Service) *account {
 	a := b.services[s]
-	if a == nil {
+	if a == nil && len(b.services) < maxServices {
 		if b.services == nil {
 			b.services = make(map[cassiatally.Service]*account)
 		}
-		if len(b.services) >= maxServices {
-			return nil
-		}
-		a = &account{slot: slot}
+		a = &account{requests: slidingcounter.Counter{Window: b.Window}, retries: slidingcounter.Counter{Window: b.Window}}
 		b.services[s] = a
 	}
-	for past := max(a.slot+1, slot-slotCount+1); past <= slot; past++ {
-		a.requests[past%slotCount], a.retries[past%slotCount] = 0, 0
-	}
-	a.slot = max(a.slot, slot)
 	return a
 }
--- a/node/gatekeeper/gatekeeper.go
+++ b/node/gatekeeper/gatekeeper.go
@@ -25,6 +25,7 @@
 	"github.com/cassiatally/cassiatally/cassiatally/admitter"
 	"github.com/cassiatally/cassiatally/cassiatally/balancer"
 	"github.com/cassiatally/cassiatally/cassiatally/fixedlimiter"
+	"github.com/cassiatally/cassiatally/cassiatally/granter"
 	"github.com/cassiatally/cassiatally/cassiatally/instancetracker"
 	"github.com/cassiatally/cassiatally/cassiatally/loadtracker"
 	"github.com/cassiatally/cassiatally/cassiatally/matcher"
@@ -319,6 +320,7 @@
 			// The nodes of a service differ in speed and queue length, and a call that one
 			// of them refuses has not reached an endpoint.
 			LoadRedirects: 1,
+			Granted:       true,
 		}),
 	}
 	g.forwarder = &forwarder.Forwarder{
@@ -335,8 +337,10 @@
 
 func (g *Gatekeeper) buildExecutor() {
 	quarantine := quarantiner.New(g.self)
+	r := runner.New(g.self, &admitter.Admitter{Proportion: reservedProportion}, &fixedlimiter.Limiter{UseSlots: true}, quarantine, g.nextID)
+	r.Granter = &granter.Granter{Ratio: g.Settings.RetryRatio, Window: g.Settings.RetryWindow}
 	g.executor = &executor.Executor{
-		Runner:      runner.New(g.self, &admitter.Admitter{Proportion: reservedProportion}, &fixedlimiter.Limiter{UseSlots: true}, quarantine, g.nextID),
+		Runner:      r,
 		Quarantine:  quarantine,
 		Clock:       g.Clock,
 		Transport:   g.links,
