pausemeter: calls that waited out a pause have less time left

A call carries the time left as a duration, so that a node that was paused took a call that had waited in its socket buffer for a fresh one: an unsafe request ran after its caller had been told that the deadline had passed. Change: a duty notices pauses by the uptime of the host, which goes on while the host is suspended, and the link reader subtracts the pause from the time of each call that it reads just after.

--- a/node/gatekeeper/gatekeeper.go
+++ b/node/gatekeeper/gatekeeper.go
@@ -44,6 +44,7 @@
 	"github.com/cassiatally/cassiatally/node/linker"
 	"github.com/cassiatally/cassiatally/node/loglimiter"
 	"github.com/cassiatally/cassiatally/node/memberkeeper"
+	"github.com/cassiatally/cassiatally/node/pausemeter"
 	"github.com/cassiatally/cassiatally/node/reporter"
 	"github.com/cassiatally/cassiatally/node/routekeeper"
 )
@@ -130,6 +131,7 @@
 	introducer *introducer.Introducer
 	forwarder  *forwarder.Forwarder
 	flusher    *flusher
+	pauses     *pausemeter.Meter
 	closers    []func()
 }
 
@@ -260,6 +262,7 @@
 		Lost:        func(peer cassiatally.NodeRef) { g.dispatcher.LinkLost(peer) },
 		Silent:      func(peer cassiatally.NodeRef) { g.dispatcher.LinkSilent(peer) },
 		Responding:  func(peer cassiatally.NodeRef) { g.dispatcher.LinkResponding(peer) },
+		Delay:       func() time.Duration { return g.pauses.Delay() },
 		Undelivered: func(to cassiatally.NodeID, m cassiatally.Message) { g.dispatcher.SendFailed(to, m) },
 	}
 	if err := g.links.OpenListener(); err != nil {
@@ -372,6 +375,7 @@
 		Restarted: g.Settings.Restarted,
 	}
 	g.flusher = &flusher{clock: g.Clock, flush: g.logs.Flush}
+	g.pauses = &pausemeter.Meter{Clock: g.Clock, Uptime: pausemeter.Uptime}
 }
 
 // start starts all duties; those that receive messages start before the links.
@@ -380,7 +384,7 @@
 	for _, d := range []interface {
 		Run()
 		Close()
-	}{g.flusher, g.dispatcher, g.executor, g.instances, g.routes, g.members, g.links, g.introducer} {
+	}{g.flusher, g.pauses, g.dispatcher, g.executor, g.instances, g.routes, g.members, g.links, g.introducer} {
 		d.Run()
 		g.onClose(d.Close)
 	}
--- a/node/linker/link.go
+++ b/node/linker/link.go
@@ -267,6 +267,13 @@
 	defer k.owner.recoverer.Recover()
 	switch m := m.(type) {
 	case cassiatally.Ping, cassiatally.Hello:
+		return
+	case cassiatally.Call:
+		k.recordUse(m)
+		if k.owner.Delay != nil {
+			m.Remaining -= k.owner.Delay()
+		}
+		k.owner.Inbound(k.peer, m)
 	default:
 		k.recordUse(m)
 		k.owner.Inbound(k.peer, m)
--- a/node/supervisor/supervisor.go
+++ b/node/supervisor/supervisor.go
@@ -39,6 +39,7 @@
 	"github.com/cassiatally/cassiatally/node/logdriver"
 	"github.com/cassiatally/cassiatally/node/loglimiter"
 	"github.com/cassiatally/cassiatally/node/memberkeeper"
+	"github.com/cassiatally/cassiatally/node/pausemeter"
 	"github.com/cassiatally/cassiatally/node/reporter"
 	"github.com/cassiatally/cassiatally/node/requestreader"
 	"github.com/cassiatally/cassiatally/node/sampler"
@@ -67,6 +68,7 @@
 	members    *memberkeeper.Keeper
 	sheets     *sheetkeeper.Keeper
 	claims     *claimkeeper.Keeper
+	pauses     *pausemeter.Meter
 	dispatcher *dispatcher.Dispatcher
 	executor   *executor.Executor
 	callers    *callerserver.Server
@@ -147,6 +149,7 @@
 		AddressOf:   func(n cassiatally.NodeID) (cassiatally.Address, bool) { return s.members.AddressOf(n) },
 		Inbound:     s.inbound,
 		Lost:        func(peer cassiatally.NodeRef) { s.dispatcher.LinkLost(peer) },
+		Delay:       func() time.Duration { return s.pauses.Delay() },
 		Undelivered: func(to cassiatally.NodeID, m cassiatally.Message) { s.dispatcher.SendFailed(to, m) },
 	}
 	s.buildDuties()
@@ -258,6 +261,9 @@
 // first message arrives.
 func (s *Supervisor) startDuties() error {
 	s.members.Open()
+	s.pauses = &pausemeter.Meter{Clock: s.Clock, Uptime: pausemeter.Uptime}
+	s.pauses.Run()
+	s.onClose(s.pauses.Close)
 	s.dispatcher.Run()
 	s.onClose(s.dispatcher.Close)
 	s.executor.Run()
