--- a/cassiatally/claimer/claimer.go
+++ b/cassiatally/claimer/claimer.go
@@ -141,7 +141,7 @@
 	c.dropBelowCompleteFrom(s)
 	c.resetRotation(now, s, keepClaims && oldRole == roleHolder)
 	s.assignedAt = now
-	s.holderWasLive, s.standbyWasLive = false, false
+	s.standbyWasLive = false
 	s.noteLive(c.live)
 	s.proposal = nil
 	s.rotating = false
@@ -321,11 +321,13 @@
 	return c.haveMembers && now.Reached(s.assignedAt.Add(memberGrace))
 }
 
-// gone reports whether a node of the assignment in force has left the member table.
-// A node that was never there is given memberGrace to appear.
-func (c *Claimer) gone(now cassiatally.Instant, s *shard, ref cassiatally.NodeRef, wasLive bool) bool {
-	_, live := c.member(ref)
-	return !live && c.haveMembers && (wasLive || c.memberTableReady(now, s))
+// standbyGone reports whether the standby has left the member table. One that was never
+// there is given memberGrace to appear. A standby does not treat its holder like that:
+// shortly after the assignment its copy may be incomplete, and a takeover would discard
+// the claims.
+func (c *Claimer) standbyGone(now cassiatally.Instant, s *shard) bool {
+	_, live := c.member(s.inForce.Standby)
+	return !live && c.haveMembers && (s.standbyWasLive || c.memberTableReady(now, s))
 }
 
 // standbyFor chooses the standby of a holder among the live members that are not
--- a/cassiatally/claimer/holder.go
+++ b/cassiatally/claimer/holder.go
@@ -360,7 +360,7 @@
 	next.Epoch++
 	next.CompleteFrom = s.completeFrom
 	standby, _ := c.member(s.inForce.Standby)
-	gone := c.gone(now, s, s.inForce.Standby, s.standbyWasLive)
+	gone := c.standbyGone(now, s)
 	synced := len(s.outbox.entries) == 0 && !s.standbySealed
 	switch {
 	case gone || c.memberTableReady(now, s) && (standby.Leaving || s.outbox.stalled(now)):
--- a/cassiatally/claimer/shard.go
+++ b/cassiatally/claimer/shard.go
@@ -20,9 +20,9 @@
 	inForce    cassiatally.Assignment
 	role       role
 	assignedAt cassiatally.Instant
-	// holderWasLive and standbyWasLive are set once the node was in the member table
-	// during the assignment in force.
-	holderWasLive, standbyWasLive bool
+	// standbyWasLive is set once the standby was in the member table during the
+	// assignment in force.
+	standbyWasLive bool
 
 	claims map[cassiatally.Key]*claim
 	// completeFrom is the lowest epoch of which this node has all claims.
@@ -66,10 +66,9 @@
 	}
 }
 
-// noteLive records whether holder and standby are among the live members.
+// noteLive records whether the standby is among the live members.
 func (s *shard) noteLive(live []cassiatally.Member) {
 	for _, m := range live {
-		s.holderWasLive = s.holderWasLive || m.Ref == s.inForce.Holder
 		s.standbyWasLive = s.standbyWasLive || m.Ref == s.inForce.Standby
 	}
 }
--- a/cassiatally/claimer/standby.go
+++ b/cassiatally/claimer/standby.go
@@ -88,7 +88,10 @@
 // before the append, so that no claim is acknowledged after the state that this
 // node takes over.
 func (c *Claimer) tickStandby(now cassiatally.Instant, s *shard) {
-	if !s.sealed && !c.gone(now, s, s.inForce.Holder, s.holderWasLive) {
+	if _, live := c.member(s.inForce.Holder); live && !s.sealed {
+		return
+	}
+	if !c.memberTableReady(now, s) {
 		return
 	}
 	s.sealed = true
