--- a/cassiatally/recoverer/recoverer_test.go
+++ b/cassiatally/recoverer/recoverer_test.go
@@ -26,11 +26,11 @@
 	r := &recoverer.Recoverer{Logger: &out, Duty: "executor"}
 	func() {
 		defer r.Recover()
-		var m map[string]int
-		m["a"]++
+		var list []int
+		list[len(out.String())]++
 	}()
 	is.True(strings.Contains(out.String(), "duty executor"))
-	is.True(strings.Contains(out.String(), "nil map"))
+	is.True(strings.Contains(out.String(), "index out of range"))
 	is.True(strings.Contains(out.String(), "recoverer_test.go"))
 }
 
