--- a/cassiatally/fixedlimiter/fixedlimiter.go
+++ b/cassiatally/fixedlimiter/fixedlimiter.go
@@ -28,6 +28,9 @@
 	Fixed cassiatally.Concurrency
 	// UseSlots makes the announced slots the limit when Fixed is 0.
 	UseSlots bool
+	// Fraction is the fraction of the announced slots that is used, of which one is used
+	// at least; 0 means all.
+	Fraction float64
 
 	slots   cassiatally.Concurrency
 	typical time.Duration
@@ -41,11 +44,18 @@
 		return l.Fixed
 	}
 	if l.UseSlots && l.slots > 0 {
-		return l.slots
+		return l.usedSlots()
 	}
 	return Unlimited
 }
 
+func (l *Limiter) usedSlots() cassiatally.Concurrency {
+	if l.Fraction <= 0 {
+		return l.slots
+	}
+	return max(cassiatally.Concurrency(l.Fraction*float64(l.slots)), 1)
+}
+
 // Resize records the announced slots.
 func (l *Limiter) Resize(_ cassiatally.Instant, slots cassiatally.Concurrency) { l.slots = slots }
 
--- a/node/gatekeeper/build.go
+++ b/node/gatekeeper/build.go
@@ -133,7 +133,7 @@
 
 func (g *Gatekeeper) buildExecutor() {
 	quarantine := quarantiner.New(g.self)
-	r := runner.New(g.self, &admitter.Admitter{Proportion: reservedProportion}, &fixedlimiter.Limiter{UseSlots: true}, quarantine, g.nextID)
+	r := runner.New(g.self, &admitter.Admitter{Proportion: reservedProportion}, &fixedlimiter.Limiter{UseSlots: true, Fraction: usedSlots}, quarantine, g.nextID)
 	r.Granter = &granter.Granter{Ratio: g.Settings.RetryRatio, Window: g.Settings.RetryWindow}
 	g.executor = &executor.Executor{
 		Runner:      r,
--- a/node/gatekeeper/gatekeeper.go
+++ b/node/gatekeeper/gatekeeper.go
@@ -59,6 +59,9 @@
 	// reservedProportion is the fraction of its proportional share that is reserved for
 	// each less urgent rank while capacity does not suffice for all.
 	reservedProportion = 0.85
+	// usedSlots is the fraction of an endpoint's slots that is used. Some endpoints become
+	// slower when they are nearly full, and then complete less than with a slot to spare.
+	usedSlots = 0.95
 	// remoteMargin keeps calls in their data centre while the endpoints there take less
 	// than two and a half times as long as others. Endpoints of a service differ in speed
 	// by a factor of two, and traffic between data centres costs more than that time.
