registrar, router: a restarted node knows the endpoints at once

Nodes that had just restarted beside endpoints that go on running refused the onward calls of runs for up to 3.3 s, since they knew no endpoint of the service. Their peers had the earlier incarnation in their tables, took them for members that know the others, and sent them nothing; the store has addresses only. Change: a sender with a newer incarnation is sent the members like a newcomer. A call to an unknown service waits up to 200 ms in the first 5 s after the first request of a node.

--- a/cassiatally/registrar/merge.go
+++ b/cassiatally/registrar/merge.go
@@ -19,7 +19,7 @@
 	}
 	r.lastEvent = now
 	m := merger{Registrar: r, now: now, from: from}
-	newcomer := r.table[from.Node] == nil
+	newcomer := r.hasStarted(from)
 	var source cassiatally.Member
 	for _, member := range g.Members {
 		if member.Ref == from {
@@ -40,6 +40,13 @@
 	return append(out, m.reply(source)...)
 }
 
+// hasStarted reports whether the sender of a message is new here, or was restarted and
+// has lost its table.
+func (r *Registrar) hasStarted(from cassiatally.NodeRef) bool {
+	e := r.table[from.Node]
+	return e == nil || e.member.Ref.Incarnation < from.Incarnation
+}
+
 // merger merges the entries of one message and collects what to send because of them.
 type merger struct {
 	*Registrar
--- a/cassiatally/router/answer.go
+++ b/cassiatally/router/answer.go
@@ -158,7 +158,8 @@
 	return r.sendRun(now, p)
 }
 
-// deferRun delays a call while its only remaining endpoint is being dialled.
+// deferRun delays a call while its only remaining endpoint is being dialled, or its
+// service is being discovered.
 func (r *Router) deferRun(now cassiatally.Instant, p *pending) []cassiatally.Action {
 	p.deferrals++
 	p.waiting = true
--- a/cassiatally/router/router.go
+++ b/cassiatally/router/router.go
@@ -71,6 +71,9 @@
 	LoadRedirects int
 	// Granted is set if the nodes beside endpoints grant retries of refused calls.
 	Granted bool
+	// Discovery is the time after the first request in which an unknown service may
+	// become known, so that its requests wait for a moment; 0 means that none waits.
+	Discovery time.Duration
 }
 
 // Counts are totals since the start of the router, for operators.
@@ -93,6 +96,8 @@
 	attempts map[cassiatally.CallID]*pending
 	wakes    wakeHeap
 	counts   Counts
+	// firstRequestAt is when the first request was submitted.
+	firstRequestAt cassiatally.Instant
 }
 
 // pending is a request without a final answer and its current attempt.
@@ -151,6 +156,9 @@
 	if a, refused := r.refuseAtEntry(now, p); refused {
 		return r.deliverAction(p, a)
 	}
+	if r.firstRequestAt == 0 {
+		r.firstRequestAt = now
+	}
 	r.pending[req.ID] = p
 	r.cfg.Budget.Requested(now, p.servicePair(), req.Repeated)
 	r.scheduleWake(p, req.Deadline.Add(answerGrace))
@@ -192,6 +200,9 @@
 	if !ok && len(p.avoid) > 0 {
 		n, ok = r.cfg.Balancer.Choose(now, p.req.Service, nil)
 	}
+	if !ok && r.mayBeDiscovered(now, p) {
+		return r.deferRun(now, p)
+	}
 	if !ok {
 		return r.deliver(now, p, r.noEndpointAnswer(p))
 	}
@@ -199,6 +210,13 @@
 	return r.send(now, p, n, cassiatally.StageRun)
 }
 
+// mayBeDiscovered reports whether the endpoints of the service may become known while the
+// request waits. A node that has just started takes the calls of runs in flight at its
+// endpoint before its member table is complete.
+func (r *Router) mayBeDiscovered(now cassiatally.Instant, p *pending) bool {
+	return !r.cfg.Balancer.HasEndpoint(p.req.Service) && now.Sub(r.firstRequestAt) < r.cfg.Discovery && p.deferrals < maxDeferrals
+}
+
 func (r *Router) noEndpointAnswer(p *pending) cassiatally.Answer {
 	if r.cfg.Balancer.HasEndpoint(p.req.Service) {
 		return refusal(cassiatally.KindNoBackend, "no backend server of "+string(p.req.Service)+" takes work; send again later")
--- a/cassiatally/router/router_test.go
+++ b/cassiatally/router/router_test.go
@@ -655,3 +655,38 @@
 		is.Equal(again.Send, cassiatally.SendRetry)
 	})
 }
+
+// Guards against a call of a run in flight that fails because the node beside it was
+// restarted and does not know the service yet, and against a call that waits for a
+// service which nobody has announced.
+func TestServiceIsDiscovered(t *testing.T) {
+	h := newHarness(nil, stubBudget{}, stubLoads{})
+	cfg := h.config(0)
+	cfg.Discovery = 5 * time.Second
+	t.Run("becomes known", func(t *testing.T) {
+		is := is.New(t)
+		b := &listBalancer{}
+		cfg.Balancer = b
+		r := router.New(cfg)
+		is.Equal(len(r.Submit(start, request(true))), 0)
+		b.nodes = []cassiatally.NodeID{"a"}
+		to, _ := sent(t, r.Tick(start.Add(60*time.Millisecond)))
+		is.Equal(to, cassiatally.NodeID("a"))
+	})
+	t.Run("stays unknown", func(t *testing.T) {
+		is := is.New(t)
+		cfg.Balancer = &listBalancer{}
+		r := router.New(cfg)
+		now := start
+		actions := r.Submit(now, request(true))
+		for i := 0; i < 10 && len(actions) == 0; i++ {
+			now = now.Add(60 * time.Millisecond)
+			actions = r.Tick(now)
+		}
+		is.Equal(delivered(t, actions).Kind, cassiatally.KindUnknownService)
+		later := request(true)
+		later.ID.Seq++
+		later.Deadline = start.Add(10 * time.Second)
+		is.Equal(delivered(t, r.Submit(start.Add(6*time.Second), later)).Kind, cassiatally.KindUnknownService)
+	})
+}
--- a/node/gatekeeper/build.go
+++ b/node/gatekeeper/build.go
@@ -117,6 +117,7 @@
 			// of them refuses has not reached an endpoint.
 			LoadRedirects: 1,
 			Granted:       true,
+			Discovery:     discoveryPeriod,
 		}),
 	}
 	g.forwarder = &forwarder.Forwarder{
--- a/node/gatekeeper/gatekeeper.go
+++ b/node/gatekeeper/gatekeeper.go
@@ -59,6 +59,9 @@
 	// reservedProportion is the fraction of its proportional share that is reserved for
 	// each less urgent rank while capacity does not suffice for all.
 	reservedProportion = 0.85
+	// discoveryPeriod is how long after its start a node may not know all services. Gossip
+	// completes its member table in a few rounds.
+	discoveryPeriod = 5 * time.Second
 	// usedSlots is the fraction of an endpoint's slots that is used. Some endpoints become
 	// slower when they are nearly full, and then complete less than with a slot to spare.
 	usedSlots = 0.95
