admitter: estimate run times by kind of work

Run times were estimated by rank, and a rank has calls that take 15 ms and a few onward calls beside others that take 530 ms, twice that on a cold endpoint. Change: the estimate is by rank and kind of work. A class without a run has no estimate. Measured: TestShortWorkBesideLongWork replays such a start: more than 10 of 20 short calls refused with one class, none with two.

--- a/cassiatally/admitter/admitter.go
+++ b/cassiatally/admitter/admitter.go
@@ -17,7 +17,7 @@
 //	a := &admitter.Admitter{}
 //	refused := a.Offer(now, entry)
 //	start, dropped := a.Next(now, free)
-//	a.Done(now, rank, busy) // at the end of each run
+//	a.Done(now, class, busy) // at the end of each run
 //	a.Tick(now, limit)      // every 100 ms
 //	levels := a.Levels()
 //
@@ -165,7 +165,7 @@
 	if e.Deadline == 0 {
 		return cassiatally.KindNone
 	}
-	slack := e.Deadline.Sub(now) - a.requiredTime(now, e, r)
+	slack := e.Deadline.Sub(now) - a.requiredTime(now, e)
 	if slack < 0 {
 		a.droppedExpired = true
 		return cassiatally.KindExpired
@@ -310,7 +310,7 @@
 	}
 	need := time.Duration(0)
 	if !it.probe {
-		need = a.requiredTime(now, it.entry, it.rank)
+		need = a.requiredTime(now, it.entry)
 	}
 	return it.entry.Deadline.Sub(now) < need
 }
@@ -349,7 +349,7 @@
 // capacity, so none of its calls has to be lost.
 func (a *Admitter) nextOfRank(now cassiatally.Instant, r cassiatally.Rank) *item {
 	due := a.q.byDeadline[r].top()
-	if due != nil && a.meter.levels[r] >= 1 && due.entry.Deadline.Sub(now) < a.requiredTime(now, due.entry, r)+nearDeadlineTime {
+	if due != nil && a.meter.levels[r] >= 1 && due.entry.Deadline.Sub(now) < a.requiredTime(now, due.entry)+nearDeadlineTime {
 		return due
 	}
 	return a.q.byKey[r].top()
@@ -380,9 +380,9 @@
 
 // Done records the end of a run. Each end adds tokens to the reserved shares, so a
 // share is a fraction of what the backend server completes, whatever its speed.
-func (a *Admitter) Done(now cassiatally.Instant, r cassiatally.Rank, busy time.Duration) {
-	r = min(r, cassiatally.MaxRanks-1)
-	a.times.recordEnd(r, busy, a.ranks[r].probes.started)
+func (a *Admitter) Done(now cassiatally.Instant, c cassiatally.RunClass, busy time.Duration) {
+	r := min(c.Rank, cassiatally.MaxRanks-1)
+	a.times.recordEnd(c, busy, a.ranks[r].probes.started)
 	a.ranks[r].probes = probes{}
 	a.lastProgress = now
 	a.runEnded(now)
@@ -390,9 +390,8 @@
 
 // CutOff records the end of a run that was cut off before the backend server
 // finished it.
-func (a *Admitter) CutOff(now cassiatally.Instant, r cassiatally.Rank, busy time.Duration) {
-	r = min(r, cassiatally.MaxRanks-1)
-	a.times.recordCut(r, busy)
+func (a *Admitter) CutOff(now cassiatally.Instant, c cassiatally.RunClass, busy time.Duration) {
+	a.times.recordCut(c, busy)
 	a.runEnded(now)
 }
 
@@ -471,12 +470,13 @@
 // for run times above the typical one, since a run that is cut off at its deadline
 // has cost as much as one that ends. A call with little time remaining may still wait
 // for half of it, unless the typical run time is longer than the other half.
-func (a *Admitter) requiredTime(now cassiatally.Instant, e cassiatally.Entry, r cassiatally.Rank) time.Duration {
+func (a *Admitter) requiredTime(now cassiatally.Instant, e cassiatally.Entry) time.Duration {
 	if e.Deadline == 0 {
 		return 0
 	}
-	typical := max(a.times.typical(r), a.stalledRunTime(now))
+	class := cassiatally.RunClass{Rank: e.Rank, Work: e.Work}
+	typical := max(a.times.typical(class), a.stalledRunTime(now))
 	typical += typical / marginDivisor
 	maxRequired := max(typical, e.Deadline.Sub(now)/2)
-	return min(typical+requiredDeviations*a.times.deviation(r), maxRequired)
+	return min(typical+requiredDeviations*a.times.deviation(class), maxRequired)
 }
--- a/cassiatally/admitter/admitter_test.go
+++ b/cassiatally/admitter/admitter_test.go
@@ -372,7 +372,7 @@
 	a.Offer(now, entry(1, 0, 0))
 	a.Next(now, 1)
 	now = now.Add(typical)
-	a.Done(now, 0, typical)
+	a.Done(now, cassiatally.RunClass{}, typical)
 	a.Tick(now, 1)
 	offer := func(seq uint64, remaining time.Duration) []cassiatally.Dropped {
 		e := entry(seq, 0, cassiatally.Order(seq)/10)
@@ -448,7 +448,7 @@
 				now = now.Add(10 * time.Microsecond)
 				offer()
 				start, _ := a.Next(now, 1)
-				a.Done(now, 0, time.Millisecond)
+				a.Done(now, cassiatally.RunClass{}, time.Millisecond)
 				if len(start) == 0 {
 					b.Fatal("nothing to start")
 				}
--- a/cassiatally/admitter/fleet_test.go
+++ b/cassiatally/admitter/fleet_test.go
@@ -269,7 +269,7 @@
 	c := f.calls[id]
 	delete(f.calls, id)
 	c.host.running--
-	c.host.queue.Done(f.now, f.classes[c.class].rank, f.now.Sub(c.began))
+	c.host.queue.Done(f.now, cassiatally.RunClass{Rank: f.classes[c.class].rank}, f.now.Sub(c.began))
 	r := inTime
 	if c.deadline.Before(f.now.Add(2 * linkTime)) {
 		r = late
--- a/cassiatally/admitter/model_test.go
+++ b/cassiatally/admitter/model_test.go
@@ -120,7 +120,7 @@
 			c := calls[r.id]
 			delete(calls, r.id)
 			busy := now.Sub(r.began)
-			m.queue.Done(now, m.flows[c.flow].rank, busy)
+			m.queue.Done(now, cassiatally.RunClass{Rank: m.flows[c.flow].rank}, busy)
 			if m.limiter != nil {
 				m.limiter.Observe(now, cassiatally.RunSample{SelfTime: busy, InFlight: cassiatally.Concurrency(r.inFlight)})
 			}
--- a/cassiatally/admitter/proportion_test.go
+++ b/cassiatally/admitter/proportion_test.go
@@ -40,7 +40,7 @@
 				remaining = append(remaining, b)
 				continue
 			}
-			a.Done(now, b.rank, run)
+			a.Done(now, cassiatally.RunClass{Rank: b.rank}, run)
 			done[b.rank]++
 		}
 		busy = remaining
--- a/cassiatally/admitter/runtimes.go
+++ b/cassiatally/admitter/runtimes.go
@@ -10,7 +10,7 @@
 	// maxSlowdownWeight is the highest weight of one run in the slowdown. All ranks
 	// share the slowdown, so it may follow faster than the baseline of a rank.
 	maxSlowdownWeight = 0.2
-	// slowdownNoise limits the weight where run times vary: a run whose rank has a mean
+	// slowdownNoise limits the weight where run times vary: a run whose class has a mean
 	// relative deviation d has at most the weight slowdownNoise / d^2. With the full
 	// weight, exponential run times (d = 0.74) move the slowdown by a third by chance,
 	// and calls which can finish are refused.
@@ -18,16 +18,16 @@
 	// maxSlowdownRise limits the effect of one run on the slowdown: it counts as at most
 	// that many times as long as expected. Kinds of work of one rank may differ a
 	// hundredfold; a single run of 300 ms, of a rank whose runs took 1 ms before, raised
-	// the slowdown to 48, and the calls of all ranks were refused as too late.
+	// the slowdown to 48, and the calls of all classes were refused as too late.
 	maxSlowdownRise = 5
-	// baselineRuns is the number of runs of a rank that set only its baseline, before
+	// baselineRuns is the number of runs of a class that set only its baseline, before
 	// further runs also change the slowdown.
 	baselineRuns = 10
-	// baselineWeight is the lowest weight of one run in the baseline of its rank. It is
+	// baselineWeight is the lowest weight of one run in the baseline of its class. It is
 	// far below maxSlowdownWeight, so that a change of speed goes into the slowdown,
-	// which the runs of other ranks can correct.
+	// which the runs of other classes can correct.
 	baselineWeight = 0.02
-	// probeWeight is the weight of a run of a rank whose calls are dropped. Such runs
+	// probeWeight is the weight of a run of a class whose calls are dropped. Such runs
 	// are rare, and calls of the rank are refused until the estimate has followed them.
 	probeWeight = 0.5
 	// cutWeight is the weight of a run that was cut off. It is above baselineWeight,
@@ -42,22 +42,24 @@
 	// all ranks. Only the product of slowdown and baseline is observed, so the two would
 	// drift apart otherwise.
 	rebaseWeight = 0.0002
+	// maxClasses bounds the classes of runs. Calls of others start whatever time they have.
+	maxClasses = 256
 	// minSlowdown keeps the slowdown above 0 when run times are close to 0.
 	minSlowdown = 0.05
 )
 
-// runTimes estimates the run time of a rank as the product of the rank's baseline and
-// a slowdown. The slowdown is shared by all ranks: when a backend server becomes
-// slower or faster, the runs of any rank show it, also for ranks whose calls are all
-// dropped at the time.
+// runTimes estimates the run time of a class as the product of the class's baseline and
+// a slowdown. The slowdown is shared by all classes: when a backend server becomes
+// slower or faster, the runs of any class show it, also for classes whose calls are all
+// dropped at the time. Kinds of work of one rank may differ a hundredfold in run time.
 type runTimes struct {
 	slowdown float64
-	ranks    [cassiatally.MaxRanks]rankTimes
-	// overall is the typical run time over all ranks.
+	classes  map[cassiatally.RunClass]*classTimes
+	// overall is the typical run time over all classes.
 	overall time.Duration
 }
 
-type rankTimes struct {
+type classTimes struct {
 	// baseline is the typical run time at a slowdown of 1, and deviation the mean
 	// absolute deviation from it.
 	baseline, deviation time.Duration
@@ -70,9 +72,12 @@
 
 // recordEnd updates the estimate with a run that was not cut off. Probe is set if calls
 // of its rank are being dropped.
-func (t *runTimes) recordEnd(r cassiatally.Rank, busy time.Duration, probe bool) {
+func (t *runTimes) recordEnd(c cassiatally.RunClass, busy time.Duration, probe bool) {
 	t.overall = smooth(t.overall, busy)
-	s := &t.ranks[r]
+	s := t.class(c)
+	if s == nil {
+		return
+	}
 	s.runs++
 	s.cutFraction -= cutFractionWeight * s.cutFraction
 	if t.slowdown == 0 {
@@ -97,7 +102,7 @@
 	s.baseline = max(s.baseline+time.Duration(weight*float64(normalised-s.baseline)), 1)
 }
 
-func (s *rankTimes) slowdownWeight() float64 {
+func (s *classTimes) slowdownWeight() float64 {
 	return min(maxSlowdownWeight, slowdownNoise/max(s.relativeDeviation*s.relativeDeviation, slowdownNoise))
 }
 
@@ -109,8 +114,7 @@
 func (t *runTimes) rebase() {
 	f := 1 + rebaseWeight*(t.slowdown-1)
 	t.slowdown /= f
-	for r := range t.ranks {
-		s := &t.ranks[r]
+	for _, s := range t.classes {
 		s.baseline = time.Duration(float64(s.baseline) * f)
 		s.deviation = time.Duration(float64(s.deviation) * f)
 	}
@@ -121,29 +125,46 @@
 // to need as much time again, and at least the typical run time. With the elapsed time
 // alone, the estimate would stay below the deadlines at which runs are cut off, and
 // calls that cannot finish would still be started.
-func (t *runTimes) recordCut(r cassiatally.Rank, busy time.Duration) {
-	s := &t.ranks[r]
-	if s.baseline == 0 || busy <= s.baseline {
+func (t *runTimes) recordCut(c cassiatally.RunClass, busy time.Duration) {
+	s := t.classes[c]
+	if s == nil || s.baseline == 0 || busy <= s.baseline {
 		return
 	}
 	s.cutFraction += cutFractionWeight * (1 - s.cutFraction)
-	assumed := busy + max(t.typical(r), busy)
+	assumed := busy + max(t.typical(c), busy)
 	t.updateSlowdown(s.cutFraction*s.slowdownWeight(), max(float64(assumed)/float64(s.baseline), t.slowdown))
 	s.baseline += time.Duration(s.cutFraction * cutWeight * max(float64(assumed)/t.slowdown-float64(s.baseline), 0))
 	t.overall = smooth(t.overall, max(t.overall, busy))
 }
 
-// typical returns the typical run time of a rank, or the overall one while the rank
-// has had no run.
-func (t *runTimes) typical(r cassiatally.Rank) time.Duration {
-	if s := t.ranks[r].baseline; s > 0 {
-		return time.Duration(float64(s) * t.slowdown)
+// class returns the times of a class, or nil if there are too many classes.
+func (t *runTimes) class(c cassiatally.RunClass) *classTimes {
+	s := t.classes[c]
+	if s != nil || len(t.classes) >= maxClasses {
+		return s
 	}
-	return t.overall
+	if t.classes == nil {
+		t.classes = make(map[cassiatally.RunClass]*classTimes)
+	}
+	s = &classTimes{}
+	t.classes[c] = s
+	return s
 }
 
-func (t *runTimes) deviation(r cassiatally.Rank) time.Duration {
-	return time.Duration(float64(t.ranks[r].deviation) * t.slowdown)
+// typical returns the typical run time of a class. It is 0 while the class has had no
+// run: the run times of others are no evidence.
+func (t *runTimes) typical(c cassiatally.RunClass) time.Duration {
+	if s := t.classes[c]; s != nil {
+		return time.Duration(float64(s.baseline) * t.slowdown)
+	}
+	return 0
+}
+
+func (t *runTimes) deviation(c cassiatally.RunClass) time.Duration {
+	if s := t.classes[c]; s != nil {
+		return time.Duration(float64(s.deviation) * t.slowdown)
+	}
+	return 0
 }
 
 // decay lowers the estimates by a factor.
--- a/cassiatally/admitter/runtimes_test.go
+++ b/cassiatally/admitter/runtimes_test.go
@@ -48,9 +48,9 @@
 	}
 	s.now = s.now.Add(min(took, remaining))
 	if took > remaining {
-		s.CutOff(s.now, r, remaining)
+		s.CutOff(s.now, cassiatally.RunClass{Rank: r}, remaining)
 	} else {
-		s.Done(s.now, r, took)
+		s.Done(s.now, cassiatally.RunClass{Rank: r}, took)
 	}
 	s.Tick(s.now, slots)
 	return true
@@ -187,7 +187,7 @@
 		for n <= maxWindows && !done(s.Levels()[1]) {
 			for range 3 {
 				if s.offer(r, remaining) {
-					s.Done(s.now, r, normalRun)
+					s.Done(s.now, cassiatally.RunClass{Rank: r}, normalRun)
 				}
 			}
 			s.tick()
@@ -228,7 +228,7 @@
 			}
 			s.now = s.now.Add(passed)
 			if c.ends {
-				s.Done(s.now, 0, normalRun)
+				s.Done(s.now, cassiatally.RunClass{}, normalRun)
 			}
 			is.Equal(s.offer(0, 2*passed-window), c.started)
 			is.True(s.offer(0, 2*passed+window))
@@ -265,3 +265,38 @@
 	}
 	is.True(s.offer(1, timeout))
 }
+
+// Guards against short calls that are refused as too late at an endpoint with free slots,
+// because long ones of the same rank determine the estimate. Replays the seconds after a
+// restart of an endpoint of dispatch-svc: half of its calls take 1,060 ms and have 3 s,
+// the others take 250 ms and have 500 ms. With one class for both, such calls were
+// refused at endpoints with 9 of 45 slots in use.
+func TestShortWorkBesideLongWork(t *testing.T) {
+	const long, short = 1060 * time.Millisecond, 250 * time.Millisecond
+	replay := func(longWork, shortWork cassiatally.WorkKind) (refused int) {
+		s := &server{now: cassiatally.Instant(time.Hour)}
+		offer := func(work cassiatally.WorkKind, remaining, took time.Duration) bool {
+			s.seq++
+			e := entry(s.seq, 1, 0.01)
+			e.Work, e.Deadline = work, s.now.Add(remaining)
+			if len(s.Offer(s.now, e)) > 0 {
+				return false
+			}
+			s.Next(s.now, 1)
+			s.now = s.now.Add(window)
+			s.Done(s.now, cassiatally.RunClass{Rank: 1, Work: work}, took)
+			s.Tick(s.now, slots)
+			return true
+		}
+		for range 20 {
+			offer(longWork, 3*time.Second, long)
+			if !offer(shortWork, 500*time.Millisecond, short) {
+				refused++
+			}
+		}
+		return refused
+	}
+	is := is.New(t)
+	is.True(replay("", "") > 10)
+	is.Equal(replay("sched-view", "route-feed"), 0)
+}
--- a/cassiatally/fifo/fifo.go
+++ b/cassiatally/fifo/fifo.go
@@ -63,10 +63,10 @@
 }
 
 // Done does nothing, since the baseline keeps no measurements.
-func (q *Queue) Done(cassiatally.Instant, cassiatally.Rank, time.Duration) {}
+func (q *Queue) Done(cassiatally.Instant, cassiatally.RunClass, time.Duration) {}
 
 // CutOff does nothing, since the baseline keeps no measurements.
-func (q *Queue) CutOff(cassiatally.Instant, cassiatally.Rank, time.Duration) {}
+func (q *Queue) CutOff(cassiatally.Instant, cassiatally.RunClass, time.Duration) {}
 
 // Tick does nothing, since the levels of the baseline never change.
 func (q *Queue) Tick(cassiatally.Instant, cassiatally.Concurrency) {}
--- a/cassiatally/interfaces.go
+++ b/cassiatally/interfaces.go
@@ -52,10 +52,17 @@
 	Read(ctx context.Context, s Stream, from Offset, wait time.Duration) (Batch, error)
 }
 
+// RunClass groups the runs at a backend server that take about the same time.
+type RunClass struct {
+	Rank Rank
+	Work WorkKind
+}
+
 // Entry is a call in the queue before a backend server.
 type Entry struct {
 	ID   CallID
 	Rank Rank
+	Work WorkKind
 	// Share is the fraction of the capacity that is reserved for the rank.
 	Share    Share
 	Tenant   Tenant
@@ -84,10 +91,10 @@
 	// Remove takes a cancelled entry out of the queue.
 	Remove(id CallID) bool
 	// Done records the end of a run that occupied the backend server for busy.
-	Done(now Instant, r Rank, busy time.Duration)
+	Done(now Instant, c RunClass, busy time.Duration)
 	// CutOff records the end of a run that was cut off after busy and would have taken
 	// longer.
-	CutOff(now Instant, r Rank, busy time.Duration)
+	CutOff(now Instant, c RunClass, busy time.Duration)
 	// Tick updates the levels. It must be called at least every 100 ms.
 	Tick(now Instant, limit Concurrency)
 	// Levels returns the level of each rank.
--- a/cassiatally/runner/result.go
+++ b/cassiatally/runner/result.go
@@ -99,6 +99,10 @@
 	return typical > 0 && rec.children.outstanding == 0 && rec.children.selfTime(rec.started, now) >= droppedRunFactor*typical
 }
 
+func (rec *record) class() cassiatally.RunClass {
+	return cassiatally.RunClass{Rank: rec.call.Rank, Work: rec.call.Work}
+}
+
 func (r *Runner) recordResult(now cassiatally.Instant, rec *record, res cassiatally.RunResult) {
 	self := rec.children.selfTime(rec.started, now)
 	failed := res.Kind != cassiatally.ResultAnswered && res.Kind != cassiatally.ResultTimedOut
@@ -109,9 +113,9 @@
 		// A run that was cut off while it waited for an onward call is no evidence that
 		// this backend server is slow. When such runs counted in full, a few of them had
 		// all calls refused as too late, and no run was left to show that it was fast.
-		r.admitter.CutOff(now, rec.call.Rank, self)
+		r.admitter.CutOff(now, rec.class(), self)
 	} else {
-		r.admitter.Done(now, rec.call.Rank, now.Sub(rec.started))
+		r.admitter.Done(now, rec.class(), now.Sub(rec.started))
 	}
 	switch res.Kind {
 	case cassiatally.ResultTimedOut, cassiatally.ResultAborted:
--- a/cassiatally/runner/runner.go
+++ b/cassiatally/runner/runner.go
@@ -231,6 +231,7 @@
 	dropped := r.admitter.Offer(now, cassiatally.Entry{
 		ID:       c.ID,
 		Rank:     c.Rank,
+		Work:     c.Work,
 		Share:    r.shares[min(c.Rank, cassiatally.MaxRanks-1)],
 		Tenant:   c.Tenant,
 		Order:    c.Order,
