--- a/cassiatally/admitter/runtimes.go
+++ b/cassiatally/admitter/runtimes.go
@@ -7,8 +7,8 @@
 )
 
 const (
-	// maxSlowdownWeight is the highest weight of one run in the slowdown. All ranks
-	// share the slowdown, so it may follow faster than the baseline of a rank.
+	// maxSlowdownWeight is the highest weight of one run in the slowdown. All classes
+	// share the slowdown, so it may follow faster than the baseline of a class.
 	maxSlowdownWeight = 0.2
 	// slowdownNoise limits the weight where run times vary: a run whose class has a mean
 	// relative deviation d has at most the weight slowdownNoise / d^2. With the full
@@ -16,9 +16,9 @@
 	// and calls which can finish are refused.
 	slowdownNoise = 0.02
 	// maxSlowdownRise limits the effect of one run on the slowdown: it counts as at most
-	// that many times as long as expected. Kinds of work of one rank may differ a
-	// hundredfold; a single run of 300 ms, of a rank whose runs took 1 ms before, raised
-	// the slowdown to 48, and the calls of all classes were refused as too late.
+	// that many times as long as expected. A single run of 300 ms, of a class whose runs
+	// took 1 ms before, raised the slowdown to 48, and the calls of all classes were
+	// refused as too late.
 	maxSlowdownRise = 5
 	// baselineRuns is the number of runs of a class that set only its baseline, before
 	// further runs also change the slowdown.
@@ -28,7 +28,7 @@
 	// which the runs of other classes can correct.
 	baselineWeight = 0.02
 	// probeWeight is the weight of a run of a class whose calls are dropped. Such runs
-	// are rare, and calls of the rank are refused until the estimate has followed them.
+	// are rare, and calls of the class are refused until the estimate has followed them.
 	probeWeight = 0.5
 	// cutWeight is the weight of a run that was cut off. It is above baselineWeight,
 	// since each of them costs more than a run that ends.
@@ -39,7 +39,7 @@
 	// runs took half of the time that the calls had.
 	cutFractionWeight = 0.3
 	// rebaseWeight is the part of the slowdown that each run moves into the baselines of
-	// all ranks. Only the product of slowdown and baseline is observed, so the two would
+	// all classes. Only the product of slowdown and baseline is observed, so the two would
 	// drift apart otherwise.
 	rebaseWeight = 0.0002
 	// maxClasses bounds the classes of runs. Calls of others start whatever time they have.
@@ -71,7 +71,7 @@
 }
 
 // recordEnd updates the estimate with a run that was not cut off. Probe is set if calls
-// of its rank are being dropped.
+// of its class are being dropped.
 func (t *runTimes) recordEnd(c cassiatally.RunClass, busy time.Duration, probe bool) {
 	t.overall = smooth(t.overall, busy)
 	s := t.class(c)
@@ -121,7 +121,7 @@
 }
 
 // recordCut updates the estimate with a run that was cut off after more than the
-// baseline of its rank. How much longer it would have taken is unknown; it is assumed
+// baseline of its class. How much longer it would have taken is unknown; it is assumed
 // to need as much time again, and at least the typical run time. With the elapsed time
 // alone, the estimate would stay below the deadlines at which runs are cut off, and
 // calls that cannot finish would still be started.
