admitter: do not take the first long runs for a stall

The short runs of a restarted node end first, so that its typical run time is a fraction of what the others need, and the endpoint counts as stalled. Change: a backend server counts as stalled only once 50 runs have ended. Measured: TestFirstLongRunsAreNoStall fails without the change.

--- a/cassiatally/admitter/admitter.go
+++ b/cassiatally/admitter/admitter.go
@@ -75,6 +75,10 @@
 	// the probability of that by chance is e^-16.
 	minStalledRuns = 8
 	stallFactor    = 2
+	// minKnownRuns is the number of runs that must have ended before a backend server can
+	// count as stalled. Short runs end first, so that the typical run time of the first
+	// ones is far too low.
+	minKnownRuns = 50
 )
 
 // Admitter is the queue in front of one backend server.
@@ -372,7 +376,7 @@
 // since the last run ended. It is 0 while the backend server isn't stalled.
 func (a *Admitter) stalledRunTime(now cassiatally.Instant) time.Duration {
 	passed := now.Sub(a.lastProgress)
-	if a.meter.inFlight < minStalledRuns || passed < stallFactor*a.times.overall {
+	if a.meter.inFlight < minStalledRuns || a.times.ended < minKnownRuns || passed < stallFactor*a.times.overall {
 		return 0
 	}
 	return 2 * passed
--- a/cassiatally/admitter/runtimes.go
+++ b/cassiatally/admitter/runtimes.go
@@ -57,6 +57,8 @@
 	classes  map[cassiatally.RunClass]*classTimes
 	// overall is the typical run time over all classes.
 	overall time.Duration
+	// ended counts the runs that were not cut off.
+	ended int
 }
 
 type classTimes struct {
@@ -74,6 +76,7 @@
 // of its class are being dropped.
 func (t *runTimes) recordEnd(c cassiatally.RunClass, busy time.Duration, probe bool) {
 	t.overall = smooth(t.overall, busy)
+	t.ended++
 	s := t.class(c)
 	if s == nil {
 		return
--- a/cassiatally/admitter/runtimes_test.go
+++ b/cassiatally/admitter/runtimes_test.go
@@ -300,3 +300,27 @@
 	is.True(replay("", "") > 10)
 	is.Equal(replay("sched-view", "route-feed"), 0)
 }
+
+// Guards against calls that are refused at an endpoint with free slots after a restart of
+// its node: the short runs end first, so that the long ones look stalled. Replays the
+// first 300 ms of an endpoint whose runs take 15 ms or 1,060 ms.
+func TestFirstLongRunsAreNoStall(t *testing.T) {
+	is := is.New(t)
+	s := &server{now: cassiatally.Instant(time.Hour)}
+	long := func(remaining time.Duration) bool {
+		s.seq++
+		e := entry(s.seq, 1, 0.01)
+		e.Work, e.Deadline = "sched-view", s.now.Add(remaining)
+		refused := len(s.Offer(s.now, e))
+		s.Next(s.now, slots)
+		return refused == 0
+	}
+	for range 10 {
+		is.True(long(3 * time.Second))
+		s.run(0, time.Second, 15*time.Millisecond)
+	}
+	for range 3 {
+		s.tick()
+	}
+	is.True(long(500 * time.Millisecond))
+}
