--- a/cassiatally/assigner/assigner.go
+++ b/cassiatally/assigner/assigner.go
@@ -66,6 +66,8 @@
 	// appendInterval is the minimum time between two appends of one shard, also while the
 	// log is down.
 	appendInterval = time.Second
+	// minKeyNodes is the number of nodes of a data centre that keys need.
+	minKeyNodes = 2
 	// reappendDivisor divides the retention of a record: the holder appends it again
 	// after half of it. The other half is left for outages of the log.
 	reappendDivisor = 2
@@ -348,7 +350,10 @@
 	if len(live) > 0 {
 		held = live
 	}
-	if len(held) == 0 {
+	switch {
+	case len(held) == 0 && len(notLeaving(a.live)) < minKeyNodes:
+		return "", cassiatally.NewError(cassiatally.KindUnavailable, "keys need %d nodes in data centre %s, a holder and its standby; start another one", minKeyNodes, a.dc)
+	case len(held) == 0:
 		return "", cassiatally.NewError(cassiatally.KindUnavailable, "no shard of data centre %s has a holder; try again", a.dc)
 	}
 	as := held[r.IntN(len(held))]
--- a/cassiatally/assigner/assigner_test.go
+++ b/cassiatally/assigner/assigner_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"strings"
 	"testing"
 	"time"
 
@@ -186,3 +187,14 @@
 		is.Equal(parts.Epoch, cassiatally.Epoch(1))
 	}
 }
+
+// Guards against an error that does not say what a fleet of one node lacks to mint keys.
+func TestMintWithoutASecondNode(t *testing.T) {
+	is := is.New(t)
+	self := cassiatally.NodeRef{Node: "a", Incarnation: 1}
+	a := assigner.New(self, "north", 1)
+	a.MembersChanged(0, []cassiatally.Member{{Ref: self}})
+	_, err := a.Mint(0, rand.New(rand.NewPCG(1, 1)))
+	is.Equal(cassiatally.KindOf(err), cassiatally.KindUnavailable)
+	is.True(strings.Contains(err.Error(), "keys need 2 nodes in data centre north"))
+}
