--- a/cassiatally/claimer/claimer.go
+++ b/cassiatally/claimer/claimer.go
@@ -323,9 +323,9 @@
 }
 
 // standbyGone reports whether the standby has left the member table, perhaps before its
-// assignment was read back. One that was never there is given memberGrace to appear. A standby does not treat its holder like that:
-// shortly after the assignment its copy may be incomplete, and a takeover would discard
-// the claims.
+// assignment was read back. One that was never there is given memberGrace to appear. A
+// standby does not treat its holder like that: shortly after the assignment its copy may
+// be incomplete, and a takeover would discard the claims.
 func (c *Claimer) standbyGone(now cassiatally.Instant, s *shard) bool {
 	standby := s.inForce.Standby
 	_, live := c.member(standby)
