--- a/node/gatekeeper/gatekeeper_test.go
+++ b/node/gatekeeper/gatekeeper_test.go
@@ -328,6 +328,7 @@
 	got := make(chan cassiatally.Answer, 1)
 	go func() { got <- a.Forward(context.Background(), inbound("r", "avail")) }()
 	<-h.started
+	h.hold.Store(false) // requests that are sent before the route is dropped end at once
 	next := table(4)
 	next.Routes = next.Routes[:1]
 	f.store.publish(next)
--- a/node/linker/linker.go
+++ b/node/linker/linker.go
@@ -18,6 +18,7 @@
 package linker
 
 import (
+	"cmp"
 	"context"
 	"net"
 	"net/http"
@@ -69,9 +70,8 @@
 	// shutdownGrace bounds the shutdown of the HTTP server. The only requests that it
 	// waits for are links that are being opened.
 	shutdownGrace = 200 * time.Millisecond
-	// flushGrace bounds the time in which Close writes the messages that are queued. They
-	// include the answers of the last runs.
-	flushGrace = 300 * time.Millisecond
+	// defaultFlushGrace leaves the rest of the grace period of a process to its servers.
+	defaultFlushGrace = 300 * time.Millisecond
 )
 
 // Linker owns the links of a node. Its fields are set before Run.
@@ -89,6 +89,9 @@
 	// SilentAfter is the time without any message after which a link on which an answer
 	// is awaited counts as silent; 0 means never.
 	SilentAfter time.Duration
+	// FlushGrace bounds the time in which Close writes the messages that are queued, among
+	// them the answers of the last runs; 0 means 300 ms.
+	FlushGrace time.Duration
 	// RingSize is the number of messages that can be queued for one link.
 	RingSize int
 	// AddressOf returns the address at which a node accepts links.
@@ -186,7 +189,7 @@
 // flush closes all links in an orderly way after their queued messages. A link that is
 // ended abruptly may be reset, which discards what the other end has not read yet.
 func (l *Linker) flush() {
-	ctx, cancel := context.WithTimeout(l.ctx, flushGrace)
+	ctx, cancel := context.WithTimeout(l.ctx, cmp.Or(l.FlushGrace, defaultFlushGrace))
 	defer cancel()
 	var flushing sync.WaitGroup
 	for _, k := range l.openLinks() {
--- a/node/linker/linker_test.go
+++ b/node/linker/linker_test.go
@@ -225,6 +225,7 @@
 	b := &addressBook{addresses: make(map[cassiatally.NodeID]cassiatally.Address)}
 	one, two := newPeer(t, b, "one"), newPeer(t, b, "two")
 	defer two.Close()
+	one.FlushGrace = testTimeout
 	is.NoErr(one.Send("two", cassiatally.SheetPull{}))
 	receive(t, two.received)
 	is.NoErr(two.Send("one", cassiatally.ShardPull{})) // stays unread at the stopping node
