pausemeter, tests: calls read late after a pause; wait until a process has stopped

In repeated runs beside 6 busy loops the test failed for two reasons of its own: the stand-in's announcement had expired, and requests were answered after SIGSTOP. The signal goes to one thread, and the others run on until that one is scheduled. The same explains claims: the holder that the script took for paused recorded the claim, so that its successor had it as pending and truthfully answered unknown. Change: after a pause, calls of a connection count as delayed until a read has waited 50 ms, for 5 s at most. The fake node has a mutex.

--- a/node/gatekeeper/build.go
+++ b/node/gatekeeper/build.go
@@ -55,7 +55,7 @@
 		Lost:        func(peer cassiatally.NodeRef) { g.dispatcher.LinkLost(peer) },
 		Silent:      func(peer cassiatally.NodeRef) { g.dispatcher.LinkSilent(peer) },
 		Responding:  func(peer cassiatally.NodeRef) { g.dispatcher.LinkResponding(peer) },
-		Delay:       func() time.Duration { return g.pauses.Delay() },
+		NewDelay:    func() func(began, ended time.Time) time.Duration { return g.pauses.NewDelay() },
 		Undelivered: func(to cassiatally.NodeID, m cassiatally.Message) { g.dispatcher.SendFailed(to, m) },
 	}
 	if err := g.links.OpenListener(); err != nil {
--- a/node/linker/link.go
+++ b/node/linker/link.go
@@ -42,6 +42,10 @@
 	calls  openCalls
 	// flushed is closed when the writer has ended.
 	flushed chan struct{}
+	// readBegan is when the read of the last frame began, and delay returns how long a
+	// call may have waited in the buffer; only the reader uses them.
+	readBegan time.Time
+	delay     func(began, ended time.Time) time.Duration
 	// opened is when the reader of the link started.
 	opened time.Time
 	// heartbeats counts the heartbeats sent; only the timer uses it.
@@ -225,7 +229,11 @@
 	defer k.end("reader ended")
 	k.startTimer()
 	defer k.stopTimer()
+	if k.owner.NewDelay != nil {
+		k.delay = k.owner.NewDelay()
+	}
 	for {
+		k.readBegan = time.Now()
 		m, err := k.readFrame(k.ctx)
 		if err != nil {
 			if cassiatally.KindOf(err) != cassiatally.KindInternal {
@@ -270,8 +278,8 @@
 		return
 	case cassiatally.Call:
 		k.recordUse(m)
-		if k.owner.Delay != nil {
-			m.Remaining -= k.owner.Delay()
+		if k.delay != nil {
+			m.Remaining -= k.delay(k.readBegan, time.Now())
 		}
 		k.owner.Inbound(k.peer, m)
 	default:
--- a/node/linker/linker.go
+++ b/node/linker/linker.go
@@ -105,9 +105,10 @@
 	// Responding when a link opens or a message arrives on a silent one. They must not
 	// block; nil is allowed.
 	Silent, Responding func(peer cassiatally.NodeRef)
-	// Delay returns how long a message that is read now may have waited while this process
-	// was paused; nil means that it is not known. Calls have that much less time.
-	Delay func() time.Duration
+	// NewDelay returns a function for each link. It returns how long a message may have
+	// waited while this process was paused, given when its read began and ended. Calls
+	// have that much less time; nil means that it is not known.
+	NewDelay func() func(began, ended time.Time) time.Duration
 	// Undelivered is called with each message that was certainly not sent.
 	Undelivered func(to cassiatally.NodeID, m cassiatally.Message)
 
--- a/node/pausemeter/pausemeter.go
+++ b/node/pausemeter/pausemeter.go
@@ -8,7 +8,12 @@
 //	m := &pausemeter.Meter{Clock: clock, Uptime: pausemeter.Uptime}
 //	m.Run()
 //	defer m.Close()
-//	call.Remaining -= m.Delay() // with each call that is read
+//	delay := m.NewDelay() // one for each connection
+//	for {
+//		began := time.Now()
+//		call := read()
+//		call.Remaining -= delay(began, time.Now())
+//	}
 package pausemeter
 
 import (
@@ -27,8 +32,11 @@
 	// minPause is the time without a tick that counts as a pause. On a busy host ticks
 	// come late by some of them.
 	minPause = 500 * time.Millisecond
-	// drainTime is the time after a pause in which what was buffered is read.
-	drainTime = 200 * time.Millisecond
+	// emptyWait is how long a read has to wait to show that the buffer of its connection
+	// was empty. On a busy host a read of what is there takes some milliseconds.
+	emptyWait = 50 * time.Millisecond
+	// drainTime bounds the time after a pause in which what is read may have been buffered.
+	drainTime = 5 * time.Second
 )
 
 // Uptime returns the time since the host started. Unlike the monotonic clock it goes on
@@ -48,9 +56,15 @@
 	Uptime func() time.Duration
 
 	duty looper.Looper[struct{}]
-	// lastTick is the uptime of the last tick, pause the length of the last pause, and
-	// drainedAt the uptime at which what was buffered in it has been read.
-	lastTick, pause, drainedAt atomic.Int64
+	// lastTick is the uptime of the last tick.
+	lastTick atomic.Int64
+	last     atomic.Pointer[pause]
+}
+
+// pause is a time in which the process did not run.
+type pause struct {
+	ended  time.Time
+	length time.Duration
 }
 
 // Run starts the duty.
@@ -60,7 +74,7 @@
 		Clock:    m.Clock,
 		Inbox:    ring.New[struct{}](1, ring.RefuseNewest),
 		Handle:   func(cassiatally.Instant, struct{}) {},
-		Tick:     func(cassiatally.Instant) { m.tick() },
+		Tick:     func(cassiatally.Instant) { m.tick(time.Now()) },
 		Interval: tickInterval,
 	}
 	m.duty.Run()
@@ -69,24 +83,40 @@
 // Close stops the duty and waits for it.
 func (m *Meter) Close() { m.duty.Close() }
 
-func (m *Meter) tick() {
-	now := int64(m.Uptime())
-	if gap := now - m.lastTick.Load(); gap >= int64(minPause) {
-		m.pause.Store(gap)
-		m.drainedAt.Store(now + int64(drainTime))
+func (m *Meter) tick(now time.Time) {
+	uptime := int64(m.Uptime())
+	if gap := time.Duration(uptime - m.lastTick.Load()); gap >= minPause {
+		m.last.Store(&pause{ended: now, length: gap})
 	}
-	m.lastTick.Store(now)
+	m.lastTick.Store(uptime)
 }
 
-// Delay returns how long a message that is read now may have waited in a buffer while the
-// process was paused.
-func (m *Meter) Delay() time.Duration {
-	now := int64(m.Uptime())
-	if gap := now - m.lastTick.Load(); gap >= int64(minPause) {
-		return time.Duration(gap)
+// NewDelay returns a function for one connection, which is not safe for concurrent use.
+// It returns how long a message may have waited in a buffer while the process was paused,
+// given when the read that returned it began and ended.
+func (m *Meter) NewDelay() func(began, ended time.Time) time.Duration {
+	return (&connection{meter: m}).delay
+}
+
+// connection is what is known of the buffer of a connection.
+type connection struct {
+	meter *Meter
+	// drained is the last pause after which the buffer of the connection was empty.
+	drained *pause
+}
+
+func (c *connection) delay(began, ended time.Time) time.Duration {
+	if gap := time.Duration(int64(c.meter.Uptime()) - c.meter.lastTick.Load()); gap >= minPause {
+		return gap // the pause has just ended
+	}
+	p := c.meter.last.Load()
+	if p == nil || p == c.drained {
+		return 0
 	}
-	if now < m.drainedAt.Load() {
-		return time.Duration(m.pause.Load())
+	waited := !began.Before(p.ended) && ended.Sub(began) >= emptyWait
+	if waited || ended.Sub(p.ended) >= drainTime {
+		c.drained = p
+		return 0
 	}
-	return 0
+	return p.length
 }
--- a/operator/command/node_test.go
+++ b/operator/command/node_test.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"net/http/httptest"
 	"strings"
+	"sync"
 	"testing"
 
 	"github.com/matryer/is"
@@ -58,6 +59,8 @@
 	// received has key and attempt of each call, and the keys that were looked up.
 	received []string
 	minted   int
+
+	mu sync.Mutex
 }
 
 func (f *fakeNode) next(list *[]reply) reply {
@@ -71,20 +74,33 @@
 func (f *fakeNode) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	switch {
 	case r.URL.Path == "/v1/keys":
-		f.minted++
 		w.WriteHeader(http.StatusCreated)
-		fmt.Fprintf(w, `{"key":"dc.0.1.%016x"}`, f.minted)
+		fmt.Fprintf(w, `{"key":"dc.0.1.%016x"}`, f.mint())
 	case strings.HasPrefix(r.URL.Path, "/v1/keys/"):
-		f.received = append(f.received, "lookup "+strings.TrimPrefix(r.URL.Path, "/v1/keys/"))
-		f.next(&f.lookups).write(w)
+		f.receive("lookup "+strings.TrimPrefix(r.URL.Path, "/v1/keys/"), &f.lookups).write(w)
 	case r.URL.Path == "/v1/call/a/sign":
-		f.received = append(f.received, strings.TrimSpace("call "+r.Header.Get("Idempotency-Key")+" "+r.Header.Get("Cassiatally-Attempt")))
-		f.next(&f.calls).write(w)
+		f.receive(strings.TrimSpace("call "+r.Header.Get("Idempotency-Key")+" "+r.Header.Get("Cassiatally-Attempt")), &f.calls).write(w)
 	default:
 		http.NotFound(w, r)
 	}
 }
 
+func (f *fakeNode) mint() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.minted++
+	return f.minted
+}
+
+// receive records a request and returns the next reply of a list. A request whose caller
+// has given up may still be in progress when the next one arrives.
+func (f *fakeNode) receive(what string, list *[]reply) reply {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.received = append(f.received, what)
+	return f.next(list)
+}
+
 func (f *fakeNode) start(t *testing.T) string {
 	s := httptest.NewServer(f)
 	t.Cleanup(s.Close)
--- a/scenarios/fleet_test.go
+++ b/scenarios/fleet_test.go
@@ -222,11 +222,35 @@
 	}
 	p := fleetOf(ts).startedProcess(ts, args[0])
 	ts.Check(p.cmd.Process.Signal(signals[args[1]]))
-	if args[1] == "KILL" {
+	switch args[1] {
+	case "KILL":
 		<-p.exited
+	case "STOP":
+		waitStopped(ts, p)
 	}
 }
 
+// waitStopped waits until all threads of a process have stopped. The signal goes to one
+// thread, and on a busy machine the others run on until that one is scheduled: the holder
+// of a key that a script took for paused still recorded a claim.
+func waitStopped(ts *testscript.TestScript, p *process) {
+	for deadline := time.Now().Add(conditionTimeout); time.Now().Before(deadline); time.Sleep(pollInterval) {
+		stats, err := filepath.Glob(fmt.Sprintf("/proc/%d/task/*/stat", p.cmd.Process.Pid))
+		ts.Check(err)
+		stopped := 0
+		for _, file := range stats {
+			data, _ := os.ReadFile(file)
+			if strings.Contains(string(data), ") T ") {
+				stopped++
+			}
+		}
+		if stopped > 0 && stopped == len(stats) {
+			return
+		}
+	}
+	ts.Fatalf("the process did not stop within %v", conditionTimeout)
+}
+
 func (f *fleet) startedProcess(ts *testscript.TestScript, name string) *process {
 	p, ok := f.processes[name]
 	if !ok {
