--- a/cassiatally/claimer/standby.go
+++ b/cassiatally/claimer/standby.go
@@ -62,7 +62,7 @@
 	c.send(from, ack)
 }
 
-// requestCopy tells the holder that this node knows its role as standby and has
+// requestCopy informs the holder that this node knows its role as standby and has
 // recorded nothing yet.
 func (c *Claimer) requestCopy(s *shard) {
 	c.send(s.inForce.Holder.Node, cassiatally.ClaimAck{Shard: s.ref, Epoch: s.inForce.Epoch, From: c.self})
--- a/cassiatally/message.go
+++ b/cassiatally/message.go
@@ -51,7 +51,7 @@
 	// Repeated is set when the request, or one further up its chain, was sent before
 	// and may have run.
 	Repeated bool
-	// Send tells whether the call was sent before, without being run.
+	// Send is the kind of this send of the call.
 	Send SendKind
 	// Progress is the number of onward calls that the run which makes this call has
 	// completed.
@@ -61,7 +61,7 @@
 	Digest   Digest
 }
 
-// SendKind tells which bound a send of a call counts towards.
+// SendKind is the reason why a call is sent. Each kind counts towards another bound.
 type SendKind uint8
 
 const (
