loadtracker: keep the mean of levels within the levels it is taken over

Cause: TestAdmit "at the lowest level" fails on arm64. A single report of level 0.3 goes through exp(log(0.3)), which is below 0.3 there and not on x86-64, so that a request with just that order value is refused. Ruled out: the weights, which are 1 and 4 and divide out exactly. Change: the weighted geometric mean is a type of its own and keeps its result between the lowest and the highest level that it is taken over, as a mean is. No bound of a test changes.

--- a/cassiatally/loadtracker/loadtracker.go
+++ b/cassiatally/loadtracker/loadtracker.go
@@ -164,39 +164,33 @@
 	if v == nil || r >= cassiatally.MaxRanks {
 		return 1
 	}
-	sum, weight := t.weightedLog(now, &v.fromAnswers, r)
-	sum *= answerEndpoints
-	weight *= answerEndpoints
+	m := geometricMean{}
+	m.add(t.levelAt(now, &v.fromAnswers, r), answerEndpoints*t.weightAt(now, &v.fromAnswers))
 	for _, e := range v.endpoints {
-		es, ew := t.weightedLog(now, e, r)
-		sum += es
-		weight += ew
+		m.add(t.levelAt(now, e, r), t.weightAt(now, e))
 	}
-	if weight <= 0 {
-		return 1
-	}
-	return cassiatally.Level(min(math.Exp(sum/weight), 1))
+	return m.level()
 }
 
-// weightedLog returns the weight of a report, and the logarithm of its level times
-// that weight. Newer reports count more than older ones. The level of a report older
-// than Fresh drifts to 1; at the end of the drift it has no weight.
-func (t *Tracker) weightedLog(now cassiatally.Instant, r *report, rank cassiatally.Rank) (sum, weight float64) {
-	if r.weight <= 0 {
-		return 0, 0
-	}
+// levelAt returns the level of a report, which drifts to 1 once the report is older than
+// Fresh.
+func (t *Tracker) levelAt(now cassiatally.Instant, r *report, rank cassiatally.Rank) float64 {
 	level := float64(r.levels[rank])
-	age := now.Sub(r.at)
-	drifted := age - t.fresh()
-	if drifted >= t.drift() {
-		return 0, 0
-	}
-	if drifted > 0 {
+	if drifted := now.Sub(r.at) - t.fresh(); drifted > 0 {
 		level += (1 - level) * float64(drifted) / float64(t.drift())
 	}
+	return max(level, minLevel)
+}
+
+// weightAt returns the weight of a report. Newer reports count more than older ones; at
+// the end of its drift a report has no weight.
+func (t *Tracker) weightAt(now cassiatally.Instant, r *report) float64 {
+	age := now.Sub(r.at)
+	if r.weight <= 0 || age-t.fresh() >= t.drift() {
+		return 0
+	}
 	ratio := float64(age) / float64(halfWeightAge)
-	weight = r.weight / (1 + ratio*ratio*ratio*ratio)
-	return math.Log(max(level, minLevel)) * weight, weight
+	return r.weight / (1 + ratio*ratio*ratio*ratio)
 }
 
 func (r *report) set(now cassiatally.Instant, load cassiatally.ServiceLoad) {
--- a/cassiatally/loadtracker/loadtracker_test.go
+++ b/cassiatally/loadtracker/loadtracker_test.go
@@ -76,6 +76,20 @@
 	}
 }
 
+// Guards against a level below what all endpoints report, which rounding of logarithms
+// gave on arm64: a request with just that order value was refused.
+func TestEqualLevelsAreExact(t *testing.T) {
+	is := is.New(t)
+	for i := 1; i < 1000; i++ {
+		want := cassiatally.Level(i) / 1000
+		l := &loadtracker.Tracker{}
+		l.RecordChain(0, "avail", "check", []cassiatally.ServiceLoad{load("avail", 3, want)})
+		l.RecordEndpoint(0, "n1", load("avail", 7, want))
+		l.RecordEndpoint(0, "n2", load("avail", 11, want))
+		is.Equal(l.Level(0, "avail", 0), max(want, 0.01))
+	}
+}
+
 // Guards against an endpoint that has stopped reporting and keeps the level high while
 // the others are short of capacity.
 func TestSilentEndpointLosesItsWeight(t *testing.T) {
