--- a/cassiatally/backend.go
+++ b/cassiatally/backend.go
@@ -59,6 +59,9 @@
 	Fields      []Field
 	Body        []byte
 	Detail      string
+	// Notice is what the backend server states about itself in its answer; nil when no
+	// answer arrived.
+	Notice *Notice
 }
 
 // BackendClient sends calls to the backend server of this host.
--- a/cassiatally/nodeinterfaces.go
+++ b/cassiatally/nodeinterfaces.go
@@ -77,7 +77,10 @@
 type Announcement struct {
 	Address  Address
 	Instance InstanceID
-	Endpoint Endpoint
+	// StartedMs is when the instance started, in milliseconds of the Unix epoch; 0 when
+	// that is unknown.
+	StartedMs int64
+	Endpoint  Endpoint
 }
 
 // BackendGate admits calls to the announced backend server.
--- /dev/null
+++ b/cassiatally/notice.go
@@ -0,0 +1,18 @@
+package cassiatally
+
+// Notice is what a backend server states about itself in its answers. It holds until a
+// later answer of the same start of the backend server states something else, except
+// that a backend server that is leaving does not return.
+type Notice struct {
+	// Instance is the instance that the notice is of.
+	Instance InstanceID
+	// RateLimited is set while the backend server limits the requests that it takes from
+	// all nodes together to RateLimit.
+	RateLimited bool
+	RateLimit   Rate
+	// Leaving is set when the backend server takes no new work.
+	Leaving bool
+	// InvalidRateLimit is the text of a rate limit that is not a rate. The earlier limit
+	// stays in force.
+	InvalidRateLimit string
+}
--- /dev/null
+++ b/cassiatally/noticetracker/tracker_test.go
@@ -0,0 +1,83 @@
+package noticetracker_test
+
+import (
+	"testing"
+
+	"github.com/matryer/is"
+
+	"github.com/cassiatally/cassiatally/cassiatally"
+	"github.com/cassiatally/cassiatally/cassiatally/noticetracker"
+)
+
+func limited(rate cassiatally.Rate) cassiatally.Notice {
+	return cassiatally.Notice{RateLimited: true, RateLimit: rate}
+}
+
+// Guards against a rate limit or a departure that a later answer, a late answer of an
+// earlier start, or an unreadable header takes back or brings into force.
+func TestObserve(t *testing.T) {
+	const first, second = 5, 7 // times of the starts
+	type answer struct {
+		startedMs int64
+		notice    cassiatally.Notice
+	}
+	cases := []struct {
+		name     string
+		answers  []answer
+		inPlace  int64
+		limited  bool
+		limit    cassiatally.Rate
+		leaving  bool
+		invalid  string
+		isChange bool
+	}{
+		{"limit", []answer{{first, limited(30)}}, first, true, 30, false, "", true},
+		{"same limit again", []answer{{first, limited(30)}, {first, limited(30)}}, first, true, 30, false, "", false},
+		{"other limit", []answer{{first, limited(30)}, {first, limited(12.5)}}, first, true, 12.5, false, "", true},
+		{"limit of zero", []answer{{first, limited(0)}}, first, true, 0, false, "", true},
+		{"end of the limit", []answer{{first, limited(30)}, {first, cassiatally.Notice{}}}, first, false, 0, false, "", true},
+		{"unreadable limit", []answer{{first, limited(30)}, {first, cassiatally.Notice{InvalidRateLimit: "fast"}}}, first, true, 30, false, "fast", true},
+		{"readable limit again", []answer{{first, cassiatally.Notice{InvalidRateLimit: "fast"}}, {first, limited(30)}}, first, true, 30, false, "", true},
+		{"leaving", []answer{{first, cassiatally.Notice{Leaving: true}}}, first, false, 0, true, "", true},
+		{"answer without the departure", []answer{{first, cassiatally.Notice{Leaving: true}}, {first, cassiatally.Notice{}}}, first, false, 0, true, "", false},
+		{"answer of the previous start", []answer{{first, limited(30)}}, second, false, 0, false, "", false},
+		{"departure of the previous start", []answer{{first, cassiatally.Notice{Leaving: true}}}, second, false, 0, false, "", false},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			tr := &noticetracker.Tracker{}
+			changed := false
+			for _, a := range c.answers {
+				tr.Begin("i-1", a.startedMs)
+				of := tr.Start()
+				tr.Begin("i-1", c.inPlace)
+				changed = tr.Observe(of, a.notice)
+			}
+			got := tr.Notice()
+			is.Equal(got.RateLimited, c.limited)
+			is.Equal(got.RateLimit, c.limit)
+			is.Equal(got.Leaving, c.leaving)
+			is.Equal(got.InvalidRateLimit, c.invalid)
+			is.Equal(changed, c.isChange)
+		})
+	}
+}
+
+// Guards against a notice that is lost because a report has no start time, or that is
+// kept for another instance.
+func TestBegin(t *testing.T) {
+	is := is.New(t)
+	tr := &noticetracker.Tracker{}
+	tr.Begin("i-1", 0)
+	tr.Observe(tr.Start(), limited(30))
+	tr.Begin("i-1", 5)
+	is.True(tr.Notice().RateLimited)
+	tr.Begin("i-1", 0)
+	is.True(tr.Notice().RateLimited)
+	tr.Begin("i-1", 6)
+	is.True(!tr.Notice().RateLimited)
+	tr.Observe(tr.Start(), limited(30))
+	tr.Begin("i-2", 6)
+	is.Equal(tr.Notice(), cassiatally.Notice{Instance: "i-2"})
+}
--- a/cassiatally/runner/runner.go
+++ b/cassiatally/runner/runner.go
@@ -27,6 +27,7 @@
 
 	"github.com/cassiatally/cassiatally/cassiatally"
 	"github.com/cassiatally/cassiatally/cassiatally/failuremeter"
+	"github.com/cassiatally/cassiatally/cassiatally/noticetracker"
 )
 
 const (
@@ -64,6 +65,9 @@
 	cancelled   bool
 	// lastCrash is the number of the last crash before the run started.
 	lastCrash cassiatally.CrashNumber
+	// serverStart is the start of the backend server that was in place when the run
+	// started.
+	serverStart noticetracker.Start
 	// abortedAsStalled is set when the run was aborted because it was unlikely to
 	// meet its deadline.
 	abortedAsStalled bool
@@ -116,6 +120,7 @@
 	lateResults  uint64
 	crashes      cassiatally.CrashNumber
 	sheds        map[shedKey]uint64
+	notices      noticetracker.Tracker
 	queueWait    [cassiatally.MaxRanks]QueueWait
 }
 
@@ -406,6 +411,7 @@
 		r.runsByName[rec.call.Name] = id
 	}
 	rec.lastCrash = r.crashes
+	rec.serverStart = r.notices.Start()
 	r.countQueueWait(now, rec)
 	if r.running == 0 {
 		r.recordProgress(now)
--- a/cassiatally/units.go
+++ b/cassiatally/units.go
@@ -30,6 +30,8 @@
 	Share float64
 	// FailureRate is the fraction of runs in [0, 1] that failed.
 	FailureRate float64
+	// Rate counts requests per second.
+	Rate float64
 	// Concurrency counts requests that run at the same time.
 	Concurrency int
 	// RetryCount counts retries.
--- a/node/executor/executor.go
+++ b/node/executor/executor.go
@@ -62,6 +62,9 @@
 	// OnEndpoint is called by the duty when the endpoint or its load has changed,
 	// while there are crash reports, and at least once a second; it must not block.
 	OnEndpoint func(cassiatally.Endpoint, []cassiatally.CrashReport)
+	// OnNotice, if set, is called by the duty when the backend server states something
+	// else about itself than before; it must not block.
+	OnNotice func(cassiatally.Notice)
 
 	inbox       *ring.Ring[event]
 	duty        looper.Looper[event]
@@ -74,6 +77,8 @@
 	ctx         context.Context
 	cancel      context.CancelFunc
 	loggedState cassiatally.EndpointState
+	// reportedNotice is the notice of the last call of OnNotice.
+	reportedNotice cassiatally.Notice
 	// lastTick and lastReport are the times of the last tick and the last report.
 	lastTick, lastReport cassiatally.Instant
 	running              atomic.Int64
@@ -341,6 +346,7 @@
 	}
 	x.logResult(e)
 	x.carryOut(now, x.Runner.Finished(now, e.id, e.res))
+	x.reportNotice("answer", e.name)
 	if e.res.Kind == cassiatally.ResultBroken {
 		x.reportEndpoint(now) // the lost endpoint and the crash reports go to all members immediately
 	}
@@ -360,10 +366,26 @@
 		Address: e.a.Address, Instance: e.a.Instance, Connections: e.a.Endpoint.Connections,
 	})
 	x.addWorkers(int(e.a.Endpoint.Slots))
+	x.Runner.Begin(e.a.Instance, e.a.StartedMs)
 	x.carryOut(now, x.Runner.Announce(now, e.a.Endpoint, x.AnnounceTTL))
 	x.reportEndpoint(now)
 }
 
+// reportNotice reports a change of what the backend server states about itself, and
+// which request brought it.
+func (x *Executor) reportNotice(source string, name cassiatally.RequestName) {
+	n := x.Runner.Notice()
+	if n == x.reportedNotice {
+		return
+	}
+	x.reportedNotice = n
+	x.Logger.Info("backend server notice changed", "instance", n.Instance, "rate_limited", n.RateLimited, "rate_limit", n.RateLimit,
+		"leaving", n.Leaving, "invalid_rate_limit", n.InvalidRateLimit, "source", source, "request", name)
+	if x.OnNotice != nil {
+		x.OnNotice(n)
+	}
+}
+
 // addWorkers starts workers until there is one for each announced slot, or MaxWorkers.
 func (x *Executor) addWorkers(slots int) {
 	for x.workerCount < min(slots, MaxWorkers) {
--- a/node/gatekeeper/build.go
+++ b/node/gatekeeper/build.go
@@ -147,9 +147,24 @@
 		Logger:      g.logs,
 		OnEndpoint:  g.members.SetEndpoint,
 		OnQueueWait: g.metrics.QueueWait,
+		OnNotice:    g.reportNotice,
 	}
 }
 
+// reportNotice sets the gauges of what the backend server states about itself. Without a
+// rate limit the gauge is -1.
+func (g *Gatekeeper) reportNotice(n cassiatally.Notice) {
+	limit, leaving := -1.0, 0.0
+	if n.RateLimited {
+		limit = float64(n.RateLimit)
+	}
+	if n.Leaving {
+		leaving = 1
+	}
+	g.metrics.Gauge("backend_rate_limit", limit)
+	g.metrics.Gauge("backend_leaving", leaving)
+}
+
 func (g *Gatekeeper) buildKeepers() {
 	g.routes = &routekeeper.Keeper{
 		Source:    g.Source,
--- a/node/instancekeeper/instancekeeper.go
+++ b/node/instancekeeper/instancekeeper.go
@@ -228,9 +228,10 @@
 	spec, _ := k.routes.Table().Service(r.Service)
 	k.service.Store(&r.Service)
 	k.Backend.Announce(cassiatally.Announcement{
-		Address:  r.Address,
-		Instance: r.Instance,
-		Endpoint: cassiatally.Endpoint{Service: r.Service, Slots: r.Slots, Connections: spec.Connections, State: r.State},
+		Address:   r.Address,
+		Instance:  r.Instance,
+		StartedMs: r.StartedMs,
+		Endpoint:  cassiatally.Endpoint{Service: r.Service, Slots: r.Slots, Connections: spec.Connections, State: r.State},
 	})
 }
 
