--- a/node/executor/executor.go
+++ b/node/executor/executor.go
@@ -375,6 +375,7 @@
 // which request brought it.
 func (x *Executor) reportNotice(source string, name cassiatally.RequestName) {
 	n := x.Runner.Notice()
+	x.reportedNotice.Instance = n.Instance
 	if n == x.reportedNotice {
 		return
 	}
