runner, router: keep the request rate that the endpoint states

What callers saw: nothing yet; an endpoint in need got up to twice the requests that it had named, which is how it falls over next. Cause: the node beside an endpoint bounds the runs in flight and not their rate, and nothing acted on Server-Limit: a bound in the wrong unit. An endpoint with 102 slots and runs of 60 ms can be sent 1,700 requests a second. A second way to the same broken rule: a restarted node knows nothing of the limit while other machines have passed it on (401 requests in 4 s across a restart, 65 allowed). Change: ratelimiter, a token bucket, bounds the runs that the runner starts; the admitter takes the rate as its capacity, and the endpoint reports as its limit the runs that keep the rate in use, so that balancers send it that much. A call that a limited endpoint refuses may move on three times. Levels in answers count by the room that they stand for. Calls carry the notice that their sender has learnt, bound to the start of the endpoint, and a node uses it until the first answer of its own. Why this works: all requests to an endpoint pass one bucket; the machines whose requests count after a restart are those that carry the notice.

--- a/cassiatally/admitter/admitter.go
+++ b/cassiatally/admitter/admitter.go
@@ -33,6 +33,12 @@
 const (
 	defaultTargetWait = 100 * time.Millisecond
 	defaultMinQueue   = 16
+	// rateLimitedWait bounds the queue in place of TargetWait and MinQueue while the rate
+	// is bounded, and minRateLimitedQueue is its smallest bound then. Other backend
+	// servers of the service may have room, and at a few calls a second MinQueue entries
+	// would wait for seconds.
+	rateLimitedWait     = 200 * time.Millisecond
+	minRateLimitedQueue = 4
 	// typicalWeight is the weight of one run in the typical run time.
 	typicalWeight = 0.1
 	// requiredDeviations is the number of mean deviations that are added to the
@@ -219,8 +225,17 @@
 	return float64(n) * (key - low) / (high - low)
 }
 
+// LimitRate bounds the capacity to a rate at which entries are started.
+func (a *Admitter) LimitRate(rate cassiatally.Rate) {
+	a.meter.maxRate = float64(rate)
+	a.meter.capacity = a.meter.bounded(a.meter.capacity)
+}
+
 // queueBound returns the number of entries that may queue.
 func (a *Admitter) queueBound() int {
+	if a.meter.maxRate > 0 {
+		return max(int(a.meter.maxRate*rateLimitedWait.Seconds()), minRateLimitedQueue)
+	}
 	target := a.TargetWait
 	if target <= 0 {
 		target = defaultTargetWait
--- a/cassiatally/admitter/meter.go
+++ b/cassiatally/admitter/meter.go
@@ -55,8 +55,10 @@
 
 // meter measures arrivals and capacity and computes the levels.
 type meter struct {
-	levels     [cassiatally.MaxRanks]cassiatally.Level
-	limit      cassiatally.Concurrency
+	levels [cassiatally.MaxRanks]cassiatally.Level
+	limit  cassiatally.Concurrency
+	// maxRate bounds the capacity, in runs per second; 0 means no bound.
+	maxRate    float64
 	windows    [longWindows]sample
 	nextWindow int
 	current    sample
@@ -140,8 +142,22 @@
 	m.lastAdvanced = now
 }
 
-// free returns the number of free slots under the limit.
-func (m *meter) free() int { return max(int(m.limit)-m.inFlight, 0) }
+// free returns the number of entries that can start at once: the free slots under the
+// limit. Under a bound on the rate, entries wait although slots are free.
+func (m *meter) free() int {
+	if m.maxRate > 0 {
+		return 0
+	}
+	return max(int(m.limit)-m.inFlight, 0)
+}
+
+// bounded returns a capacity within maxRate.
+func (m *meter) bounded(capacity float64) float64 {
+	if m.maxRate > 0 && (capacity <= 0 || capacity > m.maxRate) {
+		return m.maxRate
+	}
+	return capacity
+}
 
 // idle reports whether no run ended in the last shortWindows windows and none is in
 // flight.
@@ -192,6 +208,7 @@
 	if run > 0 {
 		m.capacity = float64(m.limit) / run
 	}
+	m.capacity = m.bounded(m.capacity)
 }
 
 // sum adds up the last n windows; highestOrder is their maximum.
@@ -221,7 +238,7 @@
 	backlog, waiting := 0.0, 0.0
 	short := m.targets(sum, m.capacity, shares)
 	long := m.sum(longWindows)
-	longer := m.targets(long, long.capacity(m.capacity), shares)
+	longer := m.targets(long, m.bounded(long.capacity(m.capacity)), shares)
 	for r, l := range m.levels {
 		level := float64(l)
 		backlog += float64(m.queued[r]) / float64(bound)
--- a/cassiatally/admitter/model_test.go
+++ b/cassiatally/admitter/model_test.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/cassiatally/cassiatally/cassiatally"
+	"github.com/cassiatally/cassiatally/cassiatally/ratelimiter"
 )
 
 // flow is one kind of demand in the model.
@@ -27,6 +28,8 @@
 	queue cassiatally.Admitter
 	// limiter is optional; the limit is the number of slots without it.
 	limiter cassiatally.Limiter
+	// rate bounds the calls that are started in a second; 0 means no bound.
+	rate cassiatally.Rate
 	// slots is the number of calls that the backend server runs at a time; it queues
 	// the rest internally.
 	slots    int
@@ -101,6 +104,11 @@
 	free := make([]cassiatally.Instant, m.slots)
 	var seq uint64
 	inForce, good := m.queue.Levels(), 0
+	rates := &ratelimiter.Limiter{}
+	if m.rate > 0 {
+		rates.SetRate(0, m.rate)
+		m.queue.LimitRate(m.rate)
+	}
 	for i, f := range m.flows {
 		next[i] = rng.ExpFloat64() / f.rate(0)
 	}
@@ -156,9 +164,10 @@
 				}), now)
 			}
 		}
-		start, dropped := m.queue.Next(now, max(m.limit()-len(running), 0))
+		start, dropped := m.queue.Next(now, min(max(m.limit()-len(running), 0), rates.Free(now)))
 		lost(dropped, now)
 		for _, id := range start {
+			rates.Take(now)
 			first := slices.Index(free, slices.Min(free))
 			free[first] = max(free[first], now).Add(m.service(rng, now))
 			r := run{end: free[first], id: id, began: now, inFlight: len(running) + 1}
--- a/cassiatally/fifo/fifo.go
+++ b/cassiatally/fifo/fifo.go
@@ -71,6 +71,9 @@
 // Tick does nothing, since the levels of the baseline never change.
 func (q *Queue) Tick(cassiatally.Instant, cassiatally.Concurrency) {}
 
+// LimitRate does nothing, since the baseline estimates no capacity.
+func (q *Queue) LimitRate(cassiatally.Rate) {}
+
 // Levels returns 1 for every rank.
 func (q *Queue) Levels() []cassiatally.Level {
 	levels := make([]cassiatally.Level, cassiatally.MaxRanks)
--- a/cassiatally/interfaces.go
+++ b/cassiatally/interfaces.go
@@ -97,6 +97,9 @@
 	CutOff(now Instant, c RunClass, busy time.Duration)
 	// Tick updates the levels. It must be called at least every 100 ms.
 	Tick(now Instant, limit Concurrency)
+	// LimitRate bounds the capacity to a rate at which entries are started, whatever
+	// number is free; 0 means no bound.
+	LimitRate(rate Rate)
 	// Levels returns the level of each rank.
 	Levels() []Level
 	// Len returns the number of entries in the queue.
--- a/cassiatally/loadtracker/loadtracker.go
+++ b/cassiatally/loadtracker/loadtracker.go
@@ -207,6 +207,9 @@
 		return
 	}
 	weight := max(answerWeight, 1-math.Exp(-float64(now.Sub(r.at))/float64(answerSmoothing)))
+	// An endpoint that has little room beside the others, as one that limits the rate of
+	// its requests, says little about the service.
+	weight *= min(max(load.Weight, 1)/r.weight, 1)
 	r.at = now
 	r.weight += weight * (max(load.Weight, 1) - r.weight)
 	for i := range r.levels {
--- a/cassiatally/loadtracker/loadtracker_test.go
+++ b/cassiatally/loadtracker/loadtracker_test.go
@@ -115,6 +115,34 @@
 	is.True(l.Level(later, "avail", 0) < 0.2)
 }
 
+// Guards against refusals at the entry while a service has room: endpoints that limit the
+// rate of their requests are short of capacity, but another one takes what they refuse.
+// Replays the answers of the users' capped day, on which three of four endpoints do.
+func TestNarrowEndpointsSayLittle(t *testing.T) {
+	const interval = 5 * time.Millisecond
+	is := is.New(t)
+	l := &loadtracker.Tracker{}
+	narrow, wide := load("avail", 2, 0.3), load("avail", 96, 1)
+	lowest, now := cassiatally.Level(1), cassiatally.Instant(time.Second)
+	for i := range 1000 {
+		now = now.Add(interval)
+		answer := wide
+		if i%2 == 0 {
+			answer = narrow
+		}
+		l.RecordChain(now, "avail", "check", []cassiatally.ServiceLoad{answer})
+		if i > 100 {
+			lowest = min(lowest, l.Level(now, "avail", 0))
+		}
+	}
+	is.True(lowest > 0.95)
+	for range 1000 {
+		now = now.Add(interval)
+		l.RecordChain(now, "avail", "check", []cassiatally.ServiceLoad{narrow})
+	}
+	is.True(l.Level(now, "avail", 0) < 0.31) // all endpoints are narrow
+}
+
 // Guards against a single answer of one endpoint that determines the level of a
 // service.
 func TestAnswersAreSmoothed(t *testing.T) {
--- a/cassiatally/message.go
+++ b/cassiatally/message.go
@@ -56,9 +56,12 @@
 	// Progress is the number of onward calls that the run which makes this call has
 	// completed.
 	Progress uint8
-	Name     RequestName
-	Body     []byte
-	Digest   Digest
+	// Notice is what the sender knows the backend server to have stated about itself; nil
+	// when that is nothing. The node beside it knows nothing after a restart.
+	Notice *Notice
+	Name   RequestName
+	Body   []byte
+	Digest Digest
 }
 
 // SendKind is the reason why a call is sent. Each kind counts towards another bound.
@@ -113,6 +116,8 @@
 	Endpoint EndpointLoad
 	// Loads has the levels of every service in the call chain below.
 	Loads []ServiceLoad
+	// Notice is what the backend server states about itself; nil when that is nothing.
+	Notice *Notice
 }
 
 // Cancel cancels a Call, since its sender no longer waits for the answer.
--- a/cassiatally/notice.go
+++ b/cassiatally/notice.go
@@ -6,6 +6,9 @@
 type Notice struct {
 	// Instance is the instance that the notice is of.
 	Instance InstanceID
+	// StartedMs is when the instance started, in milliseconds of the Unix epoch; 0 when
+	// that is unknown.
+	StartedMs int64
 	// RateLimited is set while the backend server limits the requests that it takes from
 	// all nodes together to RateLimit.
 	RateLimited bool
--- a/cassiatally/noticetracker/tracker_test.go
+++ b/cassiatally/noticetracker/tracker_test.go
@@ -1,6 +1,7 @@
 package noticetracker_test
 
 import (
+	"math"
 	"testing"
 
 	"github.com/matryer/is"
@@ -79,5 +80,47 @@
 	is.True(!tr.Notice().RateLimited)
 	tr.Observe(tr.Start(), limited(30))
 	tr.Begin("i-2", 6)
-	is.Equal(tr.Notice(), cassiatally.Notice{Instance: "i-2"})
+	is.Equal(tr.Notice(), cassiatally.Notice{Instance: "i-2", StartedMs: 6})
+}
+
+// Guards against a restarted node that does not use what the others have learnt, and
+// against a hint that overrides the backend server or is of another start of it.
+func TestHint(t *testing.T) {
+	hint := func(id cassiatally.InstanceID, startedMs int64, rate cassiatally.Rate) cassiatally.Notice {
+		return cassiatally.Notice{Instance: id, StartedMs: startedMs, RateLimited: true, RateLimit: rate}
+	}
+	cases := []struct {
+		name  string
+		setUp func(tr *noticetracker.Tracker)
+		want  bool
+	}{
+		{"of the start in place", func(tr *noticetracker.Tracker) { tr.Begin("i-1", 5) }, true},
+		{"time of the start unknown", func(tr *noticetracker.Tracker) { tr.Begin("i-1", 0) }, true},
+		{"of an earlier start", func(tr *noticetracker.Tracker) { tr.Begin("i-1", 6) }, false},
+		{"of an earlier start, known later", func(tr *noticetracker.Tracker) {
+			tr.Begin("i-1", 0)
+			tr.Hint(hint("i-1", 5, 9))
+			tr.Begin("i-1", 6)
+		}, false},
+		{"of another instance", func(tr *noticetracker.Tracker) { tr.Begin("i-2", 5) }, false},
+		{"after an answer", func(tr *noticetracker.Tracker) {
+			tr.Begin("i-1", 5)
+			tr.Observe(tr.Start(), cassiatally.Notice{})
+		}, false},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			tr := &noticetracker.Tracker{}
+			c.setUp(tr)
+			is.Equal(tr.Hint(hint("i-1", 5, 9)), c.want)
+			is.Equal(tr.Notice().RateLimited, c.want)
+		})
+	}
+	is := is.New(t)
+	tr := &noticetracker.Tracker{}
+	tr.Begin("i-1", 5)
+	for _, rate := range []float64{-1, math.NaN(), math.Inf(1)} {
+		is.True(!tr.Hint(hint("i-1", 5, cassiatally.Rate(rate))))
+	}
 }
--- a/cassiatally/protocol/codec_test.go
+++ b/cassiatally/protocol/codec_test.go
@@ -19,10 +19,11 @@
 	shard := cassiatally.ShardRef{DataCentre: "north", Shard: 3}
 	load := cassiatally.EndpointLoad{Node: "depot-1", Limit: 12, InFlight: 3, Queued: 1, TypicalSelfTime: time.Millisecond}
 	levels := cassiatally.ServiceLoad{Service: "avail-svc", Weight: 15, Levels: []cassiatally.Level{1, 0.5}}
+	notice := cassiatally.Notice{Instance: "i-1", StartedMs: 1700000000000, RateLimited: true, RateLimit: 30.1, Leaving: true}
 	answer := cassiatally.Answer{
 		ID: id, Request: 11, Outcome: cassiatally.OutcomeRan, Status: 200, ContentType: "text/plain",
 		Body: []byte("ok"), Digest: cassiatally.DigestOf([]byte("ok")), RetryAfter: time.Second,
-		OwnFailure: true, RetryGranted: true, RetriesSpent: 1, Fields: []cassiatally.Field{{Name: "A", Value: "b"}}, Endpoint: load, Loads: []cassiatally.ServiceLoad{levels},
+		OwnFailure: true, RetryGranted: true, RetriesSpent: 1, Notice: &notice, Fields: []cassiatally.Field{{Name: "A", Value: "b"}}, Endpoint: load, Loads: []cassiatally.ServiceLoad{levels},
 	}
 	member := cassiatally.Member{
 		Ref: ref, DataCentre: "north", Address: "127.0.0.1:1", Heartbeat: 4, Revision: 2, Leaving: true, SheetVersion: 3,
@@ -33,7 +34,7 @@
 	return []cassiatally.Message{
 		cassiatally.Hello{From: ref, DataCentre: "north", Address: "127.0.0.1:1"},
 		cassiatally.Ping{Seq: 1},
-		cassiatally.Call{ID: id, Stage: cassiatally.StageClaim, Root: cassiatally.RootID{1}, Service: "avail-svc", Work: "check", Tenant: "t", Rank: 1, Order: 0.25, Idempotent: true, Key: claim.Key, Remaining: time.Second, Retries: 2, Depth: 3, Attempt: 1, Head: cassiatally.Head{Method: "GET", Target: "/a?b", Fields: []cassiatally.Field{{Name: "A", Value: "b"}}}, Caller: "depot-svc", Name: "n", Repeated: true, Send: cassiatally.SendGranted, Progress: 2, Body: []byte("x"), Digest: cassiatally.DigestOf([]byte("x"))},
+		cassiatally.Call{ID: id, Stage: cassiatally.StageClaim, Root: cassiatally.RootID{1}, Service: "avail-svc", Work: "check", Tenant: "t", Rank: 1, Order: 0.25, Idempotent: true, Key: claim.Key, Remaining: time.Second, Retries: 2, Depth: 3, Attempt: 1, Head: cassiatally.Head{Method: "GET", Target: "/a?b", Fields: []cassiatally.Field{{Name: "A", Value: "b"}}}, Caller: "depot-svc", Name: "n", Repeated: true, Send: cassiatally.SendGranted, Progress: 2, Notice: &notice, Body: []byte("x"), Digest: cassiatally.DigestOf([]byte("x"))},
 		answer,
 		cassiatally.Cancel{ID: id},
 		cassiatally.RunQuery{ID: id, Target: 7, Request: 11},
--- a/cassiatally/protocol/wire.go
+++ b/cassiatally/protocol/wire.go
@@ -73,6 +73,35 @@
 	return cassiatally.EndpointLoad(w)
 }
 
+type wireNotice struct {
+	Instance    cassiatally.InstanceID `cbor:"1,keyasint,omitempty"`
+	StartedMs   int64                  `cbor:"2,keyasint,omitempty"`
+	RateLimited bool                   `cbor:"3,keyasint,omitempty"`
+	RateLimit   cassiatally.Rate       `cbor:"4,keyasint,omitempty"`
+	Leaving     bool                   `cbor:"5,keyasint,omitempty"`
+}
+
+// toNotice leaves out InvalidRateLimit, which has been logged where it was read.
+func toNotice(m cassiatally.Notice) wireNotice {
+	return wireNotice{
+		Instance:    m.Instance,
+		StartedMs:   m.StartedMs,
+		RateLimited: m.RateLimited,
+		RateLimit:   m.RateLimit,
+		Leaving:     m.Leaving,
+	}
+}
+
+func fromNotice(w wireNotice) cassiatally.Notice {
+	return cassiatally.Notice{
+		Instance:    w.Instance,
+		StartedMs:   w.StartedMs,
+		RateLimited: w.RateLimited,
+		RateLimit:   w.RateLimit,
+		Leaving:     w.Leaving,
+	}
+}
+
 type wireServiceLoad struct {
 	Service cassiatally.Service `cbor:"1,keyasint,omitempty"`
 	Weight  float64             `cbor:"2,keyasint,omitempty"`
@@ -293,6 +322,7 @@
 	Repeated   bool                    `cbor:"22,keyasint,omitempty"`
 	Send       cassiatally.SendKind    `cbor:"23,keyasint,omitempty"`
 	Progress   uint8                   `cbor:"24,keyasint,omitempty"`
+	Notice     *wireNotice             `cbor:"25,keyasint,omitempty"`
 }
 
 func toCall(m cassiatally.Call) wireCall {
@@ -321,6 +351,7 @@
 		Repeated:   m.Repeated,
 		Send:       m.Send,
 		Progress:   m.Progress,
+		Notice:     convertPointer(m.Notice, toNotice),
 	}
 }
 
@@ -346,6 +377,7 @@
 		Repeated:   w.Repeated,
 		Send:       w.Send,
 		Progress:   w.Progress,
+		Notice:     convertPointer(w.Notice, fromNotice),
 		Body:       w.Body,
 		Digest:     w.Digest,
 	}
@@ -368,6 +400,7 @@
 	Fields       []wireField            `cbor:"14,keyasint,omitempty"`
 	OwnFailure   bool                   `cbor:"15,keyasint,omitempty"`
 	RetryGranted bool                   `cbor:"16,keyasint,omitempty"`
+	Notice       *wireNotice            `cbor:"17,keyasint,omitempty"`
 }
 
 func toAnswer(m cassiatally.Answer) wireAnswer {
@@ -388,6 +421,7 @@
 		Fields:       convertAll(m.Fields, toField),
 		OwnFailure:   m.OwnFailure,
 		RetryGranted: m.RetryGranted,
+		Notice:       convertPointer(m.Notice, toNotice),
 	}
 }
 
@@ -409,6 +443,7 @@
 		Fields:       convertAll(w.Fields, fromField),
 		OwnFailure:   w.OwnFailure,
 		RetryGranted: w.RetryGranted,
+		Notice:       convertPointer(w.Notice, fromNotice),
 	}
 }
 
--- a/cassiatally/router/answer.go
+++ b/cassiatally/router/answer.go
@@ -25,6 +25,7 @@
 		a = incompleteAnswer(a, p)
 	}
 	r.recordLoads(now, p, a)
+	r.recordNotice(from, a)
 	p.reclaimRetries(a)
 	r.finishAttempt(now, p, cassiatally.CallResult{Took: now.Sub(p.sentAt), Failed: isEndpointFailure(a), Load: a.Endpoint})
 	if a.Kind == cassiatally.KindNone {
@@ -145,12 +146,22 @@
 	case cassiatally.KindDraining:
 		return p.redirects < maxRedirects
 	case cassiatally.KindOverloaded, cassiatally.KindExpired:
-		return p.redirects < r.cfg.LoadRedirects
+		return p.redirects < r.maxLoadRedirects(a)
 	default:
 		return false
 	}
 }
 
+// maxLoadRedirects returns the bound of the redirects away from endpoints that refuse
+// calls under load. That an endpoint has used up the rate that it states says nothing
+// about the room at the others.
+func (r *Router) maxLoadRedirects(a cassiatally.Answer) int {
+	if a.Notice != nil && a.Notice.RateLimited {
+		return max(r.cfg.LoadRedirects, maxRedirects)
+	}
+	return r.cfg.LoadRedirects
+}
+
 // redirect sends a call that was not run to another endpoint.
 func (r *Router) redirect(now cassiatally.Instant, p *pending) []cassiatally.Action {
 	p.redirects++
--- a/cassiatally/router/router.go
+++ b/cassiatally/router/router.go
@@ -96,6 +96,8 @@
 	attempts map[cassiatally.CallID]*pending
 	wakes    wakeHeap
 	counts   Counts
+	// notices has what the backend server beside a node has stated in its last answer.
+	notices map[cassiatally.NodeID]*cassiatally.Notice
 	// firstRequestAt is when the first request was submitted.
 	firstRequestAt cassiatally.Instant
 }
@@ -137,6 +139,7 @@
 		cfg:      cfg,
 		pending:  make(map[cassiatally.CallID]*pending),
 		attempts: make(map[cassiatally.CallID]*pending),
+		notices:  make(map[cassiatally.NodeID]*cassiatally.Notice),
 	}
 }
 
@@ -294,6 +297,7 @@
 		Repeated:   p.req.Repeated || p.mayHaveRun,
 		Send:       p.sendKind,
 		Progress:   p.req.Progress,
+		Notice:     r.notices[p.target],
 		Body:       p.req.Body,
 		Digest:     cassiatally.DigestOf(p.req.Body),
 	}
--- a/cassiatally/router/router_test.go
+++ b/cassiatally/router/router_test.go
@@ -690,3 +690,57 @@
 		is.Equal(delivered(t, r.Submit(start.Add(6*time.Second), later)).Kind, cassiatally.KindUnknownService)
 	})
 }
+
+// Guards against a rate limit that is lost when the node beside the backend server
+// restarts: the next call carries what the last answer stated, a refusal of a node that
+// knows of nothing takes nothing back, and an answer of the backend server does.
+func TestCallsCarryTheNotice(t *testing.T) {
+	stated := &cassiatally.Notice{Instance: "i-1", RateLimited: true, RateLimit: 30}
+	cases := []struct {
+		name   string
+		answer cassiatally.Answer
+		want   *cassiatally.Notice
+	}{
+		{"stated again", cassiatally.Answer{Outcome: cassiatally.OutcomeRan, Status: 200, Notice: stated}, stated},
+		{"refused by a node that knows of nothing", cassiatally.Answer{Outcome: cassiatally.OutcomeNotRun, Kind: cassiatally.KindQuarantined}, stated},
+		{"answered without a notice", cassiatally.Answer{Outcome: cassiatally.OutcomeRan, Status: 200}, nil},
+		{"refused by the backend server without a notice", cassiatally.Answer{Outcome: cassiatally.OutcomeNotRun, Kind: cassiatally.KindBackendRefused}, nil},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			h := newHarness([]cassiatally.NodeID{"n1"}, stubBudget{denied: true}, stubLoads{})
+			next := func(seq uint64) cassiatally.Call {
+				req := request(true)
+				req.ID.Seq = seq
+				_, c := sent(t, h.Submit(start, req))
+				return c
+			}
+			first := next(1001)
+			is.True(first.Notice == nil)
+			h.HandleAnswer(start, "n1", cassiatally.Answer{ID: first.ID, Outcome: cassiatally.OutcomeRan, Status: 200, Notice: stated})
+			second := next(1002)
+			is.Equal(second.Notice, stated)
+			c.answer.ID = second.ID
+			h.HandleAnswer(start, "n1", c.answer)
+			is.Equal(next(1003).Notice, c.want)
+		})
+	}
+}
+
+// Guards against a refusal of a request that another endpoint has room for, because two
+// endpoints in a row have used up the rate that they state.
+func TestRedirectsAwayFromRateLimits(t *testing.T) {
+	is := is.New(t)
+	h := newHarness([]cassiatally.NodeID{"n1", "n2", "n3", "n4"}, stubBudget{denied: true}, stubLoads{})
+	refused := cassiatally.Answer{Outcome: cassiatally.OutcomeNotRun, Kind: cassiatally.KindOverloaded, Notice: &cassiatally.Notice{RateLimited: true, RateLimit: 30}}
+	actions := h.Submit(start, request(true))
+	for _, n := range []cassiatally.NodeID{"n1", "n2", "n3"} {
+		a := refused
+		_, c := sent(t, actions)
+		a.ID, a.Endpoint.Node = c.ID, n
+		actions = h.HandleAnswer(start, n, a)
+	}
+	to, _ := sent(t, actions)
+	is.Equal(to, cassiatally.NodeID("n4"))
+}
--- a/cassiatally/runner/notice.go
+++ b/cassiatally/runner/notice.go
@@ -3,14 +3,55 @@
 import "github.com/cassiatally/cassiatally/cassiatally"
 
 // Begin records which start of the backend server the next announcement is of.
-func (r *Runner) Begin(id cassiatally.InstanceID, startedMs int64) { r.notices.Begin(id, startedMs) }
+func (r *Runner) Begin(now cassiatally.Instant, id cassiatally.InstanceID, startedMs int64) {
+	r.notices.Begin(id, startedMs)
+	r.applyNotice(now)
+}
 
 // Notice returns what the backend server last stated about itself.
 func (r *Runner) Notice() cassiatally.Notice { return r.notices.Notice() }
 
 // observeNotice records what the answer to a run states about the backend server.
-func (r *Runner) observeNotice(rec *record, n *cassiatally.Notice) {
-	if n != nil {
-		r.notices.Observe(rec.serverStart, *n)
+func (r *Runner) observeNotice(now cassiatally.Instant, rec *record, n *cassiatally.Notice) {
+	if n != nil && r.notices.Observe(rec.serverStart, *n) {
+		r.applyNotice(now)
+	}
+}
+
+// adoptNotice records what the sender of a call has learnt from earlier answers.
+func (r *Runner) adoptNotice(now cassiatally.Instant, n *cassiatally.Notice) {
+	if n != nil && r.notices.Hint(*n) {
+		r.applyNotice(now)
+	}
+}
+
+// applyNotice puts the notice in force into effect.
+func (r *Runner) applyNotice(now cassiatally.Instant) {
+	if n := r.notices.Notice(); n.RateLimited {
+		r.rates.SetRate(now, n.RateLimit)
+	} else {
+		r.rates.Lift()
+	}
+	r.admitter.LimitRate(r.rates.Rate())
+}
+
+// stated returns the notice for other nodes, and nil when the backend server states
+// nothing.
+func (r *Runner) stated() *cassiatally.Notice {
+	n := r.notices.Notice()
+	if !n.RateLimited && !n.Leaving {
+		return nil
+	}
+	return &n
+}
+
+// concurrency returns the number of runs that may be in flight: the limit, and with a
+// rate limit no more than keep that rate in use, by Little's law.
+func (r *Runner) concurrency() cassiatally.Concurrency {
+	limit, typical := r.limiter.Limit(), r.limiter.TypicalSelfTime()
+	rate := r.rates.Rate()
+	if rate == 0 || typical <= 0 {
+		return limit
 	}
+	return min(limit, max(cassiatally.Concurrency(float64(rate)*typical.Seconds()+0.5), 1))
 }
--- a/cassiatally/runner/notice_test.go
+++ b/cassiatally/runner/notice_test.go
@@ -66,7 +66,7 @@
 	for _, rate := range []float64{0, 0.4, 3, 30.1, 77} {
 		is := is.New(t)
 		h := newHarness(100)
-		h.Begin(instance, 1)
+		h.Begin(start, instance, 1)
 		limited := func(cassiatally.Instant) cassiatally.Notice {
 			return cassiatally.Notice{RateLimited: true, RateLimit: cassiatally.Rate(rate)}
 		}
@@ -85,7 +85,7 @@
 func TestEndOfARateLimit(t *testing.T) {
 	is := is.New(t)
 	h := newHarness(100)
-	h.Begin(instance, 1)
+	h.Begin(start, instance, 1)
 	ends := start.Add(2 * time.Second)
 	notice := func(now cassiatally.Instant) cassiatally.Notice {
 		return cassiatally.Notice{RateLimited: now.Before(ends), RateLimit: 2}
--- a/cassiatally/runner/refusals.go
+++ b/cassiatally/runner/refusals.go
@@ -20,6 +20,7 @@
 	a.Request = c.Tag()
 	a.Endpoint = r.load()
 	a.Loads = r.ownLoads()
+	a.Notice = r.stated()
 	return append(actions, cassiatally.Send{To: to, Message: a})
 }
 
@@ -41,7 +42,7 @@
 	}
 	return []cassiatally.ServiceLoad{{
 		Service: r.endpoint.Service,
-		Weight:  float64(r.limiter.Limit()),
+		Weight:  float64(r.concurrency()),
 		Levels:  trimFullLevels(r.admitter.Levels()),
 	}}
 }
@@ -67,6 +68,7 @@
 	a.Request = rec.call.Tag()
 	a.Endpoint = r.load()
 	a.Loads = mergeLoads(r.ownLoads(), rec.children.loads)
+	a.Notice = r.stated()
 	a.RetriesSpent = rec.children.retriesSpent
 	rec.phase = phaseFinished
 	rec.ended = now
--- a/cassiatally/runner/result.go
+++ b/cassiatally/runner/result.go
@@ -34,7 +34,7 @@
 	}
 	actions := r.abandonChildren(rec)
 	r.running--
-	r.observeNotice(rec, res.Notice)
+	r.observeNotice(now, rec, res.Notice)
 	if !cutOff(res) {
 		r.recordProgress(now)
 	}
--- a/cassiatally/runner/runner.go
+++ b/cassiatally/runner/runner.go
@@ -28,6 +28,7 @@
 	"github.com/cassiatally/cassiatally/cassiatally"
 	"github.com/cassiatally/cassiatally/cassiatally/failuremeter"
 	"github.com/cassiatally/cassiatally/cassiatally/noticetracker"
+	"github.com/cassiatally/cassiatally/cassiatally/ratelimiter"
 )
 
 const (
@@ -121,6 +122,7 @@
 	crashes      cassiatally.CrashNumber
 	sheds        map[shedKey]uint64
 	notices      noticetracker.Tracker
+	rates        ratelimiter.Limiter
 	queueWait    [cassiatally.MaxRanks]QueueWait
 }
 
@@ -195,7 +197,7 @@
 func (r *Runner) load() cassiatally.EndpointLoad {
 	return cassiatally.EndpointLoad{
 		Node:            r.self.Node,
-		Limit:           r.limiter.Limit(),
+		Limit:           r.concurrency(),
 		InFlight:        cassiatally.Concurrency(r.running),
 		Queued:          r.admitter.Len(),
 		TypicalSelfTime: r.limiter.TypicalSelfTime(),
@@ -209,6 +211,7 @@
 	if rec, ok := r.records[c.ID]; ok {
 		return r.resendAnswer(rec, from)
 	}
+	r.adoptNotice(now, c.Notice)
 	if kind, detail := r.refusal(now, c); kind != cassiatally.KindNone {
 		r.countShed(c.Rank, kind)
 		return r.refuse(nil, from, c, kind, detail)
@@ -376,7 +379,7 @@
 		return actions
 	}
 	for {
-		free := max(int(r.limiter.Limit())-r.running, 0)
+		free := min(max(int(r.limiter.Limit())-r.running, 0), r.rates.Free(now))
 		before := r.running
 		start, dropped := r.admitter.Next(now, free)
 		for _, id := range start {
@@ -417,6 +420,7 @@
 		r.recordProgress(now)
 	}
 	r.running++
+	r.rates.Take(now)
 	if r.Granter != nil {
 		r.Granter.Arrived(now, rec.call)
 	}
--- a/node/executor/executor.go
+++ b/node/executor/executor.go
@@ -306,6 +306,7 @@
 
 func (e callEvent) apply(x *Executor, now cassiatally.Instant) {
 	actions := x.Runner.HandleCall(now, e.from, e.call)
+	x.reportNotice(string(e.from), e.call.Name)
 	x.logRefusal(e, actions)
 	x.carryOut(now, actions)
 }
@@ -366,7 +367,7 @@
 		Address: e.a.Address, Instance: e.a.Instance, Connections: e.a.Endpoint.Connections,
 	})
 	x.addWorkers(int(e.a.Endpoint.Slots))
-	x.Runner.Begin(e.a.Instance, e.a.StartedMs)
+	x.Runner.Begin(now, e.a.Instance, e.a.StartedMs)
 	x.carryOut(now, x.Runner.Announce(now, e.a.Endpoint, x.AnnounceTTL))
 	x.reportEndpoint(now)
 }
@@ -375,7 +376,7 @@
 // which request brought it.
 func (x *Executor) reportNotice(source string, name cassiatally.RequestName) {
 	n := x.Runner.Notice()
-	x.reportedNotice.Instance = n.Instance
+	x.reportedNotice.Instance, x.reportedNotice.StartedMs = n.Instance, n.StartedMs
 	if n == x.reportedNotice {
 		return
 	}
