runner, executor: take an endpoint that states its departure as draining

What callers saw: requests kept going to an endpoint that had said in its answers that it leaves, until its next report or its end; those in flight at its end fail. Cause: the state of an endpoint came from its reports alone, which come each second or two, may be late and are never sent by some endpoints; the statement in each answer was not read. The same class as the rate limit: what the endpoint states in its answers did not reach the decision that needs it. Change: from the first answer with the statement the runner has the endpoint as draining for the rest of that start, also when a later report says that it is ready; queued calls move on, and the executor tells all members at once. Calls carry what their senders have learnt, so that a restarted node does the same. Why this works: the node beside the endpoint starts every run there, and it refuses from the moment at which it has the answer, which is before any client has it. A start with the same id and another time is not affected.

--- a/cassiatally/noticetracker/tracker.go
+++ b/cassiatally/noticetracker/tracker.go
@@ -76,6 +76,7 @@
 		return false
 	}
 	before := t.notice
+	t.notice.Leaving = t.notice.Leaving || n.Leaving
 	if n.RateLimited && n.RateLimit >= 0 && !math.IsInf(float64(n.RateLimit), 0) {
 		t.notice.RateLimited, t.notice.RateLimit = true, n.RateLimit
 	}
--- a/cassiatally/runner/notice.go
+++ b/cassiatally/runner/notice.go
@@ -18,15 +18,23 @@
 	}
 }
 
-// adoptNotice records what the sender of a call has learnt from earlier answers.
-func (r *Runner) adoptNotice(now cassiatally.Instant, n *cassiatally.Notice) {
-	if n != nil && r.notices.Hint(*n) {
-		r.applyNotice(now)
+// adoptNotice records what the sender of a call has learnt from earlier answers. It
+// returns the refusals of the queued calls if the backend server is leaving.
+func (r *Runner) adoptNotice(now cassiatally.Instant, n *cassiatally.Notice) []cassiatally.Action {
+	if n == nil || !r.notices.Hint(*n) {
+		return nil
+	}
+	r.applyNotice(now)
+	if r.endpoint.State != cassiatally.EndpointReady {
+		return r.refuseQueued(now, nil)
 	}
+	return nil
 }
 
-// applyNotice puts the notice in force into effect.
+// applyNotice puts the notice in force into effect. An endpoint that leaves is announced
+// as draining from now on, whatever its reports say.
 func (r *Runner) applyNotice(now cassiatally.Instant) {
+	r.endpoint.State = r.stateBy(r.endpoint.State)
 	if n := r.notices.Notice(); n.RateLimited {
 		r.rates.SetRate(now, n.RateLimit)
 	} else {
@@ -35,6 +43,14 @@
 	r.admitter.LimitRate(r.rates.Rate())
 }
 
+// stateBy returns the state of the endpoint, given the one in its report.
+func (r *Runner) stateBy(reported cassiatally.EndpointState) cassiatally.EndpointState {
+	if reported == cassiatally.EndpointReady && r.notices.Notice().Leaving {
+		return cassiatally.EndpointDraining
+	}
+	return reported
+}
+
 // stated returns the notice for other nodes, and nil when the backend server states
 // nothing.
 func (r *Runner) stated() *cassiatally.Notice {
--- a/cassiatally/runner/notice_test.go
+++ b/cassiatally/runner/notice_test.go
@@ -99,3 +99,51 @@
 	}
 	is.True(after >= 190) // of the 200 that arrive in the last second
 }
+
+// Guards against runs that start after the endpoint has stated that it is leaving: calls
+// in the queue, new calls, and all calls once a report that was sent before says again
+// that it is ready. A later start with the same id is used.
+func TestStatedDeparture(t *testing.T) {
+	leaving := cassiatally.Notice{Instance: instance, StartedMs: 1, Leaving: true}
+	ready := cassiatally.Endpoint{Service: "depot-svc", Slots: 10, State: cassiatally.EndpointReady}
+	cases := []struct {
+		name  string
+		learn func(h *harness) []cassiatally.Action
+	}{
+		{"in an answer", func(h *harness) []cassiatally.Action {
+			return h.Finished(start, call(1, "").ID, cassiatally.RunResult{Kind: cassiatally.ResultAnswered, Status: 200, Notice: &cassiatally.Notice{Leaving: true}})
+		}},
+		{"from the sender of a call", func(h *harness) []cassiatally.Action {
+			c := call(3, "")
+			c.Notice = &leaving
+			return h.HandleCall(start, "entry-2", c)
+		}},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			h := newHarness(1)
+			h.Begin(start, instance, 1)
+			is.Equal(len(started(h.HandleCall(start, "entry-1", call(1, "")))), 1)
+			is.Equal(len(h.HandleCall(start, "entry-1", call(2, ""))), 0) // queued
+			actions := c.learn(h)
+			is.Equal(len(started(actions)), 0)
+			refused := 0
+			for _, a := range answers(actions) {
+				if a.Kind == cassiatally.KindDraining && a.Outcome == cassiatally.OutcomeNotRun && a.Notice.Leaving {
+					refused++
+				}
+			}
+			is.True(refused >= 1)
+			is.Equal(h.Endpoint().State, cassiatally.EndpointDraining)
+
+			h.Begin(start, instance, 1)
+			h.Announce(start, ready, time.Hour)
+			is.Equal(answers(h.HandleCall(start, "entry-1", call(4, "")))[0].Kind, cassiatally.KindDraining)
+
+			h.Begin(start, instance, 2)
+			h.Announce(start, ready, time.Hour)
+			is.Equal(h.Endpoint().State, cassiatally.EndpointReady)
+		})
+	}
+}
--- a/cassiatally/runner/result.go
+++ b/cassiatally/runner/result.go
@@ -50,9 +50,10 @@
 	} else {
 		actions = r.finishCall(actions, now, rec, a)
 	}
-	if r.endpoint.State == cassiatally.EndpointNone {
+	if r.endpoint.State != cassiatally.EndpointReady {
 		// Queued calls would wait until the backend server announces itself again or
-		// its announcement expires, while other backend servers can run them.
+		// its announcement expires, while other backend servers can run them. One that is
+		// leaving must not get them.
 		actions = r.refuseQueued(now, actions)
 	}
 	return r.startQueued(now, r.queueHeldSuspects(actions, now))
--- a/cassiatally/runner/runner.go
+++ b/cassiatally/runner/runner.go
@@ -151,6 +151,7 @@
 	if e.Slots != r.endpoint.Slots || r.endpoint.State == cassiatally.EndpointNone {
 		r.limiter.Resize(now, e.Slots)
 	}
+	e.State = r.stateBy(e.State)
 	r.endpoint = e
 	r.announcementExpires = now.Add(ttl)
 	if e.State == cassiatally.EndpointDraining {
@@ -211,10 +212,10 @@
 	if rec, ok := r.records[c.ID]; ok {
 		return r.resendAnswer(rec, from)
 	}
-	r.adoptNotice(now, c.Notice)
+	actions := r.adoptNotice(now, c.Notice)
 	if kind, detail := r.refusal(now, c); kind != cassiatally.KindNone {
 		r.countShed(c.Rank, kind)
-		return r.refuse(nil, from, c, kind, detail)
+		return r.refuse(actions, from, c, kind, detail)
 	}
 	rec := &record{
 		call:        c,
@@ -228,9 +229,9 @@
 	r.records[c.ID] = rec
 	if rec.held {
 		r.heldSuspects = append(r.heldSuspects, c.ID)
-		return nil
+		return actions
 	}
-	return r.startQueued(now, r.enqueue(nil, now, rec))
+	return r.startQueued(now, r.enqueue(actions, now, rec))
 }
 
 // enqueue offers a call to the admitter and refuses the calls that it drops.
--- a/node/executor/executor.go
+++ b/node/executor/executor.go
@@ -306,7 +306,7 @@
 
 func (e callEvent) apply(x *Executor, now cassiatally.Instant) {
 	actions := x.Runner.HandleCall(now, e.from, e.call)
-	x.reportNotice(string(e.from), e.call.Name)
+	x.reportNotice(now, string(e.from), e.call.Name)
 	x.logRefusal(e, actions)
 	x.carryOut(now, actions)
 }
@@ -347,7 +347,7 @@
 	}
 	x.logResult(e)
 	x.carryOut(now, x.Runner.Finished(now, e.id, e.res))
-	x.reportNotice("answer", e.name)
+	x.reportNotice(now, "answer", e.name)
 	if e.res.Kind == cassiatally.ResultBroken {
 		x.reportEndpoint(now) // the lost endpoint and the crash reports go to all members immediately
 	}
@@ -374,18 +374,22 @@
 
 // reportNotice reports a change of what the backend server states about itself, and
 // which request brought it.
-func (x *Executor) reportNotice(source string, name cassiatally.RequestName) {
+func (x *Executor) reportNotice(now cassiatally.Instant, source string, name cassiatally.RequestName) {
 	n := x.Runner.Notice()
 	x.reportedNotice.Instance, x.reportedNotice.StartedMs = n.Instance, n.StartedMs
 	if n == x.reportedNotice {
 		return
 	}
+	leavingChanged := n.Leaving != x.reportedNotice.Leaving
 	x.reportedNotice = n
 	x.Logger.Info("backend server notice changed", "instance", n.Instance, "rate_limited", n.RateLimited, "rate_limit", n.RateLimit,
 		"leaving", n.Leaving, "invalid_rate_limit", n.InvalidRateLimit, "source", source, "request", name)
 	if x.OnNotice != nil {
 		x.OnNotice(n)
 	}
+	if leavingChanged {
+		x.reportEndpoint(now) // all members stop sending calls to it
+	}
 }
 
 // addWorkers starts workers until there is one for each announced slot, or MaxWorkers.
