--- a/cassiatally/ids.go
+++ b/cassiatally/ids.go
@@ -4,6 +4,7 @@
 	"encoding/binary"
 	"encoding/hex"
 	"fmt"
+	"net/netip"
 	"strconv"
 	"strings"
 
@@ -47,6 +48,12 @@
 	RequestTag uint64
 )
 
+// Valid reports whether the address is an IP number with a port that can be connected to.
+func (a Address) Valid() bool {
+	parsed, err := netip.ParseAddrPort(string(a))
+	return err == nil && parsed.Port() != 0
+}
+
 // NodeRef names one incarnation of a node.
 type NodeRef struct {
 	Node        NodeID
--- a/cassiatally/instancetracker/tracker.go
+++ b/cassiatally/instancetracker/tracker.go
@@ -68,6 +68,10 @@
 	if t.hasCurrent && r.StartedMs != 0 && r.StartedMs < t.current.StartedMs {
 		return false
 	}
+	if _, inPlace := t.Current(); inPlace && r.StartedMs == 0 && t.current.StartedMs != 0 {
+		// Without its start it is no evidence that the current instance has ended.
+		return false
+	}
 	if t.hasCurrent {
 		t.retire(t.current.Instance, retirement{lastStart: t.current.StartedMs})
 	}
--- a/cassiatally/instancetracker/tracker_test.go
+++ b/cassiatally/instancetracker/tracker_test.go
@@ -76,3 +76,19 @@
 	const later = cassiatally.Instant(time.Minute)
 	is.True(restarted.Observe(later, report("a", 9, 1, ready))) // it started again
 }
+
+// Guards against a report of another writer that lacks the time of the start and puts an
+// instance in the place of the one that runs: the reports of that one would then count
+// as late for ever.
+func TestReportWithoutAStartReplacesNoInstance(t *testing.T) {
+	is := is.New(t)
+	tr := &instancetracker.Tracker{}
+	is.True(tr.Observe(0, report("a", 5, 1, ready)))
+	is.True(!tr.Observe(0, report("b", 0, 1, ready)))
+	is.True(tr.Observe(0, report("a", 5, 2, ready)))
+	got, ok := tr.Current()
+	is.True(ok)
+	is.Equal(got.Instance, cassiatally.InstanceID("a"))
+	tr.RecordLeave(0, "a")
+	is.True(tr.Observe(0, report("b", 0, 1, ready))) // nothing is in place
+}
--- a/node/backendserver/server.go
+++ b/node/backendserver/server.go
@@ -12,7 +12,6 @@
 	"context"
 	"encoding/json"
 	"net/http"
-	"net/netip"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -94,11 +93,10 @@
 
 func (a announcement) validate() (cassiatally.Announcement, *cassiatally.Error) {
 	state, ok := states[a.State]
-	_, addrErr := netip.ParseAddrPort(a.Address)
 	switch {
 	case a.Service == "":
 		return cassiatally.Announcement{}, cassiatally.NewError(cassiatally.KindBadRequest, "service is missing")
-	case addrErr != nil:
+	case !cassiatally.Address(a.Address).Valid():
 		return cassiatally.Announcement{}, cassiatally.NewError(cassiatally.KindBadRequest, "address %q is not IP:port", a.Address)
 	case !ok:
 		return cassiatally.Announcement{}, cassiatally.NewError(cassiatally.KindBadRequest, "state %q is neither ready nor draining", a.State)
--- a/node/gatekeeper/gatekeeper_test.go
+++ b/node/gatekeeper/gatekeeper_test.go
@@ -538,3 +538,17 @@
 	g := f.add(t, gatekeeper.Settings{Node: "a", Service: "avail-svc", Backend: "127.0.0.1:1", Restarted: true}, b, false)
 	eventually(t, "the backend server is used without a report", served(g, "avail"))
 }
+
+// Guards against a report of another writer, for a service that no configuration names,
+// which takes the endpoint of the host out of use.
+func TestReportOfAnUnknownService(t *testing.T) {
+	is := is.New(t)
+	avail := &backend{run: func(context.Context, cassiatally.Call) cassiatally.RunResult { return answer("avail") }}
+	_, a, b := twoNodes(t, avail)
+	odd := report("no-such-svc", cassiatally.EndpointReady, 9)
+	odd.Instance, odd.StartedMs = "i-odd", odd.StartedMs+1
+	b.Report(context.Background(), odd)
+	for range 20 {
+		is.Equal(a.Forward(context.Background(), inbound("r", "avail")).Status, 200)
+	}
+}
--- a/node/instancekeeper/instancekeeper.go
+++ b/node/instancekeeper/instancekeeper.go
@@ -166,10 +166,17 @@
 	k.announce()
 }
 
-// accepts reports whether a report may be used. A restarted node has to confirm a ready
+// accepts reports whether a report may be used. A new instance of a service that no
+// configuration names is another writer's; the one in place may outlive its service, and
+// has to be able to leave. A restarted node has to confirm a ready
 // instance first: the report may have been sent before the instance deregistered at the
 // earlier node. If not, it starts a health check of the instance.
 func (k *Keeper) accepts(r cassiatally.InstanceReport) bool {
+	current, _ := k.Tracker.Current()
+	if r.Instance != current.Instance && !k.knowsService(r.Service) {
+		k.Logger.Warn("instance report of an unknown service", "instance", r.Instance, "service", r.Service, "version", k.routes.Table().Version)
+		return false
+	}
 	if !k.Restarted || r.State != cassiatally.EndpointReady || r.Instance == k.confirmed {
 		return true
 	}
@@ -183,6 +190,16 @@
 	return false
 }
 
+// knowsService reports whether the routes in force name a service. Without routes any
+// service may be in them.
+func (k *Keeper) knowsService(s cassiatally.Service) bool {
+	if k.routes == nil {
+		return true
+	}
+	_, ok := k.routes.Table().Service(s)
+	return ok
+}
+
 func (e deregisterEvent) apply(k *Keeper, now cassiatally.Instant) {
 	defer close(e.done)
 	if k.Tracker.RecordLeave(now, e.id) {
