--- a/node/executor/executor.go
+++ b/node/executor/executor.go
@@ -11,7 +11,6 @@
 
 import (
 	"context"
-	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -94,60 +93,6 @@
 	nextReport       cassiatally.Instant
 }
 
-// suspectCounts has the numbers of requests that are suspected of crashing backend
-// servers and of those that are quarantined for it.
-type suspectCounts struct{ suspects, quarantined int }
-
-type job struct {
-	ctx  context.Context
-	call cassiatally.Call
-}
-
-type event interface {
-	apply(x *Executor, now cassiatally.Instant)
-}
-
-type (
-	callEvent struct {
-		from cassiatally.NodeID
-		call cassiatally.Call
-	}
-	cancelEvent struct{ id cassiatally.CallID }
-	queryEvent  struct {
-		from  cassiatally.NodeID
-		query cassiatally.RunQuery
-	}
-	resultEvent struct {
-		id   cassiatally.CallID
-		name cassiatally.RequestName
-		res  cassiatally.RunResult
-		took time.Duration
-	}
-	announceEvent struct{ a cassiatally.Announcement }
-	withdrawEvent struct{}
-	leaveEvent    struct{}
-	sharesEvent   struct {
-		shares [cassiatally.MaxRanks]cassiatally.Share
-	}
-	mergeCrashReportsEvent struct{ reports []cassiatally.CrashReport }
-	crashReportsEvent      struct {
-		from   cassiatally.NodeID
-		gossip cassiatally.Gossip
-	}
-	peersEvent struct {
-		peers map[cassiatally.Service][]cassiatally.NodeID
-	}
-	childEvent struct {
-		call  runner.ChildCall
-		reply func(cassiatally.Answer)
-	}
-	abandonEvent     struct{ waiter cassiatally.CallID }
-	childAnswerEvent struct {
-		id     cassiatally.CallID
-		answer cassiatally.Answer
-	}
-)
-
 // Run starts the duty.
 func (x *Executor) Run() {
 	if x.AnnounceTTL == 0 {
@@ -270,178 +215,6 @@
 	}
 }
 
-func (x *Executor) reportEndpoint(now cassiatally.Instant) {
-	x.lastReport = now
-	e := x.Runner.Endpoint()
-	counts := x.Runner.Counts()
-	x.counts.Store(&counts)
-	x.countSuspects(now)
-	if e.State != x.loggedState {
-		x.loggedState = e.State
-		x.Logger.Info("backend server state changed", "service", e.Service, "state", e.State)
-	}
-	reports := x.Quarantine.Reports(now)
-	if len(reports) == 0 && !x.reportedCrashes && !now.Reached(x.nextReport) && sameEndpoint(e, x.reportedEndpoint) {
-		return
-	}
-	x.reportedEndpoint, x.reportedCrashes, x.nextReport = e, len(reports) > 0, now.Add(reportInterval)
-	x.OnEndpoint(e, reports)
-}
-
-func sameEndpoint(a, b cassiatally.Endpoint) bool {
-	return a.Service == b.Service && a.Slots == b.Slots && a.Connections == b.Connections && a.State == b.State &&
-		a.Load == b.Load && slices.Equal(a.Levels, b.Levels)
-}
-
-// countSuspects counts at most once a second, since it visits every suspect.
-func (x *Executor) countSuspects(now cassiatally.Instant) {
-	if !now.Reached(x.nextSuspectCount) {
-		return
-	}
-	x.nextSuspectCount = now.Add(suspectCountInterval)
-	var m suspectCounts
-	m.suspects, m.quarantined = x.Quarantine.Count(now)
-	x.suspects.Store(&m)
-}
-
-func (e callEvent) apply(x *Executor, now cassiatally.Instant) {
-	actions := x.Runner.HandleCall(now, e.from, e.call)
-	x.reportNotice(now, string(e.from), e.call.Name)
-	x.logRefusal(e, actions)
-	x.carryOut(now, actions)
-}
-
-// logRefusal logs the calls that are refused when a call arrives: that call itself,
-// or a queued one that is dropped in its favour.
-func (x *Executor) logRefusal(e callEvent, actions []cassiatally.Action) {
-	for _, action := range actions {
-		s, ok := action.(cassiatally.Send)
-		if !ok {
-			continue
-		}
-		a, ok := s.Message.(cassiatally.Answer)
-		if !ok || a.Kind == cassiatally.KindNone {
-			continue
-		}
-		if a.ID != e.call.ID {
-			x.Logger.Info("queued call refused for another", "call", a.ID, "kind", a.Kind, "for", e.call.Name)
-			continue
-		}
-		x.Logger.Info("call refused", "request", e.call.Name, "call", a.ID, "from", e.from, "work", e.call.Work, "rank", e.call.Rank,
-			"kind", a.Kind, "detail", a.Detail, "left", e.call.Remaining, "queued", a.Endpoint.Queued, "running", a.Endpoint.InFlight, "limit", a.Endpoint.Limit)
-	}
-}
-
-func (e cancelEvent) apply(x *Executor, now cassiatally.Instant) {
-	x.carryOut(now, x.Runner.HandleCancel(now, e.id))
-}
-
-func (e queryEvent) apply(x *Executor, now cassiatally.Instant) {
-	x.carryOut(now, x.Runner.HandleRunQuery(now, e.from, e.query))
-}
-
-func (e resultEvent) apply(x *Executor, now cassiatally.Instant) {
-	if cancel, ok := x.cancels[e.id]; ok {
-		cancel()
-		delete(x.cancels, e.id)
-	}
-	x.logResult(e)
-	x.carryOut(now, x.Runner.Finished(now, e.id, e.res))
-	x.reportNotice(now, "answer", e.name)
-	if e.res.Kind == cassiatally.ResultBroken {
-		x.reportEndpoint(now) // the lost endpoint and the crash reports go to all members immediately
-	}
-}
-
-// logResult logs a run that did not succeed.
-func (x *Executor) logResult(e resultEvent) {
-	failed := e.res.Kind != cassiatally.ResultAnswered || e.res.Status >= firstServerError
-	if !failed {
-		return
-	}
-	x.Logger.Info("run failed", "request", e.name, "call", e.id, "result", e.res.Kind, "status", e.res.Status, "took", e.took, "detail", e.res.Detail)
-}
-
-func (e announceEvent) apply(x *Executor, now cassiatally.Instant) {
-	x.target.Store(&cassiatally.BackendTarget{
-		Address: e.a.Address, Instance: e.a.Instance, Connections: e.a.Endpoint.Connections,
-	})
-	x.addWorkers(int(e.a.Endpoint.Slots))
-	x.Runner.Begin(now, e.a.Instance, e.a.StartedMs)
-	x.carryOut(now, x.Runner.Announce(now, e.a.Endpoint, x.AnnounceTTL))
-	x.reportEndpoint(now)
-}
-
-// reportNotice reports a change of what the backend server states about itself, and
-// which request brought it.
-func (x *Executor) reportNotice(now cassiatally.Instant, source string, name cassiatally.RequestName) {
-	n := x.Runner.Notice()
-	x.reportedNotice.Instance, x.reportedNotice.StartedMs = n.Instance, n.StartedMs
-	if n == x.reportedNotice {
-		return
-	}
-	leavingChanged := n.Leaving != x.reportedNotice.Leaving
-	x.reportedNotice = n
-	x.Logger.Info("backend server notice changed", "instance", n.Instance, "rate_limited", n.RateLimited, "rate_limit", n.RateLimit,
-		"leaving", n.Leaving, "invalid_rate_limit", n.InvalidRateLimit, "source", source, "request", name)
-	if x.OnNotice != nil {
-		x.OnNotice(n)
-	}
-	if leavingChanged {
-		x.reportEndpoint(now) // all members stop sending calls to it
-	}
-}
-
-// addWorkers starts workers until there is one for each announced slot, or MaxWorkers.
-func (x *Executor) addWorkers(slots int) {
-	for x.workerCount < min(slots, MaxWorkers) {
-		x.workerCount++
-		x.workers.Go(x.runWorker)
-	}
-}
-
-func (e withdrawEvent) apply(x *Executor, now cassiatally.Instant) {
-	x.carryOut(now, x.Runner.Withdraw(now))
-	x.reportEndpoint(now)
-}
-
-func (e leaveEvent) apply(x *Executor, now cassiatally.Instant) {
-	x.carryOut(now, x.Runner.Leave(now))
-	x.reportEndpoint(now)
-}
-
-func (e sharesEvent) apply(x *Executor, _ cassiatally.Instant) { x.Runner.SetShares(e.shares) }
-
-func (e mergeCrashReportsEvent) apply(x *Executor, now cassiatally.Instant) {
-	x.Quarantine.Merge(now, e.reports)
-}
-
-func (e crashReportsEvent) apply(x *Executor, now cassiatally.Instant) {
-	if e.gossip.CrashAck != 0 {
-		x.carryOut(now, x.Runner.HandleCrashAck(now, e.from, e.gossip.CrashAck))
-		return
-	}
-	x.carryOut(now, x.Runner.HandleCrashReports(now, e.from, e.gossip))
-}
-
-func (e peersEvent) apply(x *Executor, now cassiatally.Instant) {
-	x.carryOut(now, x.Runner.SetPeers(now, e.peers))
-}
-
-func (e childEvent) apply(x *Executor, now cassiatally.Instant) {
-	x.replies[e.call.Waiter] = e.reply
-	x.carryOut(now, x.Runner.BeginChild(now, e.call))
-}
-
-func (e abandonEvent) apply(x *Executor, now cassiatally.Instant) {
-	delete(x.replies, e.waiter)
-	x.carryOut(now, x.Runner.AbandonChild(now, e.waiter))
-}
-
-func (e childAnswerEvent) apply(x *Executor, now cassiatally.Instant) {
-	x.carryOut(now, x.Runner.ChildAnswered(now, e.id, e.answer))
-}
-
 func (x *Executor) carryOut(now cassiatally.Instant, actions []cassiatally.Action) {
 	x.running.Store(int64(x.Runner.Running()))
 	for _, a := range actions {
@@ -476,17 +249,6 @@
 	}
 }
 
-func (x *Executor) startRun(now cassiatally.Instant, c cassiatally.Call) {
-	ctx, cancel := context.WithTimeout(x.ctx, c.Remaining)
-	x.cancels[c.ID] = cancel
-	if x.jobs.Offer(job{ctx: ctx, call: c}, 0) {
-		return
-	}
-	cancel()
-	delete(x.cancels, c.ID)
-	x.carryOut(now, x.Runner.Finished(now, c.ID, cassiatally.RunResult{Kind: cassiatally.ResultRefused, Detail: "no worker is free"}))
-}
-
 func (x *Executor) submit(now cassiatally.Instant, req cassiatally.Request) {
 	id := req.ID
 	ok := x.Requests.Submit(req, func(a cassiatally.Answer) {
@@ -498,23 +260,3 @@
 		}))
 	}
 }
-
-func (x *Executor) runWorker() {
-	for {
-		j, ok := x.jobs.Pop(x.ctx)
-		if !ok {
-			return
-		}
-		began := x.Clock.Now()
-		res := x.runAtBackend(j)
-		x.inbox.Push(x.ctx, resultEvent{id: j.call.ID, name: j.call.Name, res: res, took: x.Clock.Now().Sub(began)})
-	}
-}
-
-// runAtBackend sends a call to the backend server. After a panic the call may have been
-// sent, so that its outcome is unknown.
-func (x *Executor) runAtBackend(j job) (res cassiatally.RunResult) {
-	res = cassiatally.RunResult{Kind: cassiatally.ResultLost, Detail: "the answer could not be processed"}
-	defer x.duty.Recoverer.Recover()
-	return x.Backend.Do(j.ctx, *x.target.Load(), j.call)
-}
