router, claimer: do not decide a second time about a request that was admitted

What callers saw: a booking that the node where it entered had admitted was answered 503, not run, "capacity of depot-svc is short", after its key had been claimed; truthful, but nobody had to turn it away. Cause: the holder of the key's shard submits the run of a claimed key to its own router without a parent service, so that refuseAtEntry took it for a request that enters there and decided by the level of that moment. Onward calls with a key were decided about in the middle of a chain. Change: the run of a claimed key is marked as such and not refused at the entry; the queue before the backend server decides by rank as for every other call. Measured: TestRefusalAtTheEntry "run of a claimed key" fails before and passes.

--- a/cassiatally/claimer/claim.go
+++ b/cassiatally/claimer/claim.go
@@ -68,7 +68,7 @@
 	}
 	return cassiatally.Request{
 		ID: id, Root: c.Root, Service: c.Service, Work: c.Work, Tenant: c.Tenant,
-		Policy: cassiatally.Policy{Rank: c.Rank}, Order: c.Order, Deadline: cl.deadline,
+		Policy: cassiatally.Policy{Rank: c.Rank}, Order: c.Order, Claimed: true, Deadline: cl.deadline,
 		Retries: c.Retries, Depth: c.Depth, Attempt: c.Attempt, Body: c.Body,
 	}
 }
--- a/cassiatally/request.go
+++ b/cassiatally/request.go
@@ -23,7 +23,10 @@
 	Policy  Policy
 	Order   Order
 	// Key is empty for idempotent requests and for runs of a claimed key.
-	Key      Key
+	Key Key
+	// Claimed is set for the run of a claimed key, which was admitted at the node where the
+	// request entered.
+	Claimed  bool
 	Deadline Instant
 	Retries  RetryCount
 	// Sends bounds the number of endpoints that this layer sends the request to; 0 means
--- a/cassiatally/router/router.go
+++ b/cassiatally/router/router.go
@@ -185,7 +185,7 @@
 // it. A re-sent claim is never refused here, since only the holder has the records of
 // earlier copies.
 func (r *Router) refuseAtEntry(now cassiatally.Instant, p *pending) (cassiatally.Answer, bool) {
-	if p.req.Parent != "" || (p.isClaim && p.req.Attempt != 1) {
+	if p.req.Parent != "" || p.req.Claimed || (p.isClaim && p.req.Attempt != 1) {
 		return cassiatally.Answer{}, false
 	}
 	ok, short := r.cfg.Loads.Admit(now, p.req.Service, p.req.Work, p.req.Policy.Rank, p.req.Order)
--- a/cassiatally/router/router_test.go
+++ b/cassiatally/router/router_test.go
@@ -439,20 +439,23 @@
 }
 
 // Guards against a refusal with "not run" at the entry for a re-sent key: it may have
-// run already, so only the holder can refuse it.
+// run already, so only the holder can refuse it. Guards also against a second decision
+// at the holder about a request that was admitted where it entered.
 func TestRefusalAtTheEntry(t *testing.T) {
 	cases := []struct {
 		name    string
 		key     cassiatally.Key
 		attempt uint16
 		parent  cassiatally.Service
+		claimed bool
 		refused bool
 	}{
-		{"idempotent request", "", 0, "", true},
-		{"first send of a key", "north.0.1.00000000000000aa", 1, "", true},
-		{"further send of a key", "north.0.1.00000000000000aa", 2, "", false},
-		{"send of a key without a count", "north.0.1.00000000000000aa", 0, "", false},
-		{"onward call of an admitted request", "", 0, "booking-svc", false},
+		{"idempotent request", "", 0, "", false, true},
+		{"first send of a key", "north.0.1.00000000000000aa", 1, "", false, true},
+		{"further send of a key", "north.0.1.00000000000000aa", 2, "", false, false},
+		{"send of a key without a count", "north.0.1.00000000000000aa", 0, "", false, false},
+		{"onward call of an admitted request", "", 0, "booking-svc", false, false},
+		{"run of a claimed key", "", 1, "", true, false},
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
@@ -460,7 +463,7 @@
 			h := newHarness([]cassiatally.NodeID{"a"}, stubBudget{}, stubLoads{short: true})
 			h.holder = cassiatally.NodeRef{Node: "h1", Incarnation: 1}
 			req := request(c.key == "")
-			req.Key, req.Attempt, req.Parent = c.key, c.attempt, c.parent
+			req.Key, req.Attempt, req.Parent, req.Claimed = c.key, c.attempt, c.parent, c.claimed
 			actions := h.Submit(start, req)
 			_, refused := actions[0].(cassiatally.Deliver)
 			is.Equal(refused, c.refused)
