--- a/cassiatally/noticetracker/tracker.go
+++ b/cassiatally/noticetracker/tracker.go
@@ -4,7 +4,7 @@
 // # Usage
 //
 //	t := &noticetracker.Tracker{}
-//	t.Begin("i-7f3a", startedMs)         // with each announcement
+//	t.SetInstance("i-7f3a", startedMs)   // with each announcement
 //	start := t.Start()                   // when a run starts
 //	changed := t.Observe(start, notice)  // when its answer arrives
 //	changed = t.Hint(notice)             // when another node tells what it has learnt
@@ -28,9 +28,9 @@
 	answered bool
 }
 
-// Begin records the instance that is in place and the time of its start in milliseconds
+// SetInstance records the instance that is in place and the time of its start in milliseconds
 // of the Unix epoch, 0 if that is unknown. Another start has stated nothing yet.
-func (t *Tracker) Begin(id cassiatally.InstanceID, startedMs int64) {
+func (t *Tracker) SetInstance(id cassiatally.InstanceID, startedMs int64) {
 	if t.inPlace(id, startedMs) {
 		t.notice.StartedMs = max(t.notice.StartedMs, startedMs)
 		return
--- a/cassiatally/noticetracker/tracker_test.go
+++ b/cassiatally/noticetracker/tracker_test.go
@@ -50,9 +50,9 @@
 			tr := &noticetracker.Tracker{}
 			changed := false
 			for _, a := range c.answers {
-				tr.Begin("i-1", a.startedMs)
+				tr.SetInstance("i-1", a.startedMs)
 				of := tr.Start()
-				tr.Begin("i-1", c.inPlace)
+				tr.SetInstance("i-1", c.inPlace)
 				changed = tr.Observe(of, a.notice)
 			}
 			got := tr.Notice()
@@ -67,19 +67,19 @@
 
 // Guards against a notice that is lost because a report has no start time, or that is
 // kept for another instance.
-func TestBegin(t *testing.T) {
+func TestSetInstance(t *testing.T) {
 	is := is.New(t)
 	tr := &noticetracker.Tracker{}
-	tr.Begin("i-1", 0)
+	tr.SetInstance("i-1", 0)
 	tr.Observe(tr.Start(), limited(30))
-	tr.Begin("i-1", 5)
+	tr.SetInstance("i-1", 5)
 	is.True(tr.Notice().RateLimited)
-	tr.Begin("i-1", 0)
+	tr.SetInstance("i-1", 0)
 	is.True(tr.Notice().RateLimited)
-	tr.Begin("i-1", 6)
+	tr.SetInstance("i-1", 6)
 	is.True(!tr.Notice().RateLimited)
 	tr.Observe(tr.Start(), limited(30))
-	tr.Begin("i-2", 6)
+	tr.SetInstance("i-2", 6)
 	is.Equal(tr.Notice(), cassiatally.Notice{Instance: "i-2", StartedMs: 6})
 }
 
@@ -94,17 +94,17 @@
 		setUp func(tr *noticetracker.Tracker)
 		want  bool
 	}{
-		{"of the start in place", func(tr *noticetracker.Tracker) { tr.Begin("i-1", 5) }, true},
-		{"time of the start unknown", func(tr *noticetracker.Tracker) { tr.Begin("i-1", 0) }, true},
-		{"of an earlier start", func(tr *noticetracker.Tracker) { tr.Begin("i-1", 6) }, false},
+		{"of the start in place", func(tr *noticetracker.Tracker) { tr.SetInstance("i-1", 5) }, true},
+		{"time of the start unknown", func(tr *noticetracker.Tracker) { tr.SetInstance("i-1", 0) }, true},
+		{"of an earlier start", func(tr *noticetracker.Tracker) { tr.SetInstance("i-1", 6) }, false},
 		{"of an earlier start, known later", func(tr *noticetracker.Tracker) {
-			tr.Begin("i-1", 0)
+			tr.SetInstance("i-1", 0)
 			tr.Hint(hint("i-1", 5, 9))
-			tr.Begin("i-1", 6)
+			tr.SetInstance("i-1", 6)
 		}, false},
-		{"of another instance", func(tr *noticetracker.Tracker) { tr.Begin("i-2", 5) }, false},
+		{"of another instance", func(tr *noticetracker.Tracker) { tr.SetInstance("i-2", 5) }, false},
 		{"after an answer", func(tr *noticetracker.Tracker) {
-			tr.Begin("i-1", 5)
+			tr.SetInstance("i-1", 5)
 			tr.Observe(tr.Start(), cassiatally.Notice{})
 		}, false},
 	}
@@ -119,7 +119,7 @@
 	}
 	is := is.New(t)
 	tr := &noticetracker.Tracker{}
-	tr.Begin("i-1", 5)
+	tr.SetInstance("i-1", 5)
 	for _, rate := range []float64{-1, math.NaN(), math.Inf(1)} {
 		is.True(!tr.Hint(hint("i-1", 5, cassiatally.Rate(rate))))
 	}
--- a/cassiatally/runner/notice.go
+++ b/cassiatally/runner/notice.go
@@ -2,9 +2,9 @@
 
 import "github.com/cassiatally/cassiatally/cassiatally"
 
-// Begin records which start of the backend server the next announcement is of.
-func (r *Runner) Begin(now cassiatally.Instant, id cassiatally.InstanceID, startedMs int64) {
-	r.notices.Begin(id, startedMs)
+// SetInstance records which start of the backend server the next announcement is of.
+func (r *Runner) SetInstance(now cassiatally.Instant, id cassiatally.InstanceID, startedMs int64) {
+	r.notices.SetInstance(id, startedMs)
 	r.applyNotice(now)
 }
 
--- a/cassiatally/runner/notice_test.go
+++ b/cassiatally/runner/notice_test.go
@@ -66,7 +66,7 @@
 	for _, rate := range []float64{0, 0.4, 3, 30.1, 77} {
 		is := is.New(t)
 		h := newHarness(100)
-		h.Begin(start, instance, 1)
+		h.SetInstance(start, instance, 1)
 		limited := func(cassiatally.Instant) cassiatally.Notice {
 			return cassiatally.Notice{RateLimited: true, RateLimit: cassiatally.Rate(rate)}
 		}
@@ -85,7 +85,7 @@
 func TestEndOfARateLimit(t *testing.T) {
 	is := is.New(t)
 	h := newHarness(100)
-	h.Begin(start, instance, 1)
+	h.SetInstance(start, instance, 1)
 	ends := start.Add(2 * time.Second)
 	notice := func(now cassiatally.Instant) cassiatally.Notice {
 		return cassiatally.Notice{RateLimited: now.Before(ends), RateLimit: 2}
@@ -123,7 +123,7 @@
 		t.Run(c.name, func(t *testing.T) {
 			is := is.New(t)
 			h := newHarness(1)
-			h.Begin(start, instance, 1)
+			h.SetInstance(start, instance, 1)
 			is.Equal(len(started(h.HandleCall(start, "entry-1", call(1, "")))), 1)
 			is.Equal(len(h.HandleCall(start, "entry-1", call(2, ""))), 0) // queued
 			actions := c.learn(h)
@@ -137,11 +137,11 @@
 			is.True(refused >= 1)
 			is.Equal(h.Endpoint().State, cassiatally.EndpointDraining)
 
-			h.Begin(start, instance, 1)
+			h.SetInstance(start, instance, 1)
 			h.Announce(start, ready, time.Hour)
 			is.Equal(answers(h.HandleCall(start, "entry-1", call(4, "")))[0].Kind, cassiatally.KindDraining)
 
-			h.Begin(start, instance, 2)
+			h.SetInstance(start, instance, 2)
 			h.Announce(start, ready, time.Hour)
 			is.Equal(h.Endpoint().State, cassiatally.EndpointReady)
 		})
--- a/node/executor/events.go
+++ b/node/executor/events.go
@@ -115,7 +115,7 @@
 		Address: e.a.Address, Instance: e.a.Instance, Connections: e.a.Endpoint.Connections,
 	})
 	x.addWorkers(int(e.a.Endpoint.Slots))
-	x.Runner.Begin(now, e.a.Instance, e.a.StartedMs)
+	x.Runner.SetInstance(now, e.a.Instance, e.a.StartedMs)
 	x.carryOut(now, x.Runner.Announce(now, e.a.Endpoint, x.AnnounceTTL))
 	x.reportEndpoint(now)
 }
