--- a/review/standins/main.go
+++ b/review/standins/main.go
@@ -29,7 +29,8 @@
 type caseFunc func(rec *record, trouble bool) (broken bool, err error)
 
 var cases = map[string]caseFunc{
-	"twice": twice,
+	"twice":  twice,
+	"caller": callerService,
 }
 
 func main() { os.Exit(execute(os.Args[1:])) }
