--- a/review/standins/main.go
+++ b/review/standins/main.go
@@ -31,6 +31,7 @@
 var cases = map[string]caseFunc{
 	"twice":  twice,
 	"caller": callerService,
+	"queued": queued,
 }
 
 func main() { os.Exit(execute(os.Args[1:])) }
