--- a/review/standins/main.go
+++ b/review/standins/main.go
@@ -29,9 +29,10 @@
 type caseFunc func(rec *record, trouble bool) (broken bool, err error)
 
 var cases = map[string]caseFunc{
-	"twice":  twice,
-	"caller": callerService,
-	"queued": queued,
+	"twice":       twice,
+	"caller":      callerService,
+	"queued":      queued,
+	"slow-reader": slowReader,
 }
 
 func main() { os.Exit(execute(os.Args[1:])) }
