--- a/review/standins/main.go
+++ b/review/standins/main.go
@@ -33,6 +33,7 @@
 	"caller":      callerService,
 	"queued":      queued,
 	"slow-reader": slowReader,
+	"drain":       drain,
 }
 
 func main() { os.Exit(execute(os.Args[1:])) }
