--- a/review/standins/main.go
+++ b/review/standins/main.go
@@ -30,10 +30,10 @@
 
 var cases = map[string]caseFunc{
 	"twice":       twice,
+	"memory":      memory,
 	"caller":      callerService,
 	"queued":      queued,
 	"slow-reader": slowReader,
-	"drain":       drain,
 }
 
 func main() { os.Exit(execute(os.Args[1:])) }
