--- a/review/standins/callerservice.go
+++ b/review/standins/callerservice.go
@@ -29,7 +29,7 @@
 		rec.add("heartbeat of another writer to %s, service %s: status %d", entry.Name, h.ServerInfo.Service, postHeartbeat(entry.control(), "i-other-1", h))
 	}
 	time.Sleep(2 * time.Second)
-	f.store.publish(configOf("r7", []route{safeRoute("lookup", "archivo"), unsafeRoute("sign", "kasunduan")}, "archivo", "kasunduan"))
+	f.store.publish(configOf([]route{safeRoute("lookup", "archivo"), signRoute("kasunduan")}, "archivo", "kasunduan"))
 	if err := f.awaitReady(); err != nil {
 		return false, err
 	}
--- a/review/standins/client.go
+++ b/review/standins/client.go
@@ -22,11 +22,10 @@
 // answer is what the client has received. Status is 0 when no head arrived, and err is
 // set when the answer is not complete.
 type answer struct {
-	status     int
-	signature  string
-	retryAfter string
-	body       int
-	err        error
+	status    int
+	signature string
+	body      int
+	err       error
 }
 
 func (a answer) String() string {
@@ -57,12 +56,11 @@
 	bytesPerSecond int
 }
 
-// smallSegment is the largest TCP segment on an Ethernet link.
+// smallSegment is the size of the TCP segments to a slow client.
 const smallSegment = 536
 
-// dial opens a connection. A slow client has a small receive buffer, and segments as on
-// an Ethernet link: with those of the loopback interface the kernel would buffer whole
-// answers.
+// dial opens a connection. A slow client has a small receive buffer and small segments:
+// with those of the loopback interface the kernel would buffer whole answers.
 func dial(address string, bytesPerSecond int) (*client, error) {
 	d := net.Dialer{Timeout: time.Second}
 	if bytesPerSecond > 0 {
@@ -113,7 +111,7 @@
 	defer resp.Body.Close()
 	n, err := io.Copy(io.Discard, resp.Body)
 	return answer{
-		status: resp.StatusCode, signature: resp.Header.Get("Response-Signature"), retryAfter: resp.Header.Get("Retry-After"), body: int(n), err: err,
+		status: resp.StatusCode, signature: resp.Header.Get("Response-Signature"), body: int(n), err: err,
 	}
 }
 
--- a/review/standins/config.go
+++ b/review/standins/config.go
@@ -28,15 +28,15 @@
 	IdleTimeoutMs   int `json:"idleTimeoutMs"`
 }
 
-// configOf returns a configuration with the limits that the bench uses.
-func configOf(version string, routes []route, services ...string) string {
+// configOf returns the first configuration, with the limits that the bench uses.
+func configOf(routes []route, services ...string) string {
 	var c struct {
 		Version  string    `json:"version"`
 		Routes   []route   `json:"routes"`
 		Services []service `json:"services"`
 		Limits   limits    `json:"limits"`
 	}
-	c.Version, c.Routes = version, routes
+	c.Version, c.Routes = "r7", routes
 	c.Limits = limits{HeaderBytes: 16384, BodyBytes: 64 << 20, HeaderTimeoutMs: 3000, IdleTimeoutMs: 15000}
 	for _, s := range services {
 		c.Services = append(c.Services, service{Name: s, HealthPath: healthPath, ConnectionLimit: 712})
@@ -45,15 +45,16 @@
 	return string(data)
 }
 
-// safeRoute and unsafeRoute return routes to a service, with the times of the site.
+// safeRoute returns a route for idempotent requests, with the times of the site.
 func safeRoute(name, to string) route {
 	return route{
 		Name: "r-" + name, Host: name + ".example", PathPrefix: "/" + name + "/", Kind: "safe", TimeoutMs: 6000, TargetLatencyMs: 1500, Priority: 1, Service: to, Attempts: 2,
 	}
 }
 
-func unsafeRoute(name, to string) route {
-	r := safeRoute(name, to)
+// signRoute returns the route of the requests that are not idempotent.
+func signRoute(to string) route {
+	r := safeRoute("sign", to)
 	r.Kind, r.TargetLatencyMs, r.Priority = "unsafe", 3000, 2
 	return r
 }
--- a/review/standins/endpoint.go
+++ b/review/standins/endpoint.go
@@ -72,13 +72,8 @@
 	slots    chan struct{}
 	queued   atomic.Int64
 	sequence atomic.Int64
-	draining atomic.Bool
-	left     atomic.Bool
 	stop     chan struct{}
 	stopped  sync.WaitGroup
-	// acknowledged has the time of the first acknowledgement of draining, in nanoseconds
-	// since the start of the record; 0 if there was none.
-	acknowledged atomic.Int64
 }
 
 func (e *endpoint) start() error {
@@ -105,9 +100,6 @@
 	w.Header().Set("Server-Load", fmt.Sprintf("%d,%d,%d", len(e.slots), e.queued.Load(), e.Slots))
 	if r.URL.Path == healthPath {
 		w.Header().Set("Instance-Id", e.Instance)
-		if e.draining.Load() || e.left.Load() {
-			w.WriteHeader(http.StatusServiceUnavailable)
-		}
 		return
 	}
 	id := r.Header.Get("Attempt-Id")
@@ -212,24 +204,17 @@
 	}
 }
 
-// report sends one heartbeat and returns whether it was acknowledged.
-func (e *endpoint) report() bool {
-	state := "ready"
-	draining := e.draining.Load()
-	if draining {
-		state = "draining"
-	}
+// report sends one heartbeat.
+func (e *endpoint) report() {
 	h := heartbeat{
 		Address:    e.Address,
 		ServerInfo: serverInfo{Service: e.Service, Version: "v1", Zone: e.Zone, Slots: e.Slots},
-		Status:     status{State: state, Sequence: e.sequence.Add(1)},
+		Status:     status{State: "ready", Sequence: e.sequence.Add(1)},
 		Born:       e.born,
 	}
-	code := postHeartbeat(e.Control, e.Instance, h)
-	if draining && code == http.StatusOK && e.acknowledged.CompareAndSwap(0, int64(time.Since(e.Record.began))) {
-		e.Record.add("ack      draining of %s", e.Instance)
+	if code := postHeartbeat(e.Control, e.Instance, h); code != http.StatusOK {
+		e.Record.add("heartbeat of %s not acknowledged: status %d", e.Instance, code)
 	}
-	return code == http.StatusOK
 }
 
 // postHeartbeat sends a heartbeat and returns the status of the answer, 0 if there was
--- a/review/standins/fleet.go
+++ b/review/standins/fleet.go
@@ -65,7 +65,7 @@
 // start starts all nodes and endpoints.
 func (f *fleet) start() error {
 	for _, m := range f.machines {
-		if err := m.node.start(); err != nil {
+		if err := m.start(); err != nil {
 			return err
 		}
 		if err := m.endpoint.start(); err != nil {
--- a/review/standins/memory.go
+++ b/review/standins/memory.go
@@ -37,14 +37,13 @@
 		return false, err
 	}
 	defer f.close()
-	var entries, serving []*machine
+	var entries []*machine
 	for _, zone := range []string{"luzon-a", "luzon-b"} {
 		entries = append(entries, f.addMachine(zone, "archivo", 102, 60*time.Millisecond))
 		m := f.addMachine(zone, "pormularyo", 102, listingWork)
 		m.endpoint.BodyBytes = listingBytes
-		serving = append(serving, m)
 	}
-	f.store.publish(configOf("r7", []route{safeRoute("ledger", "pormularyo"), safeRoute("lookup", "archivo")}, "archivo", "pormularyo"))
+	f.store.publish(configOf([]route{safeRoute("ledger", "pormularyo"), safeRoute("lookup", "archivo")}, "archivo", "pormularyo"))
 	if err := f.start(); err != nil {
 		return false, err
 	}
--- a/review/standins/queued.go
+++ b/review/standins/queued.go
@@ -31,9 +31,9 @@
 	entry := f.addMachine("luzon-a", "archivo", 102, 60*time.Millisecond)
 	busy := f.addMachine("luzon-b", "harapan", queuedSlots, queuedWork)
 	busy.endpoint.RecordRuns = true
-	sign := unsafeRoute("sign", "harapan")
+	sign := signRoute("harapan")
 	sign.Priority = 0
-	f.store.publish(configOf("r7", []route{safeRoute("lookup", "archivo"), sign}, "archivo", "harapan"))
+	f.store.publish(configOf([]route{safeRoute("lookup", "archivo"), sign}, "archivo", "harapan"))
 	if err := f.start(); err != nil {
 		return false, err
 	}
--- a/review/standins/slowreader.go
+++ b/review/standins/slowreader.go
@@ -26,7 +26,7 @@
 	entry := f.addMachine("luzon-a", "archivo", 102, 60*time.Millisecond)
 	serving := f.addMachine("luzon-b", "kasunduan", 102, 78*time.Millisecond)
 	serving.endpoint.RecordRuns = true
-	f.store.publish(configOf("r7", []route{unsafeRoute("sign", "kasunduan"), safeRoute("lookup", "archivo")}, "archivo", "kasunduan"))
+	f.store.publish(configOf([]route{signRoute("kasunduan"), safeRoute("lookup", "archivo")}, "archivo", "kasunduan"))
 	if err := f.start(); err != nil {
 		return false, err
 	}
--- a/review/standins/twice.go
+++ b/review/standins/twice.go
@@ -43,7 +43,7 @@
 		}
 		defer p.close()
 	}
-	f.store.publish(configOf("r7", []route{safeRoute("ledger", "kasunduan"), unsafeRoute("sign", "kasunduan")}, "archivo", "kasunduan"))
+	f.store.publish(configOf([]route{safeRoute("ledger", "kasunduan"), signRoute("kasunduan")}, "archivo", "kasunduan"))
 	if err := f.start(); err != nil {
 		return false, err
 	}
