--- a/review/standins/client.go
+++ b/review/standins/client.go
@@ -25,7 +25,9 @@
 	status    int
 	signature string
 	body      int
-	err       error
+	// sent is set when the whole request was written to an open connection.
+	sent bool
+	err  error
 }
 
 func (a answer) String() string {
@@ -106,12 +108,12 @@
 	}
 	resp, err := http.ReadResponse(c.r, &http.Request{Method: q.Method})
 	if err != nil {
-		return answer{err: err}
+		return answer{sent: true, err: err}
 	}
 	defer resp.Body.Close()
 	n, err := io.Copy(io.Discard, resp.Body)
 	return answer{
-		status: resp.StatusCode, signature: resp.Header.Get("Response-Signature"), body: int(n), err: err,
+		status: resp.StatusCode, signature: resp.Header.Get("Response-Signature"), body: int(n), sent: true, err: err,
 	}
 }
 
