gatekeeper, router, runner: answer waiting requests before the node stops

Cause: the drain ended at five sixths of the grace period with requests in flight, and the servers closed their connections. Nothing asked the nodes beside the endpoints which requests had not been started. Change: at five sixths of the grace period the router refuses what waits at this node, and sends a Cancel with the new field queued_only for each call in flight. The runner refuses a queued call as draining, not_run, and leaves a run alone. From then on nothing is retried, redirected or sent. Runs have another twenty-fourth of the grace period to end. The steps stand in gatekeeper.DrainPlan. Why this works: links keep the order of messages, so that the recall meets the call in the queue or in its run, and the runner states which; a refused call keeps its record, so that a late copy does not run. Runs that have not ended at the end of the drain are still cut off.

--- a/cassiatally/message.go
+++ b/cassiatally/message.go
@@ -120,8 +120,14 @@
 	Notice *Notice
 }
 
-// Cancel cancels a Call, since its sender no longer waits for the answer.
-type Cancel struct{ ID CallID }
+// Cancel cancels a Call. Its sender no longer waits for the answer, unless QueuedOnly is
+// set.
+type Cancel struct {
+	ID CallID
+	// QueuedOnly withdraws the call if it has not been started, which its answer then
+	// states. A run in flight goes on, and its sender waits for the answer.
+	QueuedOnly bool
+}
 
 // RunQuery queries the outcome of a Call whose link was lost. A node that has not
 // received the call voids its id, so that a delayed copy is never run. Target is the
--- a/cassiatally/protocol/wirecalls.go
+++ b/cassiatally/protocol/wirecalls.go
@@ -186,18 +186,21 @@
 }
 
 type wireCancel struct {
-	ID wireCallID `cbor:"1,keyasint,omitempty"`
+	ID         wireCallID `cbor:"1,keyasint,omitempty"`
+	QueuedOnly bool       `cbor:"2,keyasint,omitempty"`
 }
 
 func toCancel(m cassiatally.Cancel) wireCancel {
 	return wireCancel{
-		ID: toCallID(m.ID),
+		ID:         toCallID(m.ID),
+		QueuedOnly: m.QueuedOnly,
 	}
 }
 
 func fromCancel(w wireCancel) cassiatally.Cancel {
 	return cassiatally.Cancel{
-		ID: fromCallID(w.ID),
+		ID:         fromCallID(w.ID),
+		QueuedOnly: w.QueuedOnly,
 	}
 }
 
--- a/cassiatally/router/answer.go
+++ b/cassiatally/router/answer.go
@@ -108,6 +108,9 @@
 		p.sends++
 	}
 	p.endpointLost = p.endpointLost || isEndpointLoss(a.Kind)
+	if r.recalled {
+		return r.deliver(now, p, a)
+	}
 	if a.RetryGranted && a.Outcome == cassiatally.OutcomeNotRun && p.grants < maxGrants && now.Before(p.req.Deadline) {
 		return r.resendGranted(now, p, a.Endpoint.Node)
 	}
@@ -252,6 +255,9 @@
 // keep waiting, since an answer may still arrive.
 func (r *Router) LinkSilent(now cassiatally.Instant, peer cassiatally.NodeRef) []cassiatally.Action {
 	r.cfg.Balancer.MarkSilent(now, peer.Node)
+	if r.recalled {
+		return nil
+	}
 	var actions []cassiatally.Action
 	for _, p := range r.attemptsTo(peer.Node) {
 		if !p.isClaim && p.req.Policy.Idempotent && r.hasSendsLeft(p, 1) && r.hasOtherEndpoint(now, p) && r.spendRetry(now, p) {
@@ -349,6 +355,9 @@
 	if p.isClaim {
 		return r.deferClaim(now, p)
 	}
+	if r.recalled {
+		return r.deliver(now, p, p.stopAnswer())
+	}
 	p.avoid = append(p.avoid, to)
 	switch _, other := r.cfg.Balancer.Choose(now, p.req.Service, p.avoid); {
 	case now.Reached(p.req.Deadline):
--- a/cassiatally/router/router.go
+++ b/cassiatally/router/router.go
@@ -100,6 +100,8 @@
 	notices map[cassiatally.NodeID]*cassiatally.Notice
 	// firstRequestAt is when the first request was submitted.
 	firstRequestAt cassiatally.Instant
+	// recalled is set once Recall was called: nothing is sent to an endpoint any more.
+	recalled bool
 }
 
 // pending is a request without a final answer and its current attempt.
@@ -156,6 +158,9 @@
 	if now.Reached(req.Deadline) {
 		return r.deliverAction(p, p.pastDeadlineAnswer())
 	}
+	if r.recalled {
+		return r.deliverAction(p, p.stopAnswer())
+	}
 	if a, refused := r.refuseAtEntry(now, p); refused {
 		return r.deliverAction(p, a)
 	}
--- /dev/null
+++ b/cassiatally/router/stop.go
@@ -0,0 +1,34 @@
+package router
+
+import "github.com/cassiatally/cassiatally/cassiatally"
+
+// Recall is called when the node is about to stop, while runs in flight may still end in
+// time. Requests that wait at this node are refused, and those that were sent to an
+// endpoint are withdrawn unless they have been started; the node beside the endpoint
+// states which. From then on nothing is sent to an endpoint.
+func (r *Router) Recall(now cassiatally.Instant) []cassiatally.Action {
+	r.recalled = true
+	var actions []cassiatally.Action
+	for _, p := range r.pending {
+		switch {
+		case p.isClaim:
+			// The holder of the key has the claim, whatever becomes of this node.
+		case p.target == "":
+			actions = append(actions, r.deliver(now, p, p.stopAnswer())...)
+		default:
+			withdraw := cassiatally.Cancel{ID: p.attempt, QueuedOnly: true}
+			actions = append(actions, cassiatally.Send{To: p.target, Message: withdraw})
+		}
+	}
+	return actions
+}
+
+// stopAnswer is the answer to a request that the stopping node has not sent, or whose
+// last send certainly did not arrive. Earlier copies of a re-sent claim may have run.
+func (p *pending) stopAnswer() cassiatally.Answer {
+	const detail = "the node stops; send again to another one"
+	if p.isClaim && p.req.Attempt != 1 {
+		return unknownOutcome(cassiatally.KindDraining, detail)
+	}
+	return refusal(cassiatally.KindDraining, detail)
+}
--- a/cassiatally/runner/runner.go
+++ b/cassiatally/runner/runner.go
@@ -329,6 +329,19 @@
 	return nil
 }
 
+// HandleRecall refuses a call that is still queued, since the node that sent it stops. A
+// run in flight goes on: its answer may be in time.
+func (r *Runner) HandleRecall(now cassiatally.Instant, id cassiatally.CallID) []cassiatally.Action {
+	rec, ok := r.records[id]
+	if !ok || rec.phase != phaseQueued {
+		return nil
+	}
+	r.admitter.Remove(id)
+	r.countShed(rec.call.Rank, cassiatally.KindDraining)
+	refused := notRun(id, cassiatally.KindDraining, "the node that the request entered at stops")
+	return r.startQueued(now, r.finishCall(nil, now, rec, refused))
+}
+
 // HandleRunQuery answers a query for the outcome of a call whose link was lost. A
 // call that has not arrived is voided, so that it does not run if it arrives later.
 func (r *Runner) HandleRunQuery(now cassiatally.Instant, from cassiatally.NodeID, q cassiatally.RunQuery) []cassiatally.Action {
--- a/node/dispatcher/dispatcher.go
+++ b/node/dispatcher/dispatcher.go
@@ -76,6 +76,7 @@
 		reply Reply
 	}
 	withdrawEvent struct{ id cassiatally.CallID }
+	recallEvent   struct{}
 	answerEvent   struct {
 		from   cassiatally.NodeID
 		answer cassiatally.Answer
@@ -158,6 +159,10 @@
 	d.inbox.Offer(withdrawEvent{id: id}, 0)
 }
 
+// Recall queues the withdrawal of all requests that no endpoint has started, because the
+// node is about to stop. It blocks while the inbox is full.
+func (d *Dispatcher) Recall() { d.inbox.Push(context.Background(), recallEvent{}) }
+
 // QueryKey queries the outcome of a key at a node. It returns false when the inbox is
 // full; reply is then not called.
 func (d *Dispatcher) QueryKey(to cassiatally.NodeID, q cassiatally.KeyQuery, timeout time.Duration, reply Reply) bool {
@@ -227,6 +232,10 @@
 	d.carryOut(now, d.Router.Cancel(now, e.id))
 }
 
+func (recallEvent) apply(d *Dispatcher, now cassiatally.Instant) {
+	d.carryOut(now, d.Router.Recall(now))
+}
+
 func (e answerEvent) apply(d *Dispatcher, now cassiatally.Instant) {
 	if q, ok := d.queries[e.answer.ID]; ok {
 		if e.answer.Request != 0 && e.answer.Request != q.tag && !faultswitch.Off(faultswitch.AnswerTag) {
--- a/node/executor/events.go
+++ b/node/executor/events.go
@@ -16,7 +16,7 @@
 		from cassiatally.NodeID
 		call cassiatally.Call
 	}
-	cancelEvent struct{ id cassiatally.CallID }
+	cancelEvent struct{ cancel cassiatally.Cancel }
 	queryEvent  struct {
 		from  cassiatally.NodeID
 		query cassiatally.RunQuery
@@ -81,7 +81,11 @@
 }
 
 func (e cancelEvent) apply(x *Executor, now cassiatally.Instant) {
-	x.carryOut(now, x.Runner.HandleCancel(now, e.id))
+	if e.cancel.QueuedOnly {
+		x.carryOut(now, x.Runner.HandleRecall(now, e.cancel.ID))
+		return
+	}
+	x.carryOut(now, x.Runner.HandleCancel(now, e.cancel.ID))
 }
 
 func (e queryEvent) apply(x *Executor, now cassiatally.Instant) {
--- a/node/executor/executor.go
+++ b/node/executor/executor.go
@@ -153,7 +153,7 @@
 }
 
 // Cancel queues the cancellation of a call.
-func (x *Executor) Cancel(id cassiatally.CallID) { x.inbox.Offer(cancelEvent{id: id}, 0) }
+func (x *Executor) Cancel(c cassiatally.Cancel) { x.inbox.Offer(cancelEvent{cancel: c}, 0) }
 
 // Query queues a query of a node for the outcome of a call.
 func (x *Executor) Query(from cassiatally.NodeID, q cassiatally.RunQuery) {
--- a/node/gatekeeper/gatekeeper.go
+++ b/node/gatekeeper/gatekeeper.go
@@ -9,7 +9,7 @@
 //	if err := g.Run(); err != nil { ... }
 //	defer g.Close()
 //	answer := g.Forward(ctx, inbound)
-//	g.Drain(ctx, minWait)
+//	g.Drain(ctx, gatekeeper.DrainPlan{RefuseAfter: refuse, RecallAfter: recall})
 package gatekeeper
 
 import (
@@ -50,8 +50,6 @@
 	gossipInterval  = time.Second
 	suspectAfter    = 3 * time.Second
 	removeAfter     = 10 * time.Second
-	// drainPoll is how often Drain checks whether the work in flight has ended.
-	drainPoll = 20 * time.Millisecond
 	// maxMissedHeartbeats is the number of missed heartbeats after which the announcement
 	// of a backend server expires.
 	maxMissedHeartbeats = 4
@@ -192,35 +190,6 @@
 // Metrics serves the metrics of the node.
 func (g *Gatekeeper) Metrics() http.Handler { return g.metrics.Handler() }
 
-// Drain announces to other nodes that this one is leaving, refuses new runs, and waits
-// until the work in flight has ended or ctx is done. It waits at least minWait, the time
-// that callers need to notice that the node is not ready. From then on it refuses new
-// requests, so that none is in flight when Drain returns before the end of ctx.
-func (g *Gatekeeper) Drain(ctx context.Context, minWait time.Duration) {
-	g.leaving.Store(true)
-	g.members.Leave()
-	g.executor.Leave()
-	poll := time.NewTicker(drainPoll)
-	defer poll.Stop()
-	earliest := g.Clock.Now().Add(minWait)
-	for {
-		if g.Clock.Now().Reached(earliest) {
-			g.forwarder.Refuse()
-			if g.idle() {
-				return
-			}
-		}
-		select {
-		case <-poll.C:
-		case <-ctx.Done():
-			g.logs.Warn("drain not finished", "runs_in_flight", g.executor.Running(), "requests", g.forwarder.InFlight())
-			return
-		}
-	}
-}
-
-func (g *Gatekeeper) idle() bool { return g.executor.Running() == 0 && g.forwarder.InFlight() == 0 }
-
 func (g *Gatekeeper) onClose(f func()) { g.closers = append(g.closers, f) }
 
 func (g *Gatekeeper) nextID() cassiatally.CallID {
--- a/node/gatekeeper/gatekeeper_test.go
+++ b/node/gatekeeper/gatekeeper_test.go
@@ -367,6 +367,9 @@
 	is.Equal(late, 0)
 }
 
+// patientPlan refuses new requests at once and waits for the work in flight.
+var patientPlan = gatekeeper.DrainPlan{RecallAfter: time.Minute}
+
 // Guards against a node that loses requests when it stops.
 func TestDrain(t *testing.T) {
 	is := is.New(t)
@@ -383,7 +386,7 @@
 	}
 	done := make(chan struct{})
 	go func() {
-		b.Drain(context.Background(), 0)
+		b.Drain(context.Background(), patientPlan)
 		close(done)
 	}()
 	eventually(t, "the node is not ready", func() bool { return !b.Ready() })
@@ -421,7 +424,7 @@
 	<-started
 	done := make(chan struct{})
 	go func() {
-		a.Drain(context.Background(), 0)
+		a.Drain(context.Background(), patientPlan)
 		close(done)
 	}()
 	eventually(t, "new requests are refused", func() bool {
--- a/node/gatekeeper/routes.go
+++ b/node/gatekeeper/routes.go
@@ -18,7 +18,7 @@
 	case cassiatally.Answer:
 		g.dispatcher.Answer(from.Node, m)
 	case cassiatally.Cancel:
-		g.executor.Cancel(m.ID)
+		g.executor.Cancel(m)
 	case cassiatally.RunQuery:
 		g.executor.Query(from.Node, m)
 	case cassiatally.Gossip:
--- a/node/supervisor/routes.go
+++ b/node/supervisor/routes.go
@@ -16,7 +16,7 @@
 	case cassiatally.Answer:
 		s.dispatcher.Answer(from.Node, m)
 	case cassiatally.Cancel:
-		s.executor.Cancel(m.ID)
+		s.executor.Cancel(m)
 		s.claims.Message(from, m)
 	case cassiatally.RunQuery:
 		s.executor.Query(from.Node, m)
