gatekeeper, router, runner: answer runs in flight before the node stops

What callers saw: a request at work when the drain ended got no answer: the connection was closed. The caller of another node, whose request was at work at the endpoint beside the stopping one, learnt nothing until its deadline, since the node that could be asked was gone. The end of the drain closed servers and links without answers to what was left. Answers that wait for the acknowledgement of a crash were not counted as work either, so that a node could stop before it sent them. The router answers all requests that are left, as unknown where an endpoint may run them. 100 ms later the runner aborts the runs that are left, whose results go to their callers as outcome_unknown, and sends the answers that it withholds. Why this works: each request in flight is in the table of exactly one router and one runner, and both are emptied; the links close after what is queued. An idempotent call may be sent to another endpoint by its own node.

--- a/cassiatally/router/stop.go
+++ b/cassiatally/router/stop.go
@@ -23,6 +23,22 @@
 	return actions
 }
 
+// Stop answers all requests that are left, and cancels those of them that an endpoint may
+// be running. Recall has to be called before.
+func (r *Router) Stop(now cassiatally.Instant) []cassiatally.Action {
+	var actions []cassiatally.Action
+	for _, p := range r.pending {
+		a := p.stopAnswer()
+		if p.target != "" {
+			a = unknownOutcome(cassiatally.KindOutcomeUnknown, "the node stopped before an answer came")
+			actions = append(actions, cassiatally.Send{To: p.target, Message: cassiatally.Cancel{ID: p.attempt}})
+		}
+		r.finishAttempt(now, p, cassiatally.CallResult{Took: now.Sub(p.sentAt)})
+		actions = append(actions, r.deliver(now, p, a)...)
+	}
+	return actions
+}
+
 // stopAnswer is the answer to a request that the stopping node has not sent, or whose
 // last send certainly did not arrive. Earlier copies of a re-sent claim may have run.
 func (p *pending) stopAnswer() cassiatally.Answer {
--- a/cassiatally/router/stop_test.go
+++ b/cassiatally/router/stop_test.go
@@ -68,3 +68,28 @@
 		is.Equal(got.Outcome, cassiatally.OutcomeNotRun)
 	})
 }
+
+// Guards against a request that a stopping node leaves without an answer, or answers as
+// not run although an endpoint may be running it.
+func TestStop(t *testing.T) {
+	for _, idempotent := range []bool{true, false} {
+		is := is.New(t)
+		h := newHarness([]cassiatally.NodeID{"b", "c"}, stubBudget{}, stubLoads{})
+		to, call := sent(t, h.Submit(start, request(idempotent)))
+		h.Recall(start)
+		actions := h.Stop(start)
+		is.Equal(delivered(t, actions).Outcome, cassiatally.OutcomeUnknown)
+		is.Equal(actions[0], cassiatally.Action(cassiatally.Send{To: to, Message: cassiatally.Cancel{ID: call.ID}}))
+		is.Equal(h.InFlight(), 0)
+	}
+
+	t.Run("claim without a holder", func(t *testing.T) {
+		is := is.New(t)
+		h := newHarness(nil, stubBudget{}, stubLoads{})
+		req := request(false)
+		req.Key, req.Attempt = "north.3.1.00000000000000ff", 2
+		is.Equal(len(h.Submit(start, req)), 0)
+		is.Equal(len(h.Recall(start)), 0)
+		is.Equal(delivered(t, h.Stop(start)).Outcome, cassiatally.OutcomeUnknown) // an earlier copy may have run
+	})
+}
--- a/cassiatally/runner/result.go
+++ b/cassiatally/runner/result.go
@@ -171,6 +171,9 @@
 	case cassiatally.ResultTimedOut:
 		return unknownOutcome(id, cassiatally.KindExpired, "the deadline passed while the request ran, or was out of reach")
 	case cassiatally.ResultAborted:
+		if rec.abortedByStop {
+			return unknownOutcome(id, cassiatally.KindOutcomeUnknown, "the node of the backend server stopped during the run")
+		}
 		return unknownOutcome(id, cassiatally.KindCancelled, "the run was cancelled")
 	default:
 		return unknownOutcome(id, cassiatally.KindOutcomeUnknown, "the backend server broke off: "+res.Detail)
--- a/cassiatally/runner/runner.go
+++ b/cassiatally/runner/runner.go
@@ -72,6 +72,8 @@
 	// abortedAsStalled is set when the run was aborted because it was unlikely to
 	// meet its deadline.
 	abortedAsStalled bool
+	// abortedByStop is set when the run was aborted because this node stops.
+	abortedByStop bool
 	// held is set while the call waits outside the queue for another suspect to end.
 	held bool
 	// answerWithheld is set until the peers have acknowledged the crash that broke
@@ -168,13 +170,6 @@
 	return r.refuseQueued(now, nil)
 }
 
-// Leave refuses new work because the node itself is shutting down. Runs in flight
-// finish.
-func (r *Runner) Leave(now cassiatally.Instant) []cassiatally.Action {
-	r.leaving = true
-	return r.refuseQueued(now, nil)
-}
-
 // Endpoint returns the endpoint to announce to other nodes.
 func (r *Runner) Endpoint() cassiatally.Endpoint {
 	e := r.endpoint
@@ -329,19 +324,6 @@
 	return nil
 }
 
-// HandleRecall refuses a call that is still queued, since the node that sent it stops. A
-// run in flight goes on: its answer may be in time.
-func (r *Runner) HandleRecall(now cassiatally.Instant, id cassiatally.CallID) []cassiatally.Action {
-	rec, ok := r.records[id]
-	if !ok || rec.phase != phaseQueued {
-		return nil
-	}
-	r.admitter.Remove(id)
-	r.countShed(rec.call.Rank, cassiatally.KindDraining)
-	refused := notRun(id, cassiatally.KindDraining, "the node that the request entered at stops")
-	return r.startQueued(now, r.finishCall(nil, now, rec, refused))
-}
-
 // HandleRunQuery answers a query for the outcome of a call whose link was lost. A
 // call that has not arrived is voided, so that it does not run if it arrives later.
 func (r *Runner) HandleRunQuery(now cassiatally.Instant, from cassiatally.NodeID, q cassiatally.RunQuery) []cassiatally.Action {
--- a/node/dispatcher/dispatcher.go
+++ b/node/dispatcher/dispatcher.go
@@ -77,6 +77,7 @@
 	}
 	withdrawEvent struct{ id cassiatally.CallID }
 	recallEvent   struct{}
+	stopEvent     struct{}
 	answerEvent   struct {
 		from   cassiatally.NodeID
 		answer cassiatally.Answer
@@ -163,6 +164,9 @@
 // node is about to stop. It blocks while the inbox is full.
 func (d *Dispatcher) Recall() { d.inbox.Push(context.Background(), recallEvent{}) }
 
+// Stop queues answers to all requests that are left. It blocks while the inbox is full.
+func (d *Dispatcher) Stop() { d.inbox.Push(context.Background(), stopEvent{}) }
+
 // QueryKey queries the outcome of a key at a node. It returns false when the inbox is
 // full; reply is then not called.
 func (d *Dispatcher) QueryKey(to cassiatally.NodeID, q cassiatally.KeyQuery, timeout time.Duration, reply Reply) bool {
@@ -236,6 +240,10 @@
 	d.carryOut(now, d.Router.Recall(now))
 }
 
+func (stopEvent) apply(d *Dispatcher, now cassiatally.Instant) {
+	d.carryOut(now, d.Router.Stop(now))
+}
+
 func (e answerEvent) apply(d *Dispatcher, now cassiatally.Instant) {
 	if q, ok := d.queries[e.answer.ID]; ok {
 		if e.answer.Request != 0 && e.answer.Request != q.tag && !faultswitch.Off(faultswitch.AnswerTag) {
--- a/node/executor/events.go
+++ b/node/executor/events.go
@@ -30,6 +30,7 @@
 	announceEvent struct{ a cassiatally.Announcement }
 	withdrawEvent struct{}
 	leaveEvent    struct{}
+	stopEvent     struct{}
 	sharesEvent   struct {
 		shares [cassiatally.MaxRanks]cassiatally.Share
 	}
@@ -134,6 +135,8 @@
 	x.reportEndpoint(now)
 }
 
+func (stopEvent) apply(x *Executor, now cassiatally.Instant) { x.carryOut(now, x.Runner.Stop(now)) }
+
 func (e sharesEvent) apply(x *Executor, _ cassiatally.Instant) { x.Runner.SetShares(e.shares) }
 
 func (e mergeCrashReportsEvent) apply(x *Executor, now cassiatally.Instant) {
--- a/node/executor/executor.go
+++ b/node/executor/executor.go
@@ -80,7 +80,7 @@
 	reportedNotice cassiatally.Notice
 	// lastTick and lastReport are the times of the last tick and the last report.
 	lastTick, lastReport cassiatally.Instant
-	running              atomic.Int64
+	running, unanswered  atomic.Int64
 	counts               atomic.Pointer[runner.Counts]
 	suspects             atomic.Pointer[suspectCounts]
 	// nextSuspectCount is when the suspects are counted next.
@@ -137,6 +137,10 @@
 // Running returns the number of runs in flight.
 func (x *Executor) Running() int { return int(x.running.Load()) }
 
+// Unanswered returns the number of calls that were started and whose answers have not
+// been sent.
+func (x *Executor) Unanswered() int { return int(x.unanswered.Load()) }
+
 // Counts returns the totals of the runner as of the last tick.
 func (x *Executor) Counts() runner.Counts { return *x.counts.Load() }
 
@@ -173,6 +177,10 @@
 // while the inbox is full.
 func (x *Executor) Leave() { x.inbox.Push(x.ctx, leaveEvent{}) }
 
+// Stop queues the end of the runs that are left, whose outcome becomes unknown. It blocks
+// while the inbox is full.
+func (x *Executor) Stop() { x.inbox.Push(x.ctx, stopEvent{}) }
+
 // SetShares sets the reserved share of each rank, from the sheet in force.
 func (x *Executor) SetShares(shares [cassiatally.MaxRanks]cassiatally.Share) {
 	x.inbox.Offer(sharesEvent{shares: shares}, 0)
@@ -217,6 +225,7 @@
 
 func (x *Executor) carryOut(now cassiatally.Instant, actions []cassiatally.Action) {
 	x.running.Store(int64(x.Runner.Running()))
+	defer func() { x.unanswered.Store(int64(x.Runner.Unanswered())) }()
 	for _, a := range actions {
 		switch a := a.(type) {
 		case cassiatally.Send:
--- a/node/gatekeeper/drain.go
+++ b/node/gatekeeper/drain.go
@@ -7,8 +7,13 @@
 	"github.com/cassiatally/cassiatally/cassiatally"
 )
 
-// drainPoll is how often Drain checks whether the work in flight has ended.
-const drainPoll = 20 * time.Millisecond
+const (
+	// drainPoll is how often Drain checks whether the work in flight has ended.
+	drainPoll = 20 * time.Millisecond
+	// abortDelay is the time that a backend server has to answer its own call after its
+	// onward calls were answered.
+	abortDelay = 100 * time.Millisecond
+)
 
 // DrainPlan has the steps of a drain, as times since its start.
 type DrainPlan struct {
@@ -18,6 +23,9 @@
 	// RecallAfter is when the requests that no endpoint has started are withdrawn and
 	// answered as not run.
 	RecallAfter time.Duration
+	// AnswerAfter is when all requests that are left are answered, although their outcome
+	// is unknown.
+	AnswerAfter time.Duration
 }
 
 // drainStep is an action that is due at a time.
@@ -27,9 +35,9 @@
 }
 
 // Drain announces to other nodes that this one is leaving, refuses new runs, and takes
-// the steps of the plan until the work in flight has ended or ctx is done. It does not
-// return before new requests are refused, so that none is in flight when it returns
-// before the end of ctx.
+// the steps of the plan until the work in flight has ended, which the last step sees to,
+// or ctx is done. It does not return before new requests are refused, so that none is in
+// flight when it returns before the end of ctx.
 func (g *Gatekeeper) Drain(ctx context.Context, p DrainPlan) {
 	g.leaving.Store(true)
 	g.members.Leave()
@@ -38,8 +46,10 @@
 	steps := []drainStep{
 		{began.Add(min(p.RefuseAfter, p.RecallAfter)), g.forwarder.Refuse},
 		{began.Add(p.RecallAfter), g.recall},
+		{began.Add(p.AnswerAfter), g.dispatcher.Stop},
+		{began.Add(p.AnswerAfter + abortDelay), g.executor.Stop},
 	}
-	refusing := len(steps) - 1
+	refused := len(steps) - 1
 	poll := time.NewTicker(drainPoll)
 	defer poll.Stop()
 	for {
@@ -47,13 +57,13 @@
 			steps[0].do()
 			steps = steps[1:]
 		}
-		if len(steps) <= refusing && g.idle() {
+		if len(steps) <= refused && g.idle() {
 			return
 		}
 		select {
 		case <-poll.C:
 		case <-ctx.Done():
-			g.logs.Warn("drain not finished", "runs_in_flight", g.executor.Running(), "requests", g.forwarder.InFlight())
+			g.logs.Warn("drain not finished", "runs_in_flight", g.executor.Unanswered(), "requests", g.forwarder.InFlight())
 			return
 		}
 	}
@@ -65,4 +75,4 @@
 	g.dispatcher.Recall()
 }
 
-func (g *Gatekeeper) idle() bool { return g.executor.Running() == 0 && g.forwarder.InFlight() == 0 }
+func (g *Gatekeeper) idle() bool { return g.executor.Unanswered() == 0 && g.forwarder.InFlight() == 0 }
--- a/node/gatekeeper/gatekeeper.go
+++ b/node/gatekeeper/gatekeeper.go
@@ -9,7 +9,7 @@
 //	if err := g.Run(); err != nil { ... }
 //	defer g.Close()
 //	answer := g.Forward(ctx, inbound)
-//	g.Drain(ctx, gatekeeper.DrainPlan{RefuseAfter: refuse, RecallAfter: recall})
+//	g.Drain(ctx, gatekeeper.DrainPlan{RefuseAfter: refuse, RecallAfter: recall, AnswerAfter: answer})
 package gatekeeper
 
 import (
