--- a/node/linker/linker.go
+++ b/node/linker/linker.go
@@ -176,17 +176,24 @@
 	l.mu.Lock()
 	l.closed = true
 	l.mu.Unlock()
+	var stopping sync.WaitGroup
+	stopping.Go(l.stopServer)
 	l.flush()
 	l.cancel()
-	ctx, cancel := context.WithTimeout(context.Background(), shutdownGrace)
-	defer cancel()
-	_ = l.server.Shutdown(ctx)
+	stopping.Wait()
 	for _, k := range l.openLinks() {
 		k.end("node stops")
 	}
 	l.running.Wait()
 }
 
+// stopServer stops to accept links.
+func (l *Linker) stopServer() {
+	ctx, cancel := context.WithTimeout(context.Background(), shutdownGrace)
+	defer cancel()
+	_ = l.server.Shutdown(ctx)
+}
+
 // flush closes all links in an orderly way after their queued messages. A link that is
 // ended abruptly may be reset, which discards what the other end has not read yet.
 func (l *Linker) flush() {
