forwarder, gatekeeper: bound requests that arrive during a drain by its end

Cause: a request that arrives during a drain kept the deadline of its caller, which may lie seconds after the end of the process. The node beside the endpoint saw enough time and started it. New requests of clients are refused from 2.5 s on, onward calls of runs in flight are not, since that would fail those runs. Change: Drain sets the latest deadline of requests that arrive from then on, 100 ms before the step that answers all that is left. A request that arrives after it is refused as draining, not_run. Why this works: the admitter at the endpoint refuses a call that cannot end by its deadline, and an endpoint that begins one is told the time that is left, so that it ends the run itself. A call that is quick enough is still served. The run and its endpoint end at the same moment, so that the endpoint's own 504 and the cut of the connection race, as at every deadline.

--- a/node/forwarder/forwarder.go
+++ b/node/forwarder/forwarder.go
@@ -34,6 +34,8 @@
 	refusalRetryAfter = 500 * time.Millisecond
 )
 
+const stoppingDetail = "the node stops; send again to another one"
+
 // Runs accepts the onward calls of the runs at the backend server of this host. The
 // executor implements it.
 type Runs interface {
@@ -55,12 +57,19 @@
 
 	inFlight atomic.Int64
 	refusing atomic.Bool
+	// latest is the cassiatally.Instant set by EndBy; 0 for none.
+	latest atomic.Int64
 }
 
 // Refuse makes the forwarder refuse new requests. Onward calls of runs in flight on this
 // host are still served.
 func (f *Forwarder) Refuse() { f.refusing.Store(true) }
 
+// EndBy bounds the deadlines of requests that arrive from now on, onward calls among them,
+// because the node stops at that time. The node beside an endpoint refuses a call that
+// cannot end by its deadline, and an endpoint that begins one knows when to end it.
+func (f *Forwarder) EndBy(at cassiatally.Instant) { f.latest.Store(int64(at)) }
+
 // InFlight returns the number of requests that wait for an answer.
 func (f *Forwarder) InFlight() int { return int(f.inFlight.Load()) }
 
@@ -81,6 +90,9 @@
 		return refuse(cassiatally.KindUnknownKind, "no route matches", 0)
 	}
 	req := f.newRequest(in, route, routes.Table().Version, arrived)
+	if latest := cassiatally.Instant(f.latest.Load()); latest != 0 && latest.Before(req.Deadline) {
+		req.Deadline = latest
+	}
 	a := f.awaitAnswer(ctx, in, req, arrived)
 	took := f.Clock.Now().Sub(arrived)
 	f.Observer.Request(req.Policy, "", a, took)
@@ -143,6 +155,9 @@
 // awaitAnswer submits a request and waits for its answer. An onward call of a run in
 // flight on this host shares the deadline and the retries of that run.
 func (f *Forwarder) awaitAnswer(ctx context.Context, in cassiatally.Inbound, req cassiatally.Request, arrived cassiatally.Instant) cassiatally.Answer {
+	if arrived.Reached(req.Deadline) {
+		return refuse(cassiatally.KindDraining, stoppingDetail, refusalRetryAfter)
+	}
 	if in.Parent != "" {
 		a, parentFound := f.awaitChild(ctx, in, req, arrived)
 		if parentFound {
@@ -150,7 +165,7 @@
 		}
 	}
 	if f.refusing.Load() {
-		return refuse(cassiatally.KindDraining, "the node stops; send again to another one", refusalRetryAfter)
+		return refuse(cassiatally.KindDraining, stoppingDetail, refusalRetryAfter)
 	}
 	return f.awaitRequest(ctx, req, arrived)
 }
--- a/node/gatekeeper/drain.go
+++ b/node/gatekeeper/drain.go
@@ -13,6 +13,9 @@
 	// abortDelay is the time that a backend server has to answer its own call after its
 	// onward calls were answered.
 	abortDelay = 100 * time.Millisecond
+	// answerMargin is how long before AnswerAfter the requests that arrive during a drain
+	// have to end, so that their answers come back in time.
+	answerMargin = 100 * time.Millisecond
 )
 
 // DrainPlan has the steps of a drain, as times since its start.
@@ -43,6 +46,7 @@
 	g.members.Leave()
 	g.executor.Leave()
 	began := g.Clock.Now()
+	g.forwarder.EndBy(began.Add(p.AnswerAfter - answerMargin))
 	steps := []drainStep{
 		{began.Add(min(p.RefuseAfter, p.RecallAfter)), g.forwarder.Refuse},
 		{began.Add(p.RecallAfter), g.recall},
