--- a/node/command/command.go
+++ b/node/command/command.go
@@ -90,9 +90,7 @@
 	fmt.Fprintf(o.stdout, "listening callers=%s backend=%s links=%s admin=%s\n", at.Callers, at.Backend, at.Links, at.Admin)
 	<-o.stop.Done()
 	logger.Info("draining", "timeout", cfg.Drain.Timeout)
-	ctx, cancel := context.WithTimeout(context.Background(), cfg.Drain.Timeout)
-	defer cancel()
-	s.Drain(ctx)
+	s.Drain(cfg.Drain.Timeout)
 	logger.Info("stopped")
 	return nil
 }
--- a/node/supervisor/status.go
+++ b/node/supervisor/status.go
@@ -1,9 +1,7 @@
 package supervisor
 
 import (
-	"context"
 	"fmt"
-	"time"
 
 	"github.com/cassiatally/cassiatally/cassiatally"
 	"github.com/cassiatally/cassiatally/cassiatally/registrar"
@@ -12,36 +10,6 @@
 	"github.com/cassiatally/cassiatally/node/reporter"
 )
 
-// drainPoll is how often Drain checks whether the work in flight has ended.
-const drainPoll = 20 * time.Millisecond
-
-// Drain announces to other nodes that this one is leaving, refuses new work, and waits
-// until the runs in flight have ended, callers have their answers and the shards are
-// handed over, or until ctx is done.
-func (s *Supervisor) Drain(ctx context.Context) {
-	s.leaving.Store(true)
-	s.members.Leave()
-	s.executor.Leave()
-	s.claims.Drain()
-	poll := time.NewTicker(drainPoll)
-	defer poll.Stop()
-	for {
-		if s.drained() {
-			return
-		}
-		select {
-		case <-poll.C:
-		case <-ctx.Done():
-			s.Logger.Warn("drain not finished", "runs_in_flight", s.executor.Running(), "callers_waiting", s.callers.InFlight(), "shards_handed_over", s.claims.Drained())
-			return
-		}
-	}
-}
-
-func (s *Supervisor) drained() bool {
-	return s.executor.Running() == 0 && s.callers.InFlight() == 0 && s.claims.Drained()
-}
-
 // Status returns the state of the node for operators and metrics.
 func (s *Supervisor) Status() adminserver.Status {
 	v := s.members.View()
--- a/node/supervisor/supervisor.go
+++ b/node/supervisor/supervisor.go
@@ -5,7 +5,7 @@
 //
 //	s := &supervisor.Supervisor{Settings: settings, Clock: clock, Logger: logger}
 //	if err := s.Run(); err != nil { ... }
-//	s.Drain(ctx)
+//	s.Drain(timeout)
 //	s.Close()
 package supervisor
 
