linker, gatekeeper: wait for the answers that other nodes read slowly

Answers that another node reads slowly are cut off 300 ms after the last run, and their callers get a 502 or wait for their deadline. Cause: a node counts a call until its answer is queued for the link, and Close leaves 300 ms for all that is queued. Change: links count the answers that are queued or being written, and a node is idle only when there are none.

--- a/node/gatekeeper/drain.go
+++ b/node/gatekeeper/drain.go
@@ -45,7 +45,7 @@
 		{After: p.AnswerAfter + abortDelay, Do: g.executor.Stop},
 	}}
 	if !d.Run(ctx) {
-		g.logs.Warn("drain not finished", "runs_in_flight", g.executor.Unanswered(), "requests", g.forwarder.InFlight())
+		g.logs.Warn("drain not finished", "runs_in_flight", g.executor.Unanswered(), "requests", g.forwarder.InFlight(), "unsent_answers", g.links.UnsentAnswers())
 	}
 }
 
@@ -55,4 +55,8 @@
 	g.dispatcher.Recall()
 }
 
-func (g *Gatekeeper) idle() bool { return g.executor.Unanswered() == 0 && g.forwarder.InFlight() == 0 }
+// idle reports whether callers and other nodes have all their answers. Another node may
+// read them slowly.
+func (g *Gatekeeper) idle() bool {
+	return g.executor.Unanswered() == 0 && g.forwarder.InFlight() == 0 && g.links.UnsentAnswers() == 0
+}
--- a/node/linker/link.go
+++ b/node/linker/link.go
@@ -40,6 +40,8 @@
 	// silent is set while the link is reported to the owner as silent.
 	silent atomic.Bool
 	calls  openCalls
+	// unsentAnswers counts the answers that are queued or being written.
+	unsentAnswers atomic.Int64
 	// flushed is closed when the writer has ended.
 	flushed chan struct{}
 	// readBegan is when the read of the last frame began, and delay returns how long a
@@ -75,12 +77,20 @@
 }
 
 func (k *link) push(m cassiatally.Message) error {
+	k.countUnsent(m, 1)
 	if !k.outbox.Push(k.ctx, m) {
+		k.countUnsent(m, -1)
 		return cassiatally.NewError(cassiatally.KindUnreachable, "the link to %s is full or has ended", k.peer.Node)
 	}
 	return nil
 }
 
+func (k *link) countUnsent(m cassiatally.Message, delta int64) {
+	if _, ok := m.(cassiatally.Answer); ok {
+		k.unsentAnswers.Add(delta)
+	}
+}
+
 // handshake exchanges Hello frames, which identify the nodes at both ends.
 func (k *link) handshake(ctx context.Context, conn *websocket.Conn) error {
 	conn.SetReadLimit(protocol.MaxFrameBytes)
@@ -203,7 +213,9 @@
 		if _, isPing := m.(cassiatally.Ping); !isPing {
 			k.recordUse(m)
 		}
-		if k.writeFrame(k.ctx, m) != nil {
+		err := k.writeFrame(k.ctx, m)
+		k.countUnsent(m, -1)
+		if err != nil {
 			return false
 		}
 		k.lastWrite.Store(monotonic())
--- a/node/linker/linker.go
+++ b/node/linker/linker.go
@@ -228,6 +228,16 @@
 	return len(l.all)
 }
 
+// UnsentAnswers returns the number of answers that are queued or being written on open
+// links.
+func (l *Linker) UnsentAnswers() int {
+	n := int64(0)
+	for _, k := range l.openLinks() {
+		n += k.unsentAnswers.Load()
+	}
+	return int(n)
+}
+
 // Send queues a message for a node. It never blocks.
 func (l *Linker) Send(to cassiatally.NodeID, m cassiatally.Message) error {
 	if to == l.Self.Node {
--- a/node/supervisor/drain.go
+++ b/node/supervisor/drain.go
@@ -35,10 +35,11 @@
 	ctx, cancel := context.WithTimeout(context.Background(), timeout)
 	defer cancel()
 	if !d.Run(ctx) {
-		s.Logger.Warn("drain not finished", "runs_in_flight", s.executor.Unanswered(), "callers_waiting", s.callers.InFlight(), "shards_handed_over", s.claims.Drained())
+		s.Logger.Warn("drain not finished", "runs_in_flight", s.executor.Unanswered(), "callers_waiting", s.callers.InFlight(),
+			"unsent_answers", s.links.UnsentAnswers(), "shards_handed_over", s.claims.Drained())
 	}
 }
 
 func (s *Supervisor) drained() bool {
-	return s.executor.Unanswered() == 0 && s.callers.InFlight() == 0 && s.claims.Drained()
+	return s.executor.Unanswered() == 0 && s.callers.InFlight() == 0 && s.links.UnsentAnswers() == 0 && s.claims.Drained()
 }
