--- a/node/gatekeeper/gatekeeper_test.go
+++ b/node/gatekeeper/gatekeeper_test.go
@@ -555,3 +555,24 @@
 		is.Equal(a.Forward(context.Background(), inbound("r", "avail")).Status, 200)
 	}
 }
+
+// Guards against a run whose connection is closed at the moment of its deadline, when the
+// backend server ends it by itself and answers.
+func TestBackendServerEndsARunAtItsDeadline(t *testing.T) {
+	const answerTime = 20 * time.Millisecond
+	is := is.New(t)
+	var began atomic.Pointer[time.Time]
+	tooSoon := make(chan bool, 64)
+	avail := &backend{run: func(ctx context.Context, c cassiatally.Call) cassiatally.RunResult {
+		if at := began.Load(); at != nil {
+			cutOff, _ := ctx.Deadline()
+			tooSoon <- cutOff.Before(at.Add(c.Remaining + answerTime))
+		}
+		return answer("avail")
+	}}
+	_, a, _ := twoNodes(t, avail)
+	now := time.Now()
+	began.Store(&now)
+	is.Equal(a.Forward(context.Background(), inbound("r", "avail")).Kind, cassiatally.KindNone)
+	is.True(!<-tooSoon)
+}
