executor: give the answer at the deadline time on the users' platform only

The backend servers of the product's own interface record a run as aborted and answer at its deadline; with the 25 ms of these answers made the outcomes known, so that the script no longer reached what it guards. Change: Executor.AnswerGrace, which the gatekeeper sets and the supervisor does not.

--- a/node/executor/executor.go
+++ b/node/executor/executor.go
@@ -54,6 +54,8 @@
 	// AnnounceTTL is the time after which an announcement of the backend server
 	// expires; 0 means 3 s.
 	AnnounceTTL time.Duration
+	// AnswerGrace is how long after the deadline of a run its answer may still arrive.
+	AnswerGrace time.Duration
 	Logger      cassiatally.Logger
 	// OnQueueWait is called with the time that each started call spent in the queue;
 	// it must not block.
--- a/node/executor/workers.go
+++ b/node/executor/workers.go
@@ -2,16 +2,10 @@
 
 import (
 	"context"
-	"time"
 
 	"github.com/cassiatally/cassiatally/cassiatally"
 )
 
-// answerGrace is how long after the deadline of a run its answer may still arrive. A
-// backend server ends a run at the deadline by itself and answers then. It stays below the
-// time that routers wait for an answer after the deadline of a request.
-const answerGrace = 25 * time.Millisecond
-
 type job struct {
 	ctx  context.Context
 	call cassiatally.Call
@@ -26,7 +20,7 @@
 }
 
 func (x *Executor) startRun(now cassiatally.Instant, c cassiatally.Call) {
-	ctx, cancel := context.WithTimeout(x.ctx, c.Remaining+answerGrace)
+	ctx, cancel := context.WithTimeout(x.ctx, c.Remaining+x.AnswerGrace)
 	x.cancels[c.ID] = cancel
 	if x.jobs.Offer(job{ctx: ctx, call: c}, 0) {
 		return
--- a/node/gatekeeper/build.go
+++ b/node/gatekeeper/build.go
@@ -144,6 +144,7 @@
 		Requests:    requests{g.dispatcher},
 		Backend:     g.Backend,
 		AnnounceTTL: maxMissedHeartbeats * g.Settings.Heartbeat,
+		AnswerGrace: answerGrace,
 		Logger:      g.logs,
 		OnEndpoint:  g.members.SetEndpoint,
 		OnQueueWait: g.metrics.QueueWait,
--- a/node/gatekeeper/gatekeeper.go
+++ b/node/gatekeeper/gatekeeper.go
@@ -54,6 +54,9 @@
 	// of a backend server expires.
 	maxMissedHeartbeats = 4
 	flushInterval       = time.Second
+	// answerGrace is for the answer of a backend server that ends a run at its deadline by
+	// itself. It is shorter than routers wait for an answer after a deadline.
+	answerGrace = 25 * time.Millisecond
 	// reservedProportion is the fraction of its proportional share that is reserved for
 	// each less urgent rank while capacity does not suffice for all.
 	reservedProportion = 0.85
