scenarios: wait for the recorded ends of runs before they are counted

The next command of the same script, tens of ms later, counted 0 unfinished runs, and every caller had its answer. The stand-in of backend servers answers first; another duty records the end of the run after that. The race was not reproduced by force.

--- a/scenarios/measurement_test.go
+++ b/scenarios/measurement_test.go
@@ -6,6 +6,7 @@
 	"go/constant"
 	"go/token"
 	"go/types"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -18,6 +19,7 @@
 func measurementCommands() map[string]func(ts *testscript.TestScript, neg bool, args []string) {
 	return map[string]func(ts *testscript.TestScript, neg bool, args []string){
 		"runs":          cmdRuns,
+		"settled":       cmdSettled,
 		"table":         cmdTable,
 		"field":         cmdField,
 		"assert":        cmdAssert,
@@ -54,19 +56,14 @@
 	if neg || len(args) < 3 || len(args) > 4 {
 		ts.Fatalf("usage: runs PREFIX RECORDER SERVICE [ID-PREFIX]")
 	}
-	body, err := fetch("http://" + args[1] + "/v1/runs")
-	ts.Check(err)
-	var list struct {
-		Runs []recordedRun `json:"runs"`
-	}
-	ts.Check(json.Unmarshal(body, &list))
+	runs := recordedRuns(ts, args[1])
 	idPrefix := ""
 	if len(args) == 4 {
 		idPrefix = args[3]
 	}
 	counts := map[string]int{"total": 0, "finished": 0, "failed": 0, "aborted": 0, "started": 0}
 	byRoot, byID := map[string]int{}, map[string]int{}
-	for _, r := range list.Runs {
+	for _, r := range runs {
 		if args[2] != "*" && r.Service != args[2] || !strings.HasPrefix(r.ID, idPrefix) {
 			continue
 		}
@@ -82,6 +79,32 @@
 	ts.Logf("%s: %v", args[0], counts)
 }
 
+// recordedRuns returns the runs in a recorder.
+func recordedRuns(ts *testscript.TestScript, recorder string) []recordedRun {
+	body, err := fetch("http://" + recorder + "/v1/runs")
+	ts.Check(err)
+	var list struct {
+		Runs []recordedRun `json:"runs"`
+	}
+	ts.Check(json.Unmarshal(body, &list))
+	return list.Runs
+}
+
+// cmdSettled waits until the ends of all runs are recorded, since backend servers record
+// them after they have answered: settled RECORDER.
+func cmdSettled(ts *testscript.TestScript, neg bool, args []string) {
+	if neg || len(args) != 1 {
+		ts.Fatalf("usage: settled RECORDER")
+	}
+	unfinished := func(r recordedRun) bool { return r.State == "started" }
+	for deadline := time.Now().Add(conditionTimeout); time.Now().Before(deadline); time.Sleep(pollInterval) {
+		if !slices.ContainsFunc(recordedRuns(ts, args[0]), unfinished) {
+			return
+		}
+	}
+	ts.Fatalf("some runs have no recorded end after %v", conditionTimeout)
+}
+
 func maxCount(counts map[string]int) int {
 	maximum := 0
 	for _, n := range counts {
