--- a/cassiatally/errorkind.go
+++ b/cassiatally/errorkind.go
@@ -46,6 +46,8 @@
 	KindUsage
 	KindInternal
 	KindBackendRefused
+	KindUnauthenticated
+	KindQuotaExceeded
 	errorKindCount
 )
 
@@ -104,6 +106,8 @@
 	KindInvalidSettings:    {"invalid_settings", "The settings are invalid", http.StatusUnprocessableEntity, ExitFailure, OutcomeNotRun, false},
 	KindUsage:              {"usage", "The command line is wrong", http.StatusBadRequest, ExitUsage, OutcomeNotRun, false},
 	KindBackendRefused:     {"backend_refused", "The backend server refused the request", http.StatusServiceUnavailable, ExitFailure, OutcomeNotRun, true},
+	KindUnauthenticated:    {"unauthenticated", "The request has no valid key of a tenant", http.StatusUnauthorized, ExitFailure, OutcomeNotRun, false},
+	KindQuotaExceeded:      {"quota_exceeded", "The quota of the tenant is used up", http.StatusTooManyRequests, ExitFailure, OutcomeNotRun, false},
 	KindInternal:           {"internal", "Internal error", http.StatusInternalServerError, ExitFailure, OutcomeUnknown, false},
 }
 
--- a/cassiatally/matcher/matcher.go
+++ b/cassiatally/matcher/matcher.go
@@ -23,11 +23,18 @@
 	table cassiatally.RouteTable
 	// hosts maps each host to its routes, with the longest prefix first.
 	hosts map[string][]*cassiatally.Route
+	// tenants maps the digest of each key to its tenant.
+	tenants map[cassiatally.KeyDigest]*cassiatally.TenantSpec
 }
 
 // New returns a matcher for a table, which must not be changed afterwards.
 func New(t cassiatally.RouteTable) *Matcher {
-	m := &Matcher{table: t, hosts: make(map[string][]*cassiatally.Route)}
+	m := &Matcher{table: t, hosts: make(map[string][]*cassiatally.Route), tenants: make(map[cassiatally.KeyDigest]*cassiatally.TenantSpec)}
+	for i := range m.table.Tenants {
+		for _, k := range m.table.Tenants[i].Keys {
+			m.tenants[k] = &m.table.Tenants[i]
+		}
+	}
 	for i := range m.table.Routes {
 		r := &m.table.Routes[i]
 		host := strings.ToLower(r.Host)
@@ -44,6 +51,15 @@
 // Table returns the table that the matcher was made for.
 func (m *Matcher) Table() *cassiatally.RouteTable { return &m.table }
 
+// HasTenants reports whether requests are authenticated.
+func (m *Matcher) HasTenants() bool { return len(m.table.Tenants) > 0 }
+
+// Tenant returns the tenant of a key.
+func (m *Matcher) Tenant(key cassiatally.KeyDigest) (*cassiatally.TenantSpec, bool) {
+	t, ok := m.tenants[key]
+	return t, ok
+}
+
 // Match returns the route of a request. The host may include a port.
 func (m *Matcher) Match(host, path string) (*cassiatally.Route, bool) {
 	for _, r := range m.hosts[normaliseHost(host)] {
--- a/cassiatally/nodeinterfaces.go
+++ b/cassiatally/nodeinterfaces.go
@@ -65,6 +65,26 @@
 	// Root is the name of the caller's request at the start of the call chain, and
 	// Parent that of the request whose run makes this call; empty when there is none.
 	Root, Parent RequestName
+	// Key is the digest of the tenant's key; nil when the request has none.
+	Key *KeyDigest
+	// Identity has the header fields that identify the caller or its tenant. They are
+	// forwarded only while the route table has no tenants.
+	Identity []Field
+}
+
+// QuotaDecision is whether a request is within the quota of its tenant.
+type QuotaDecision struct {
+	Granted bool
+	// Kind and RetryAfter are set when Granted is not. The request has not run.
+	Kind       ErrorKind
+	RetryAfter time.Duration
+}
+
+// Quotas admits requests within the quotas of their tenants.
+type Quotas interface {
+	// Take waits until the quota is known to have room for one request, or not. It
+	// returns at once for a tenant without a limit.
+	Take(ctx context.Context, t *TenantSpec) QuotaDecision
 }
 
 // Forwarder answers the requests of a front end. It returns an answer of
--- a/cassiatally/protocol/wireroutes.go
+++ b/cassiatally/protocol/wireroutes.go
@@ -30,19 +30,20 @@
 	Target     time.Duration         `cbor:"7,keyasint,omitempty"`
 	Rank       cassiatally.Rank      `cbor:"8,keyasint,omitempty"`
 	Attempts   int                   `cbor:"9,keyasint,omitempty"`
+	Anonymous  bool                  `cbor:"10,keyasint,omitempty"`
 }
 
 func toRoute(m cassiatally.Route) wireRoute {
 	return wireRoute{
 		Name: m.Name, Host: m.Host, Prefix: m.Prefix, Services: convertAll(m.Services, toWeightedService), Idempotent: m.Idempotent,
-		Timeout: m.Timeout, Target: m.Target, Rank: m.Rank, Attempts: m.Attempts,
+		Timeout: m.Timeout, Target: m.Target, Rank: m.Rank, Attempts: m.Attempts, Anonymous: m.AllowAnonymous,
 	}
 }
 
 func fromRoute(w wireRoute) cassiatally.Route {
 	return cassiatally.Route{
 		Name: w.Name, Host: w.Host, Prefix: w.Prefix, Services: convertAll(w.Services, fromWeightedService), Idempotent: w.Idempotent,
-		Timeout: w.Timeout, Target: w.Target, Rank: w.Rank, Attempts: w.Attempts,
+		Timeout: w.Timeout, Target: w.Target, Rank: w.Rank, Attempts: w.Attempts, AllowAnonymous: w.Anonymous,
 	}
 }
 
@@ -69,11 +70,29 @@
 	IdleTimeout   time.Duration
 }
 
+type wireTenantSpec struct {
+	Name   cassiatally.Tenant      `cbor:"1,keyasint,omitempty"`
+	Keys   []cassiatally.KeyDigest `cbor:"2,keyasint,omitempty"`
+	Ranked bool                    `cbor:"3,keyasint,omitempty"`
+	Rank   cassiatally.Rank        `cbor:"4,keyasint,omitempty"`
+	Rate   cassiatally.Rate        `cbor:"5,keyasint,omitempty"`
+	Burst  float64                 `cbor:"6,keyasint,omitempty"`
+}
+
+func toTenantSpec(m cassiatally.TenantSpec) wireTenantSpec {
+	return wireTenantSpec{Name: m.Name, Keys: m.Keys, Ranked: m.Ranked, Rank: m.Rank, Rate: m.Rate, Burst: m.Burst}
+}
+
+func fromTenantSpec(w wireTenantSpec) cassiatally.TenantSpec {
+	return cassiatally.TenantSpec{Name: w.Name, Keys: w.Keys, Ranked: w.Ranked, Rank: w.Rank, Rate: w.Rate, Burst: w.Burst}
+}
+
 type wireRouteUpdate struct {
 	Version  cassiatally.Version `cbor:"1,keyasint,omitempty"`
 	Routes   []wireRoute         `cbor:"2,keyasint,omitempty"`
 	Services []wireServiceSpec   `cbor:"3,keyasint,omitempty"`
 	Limits   wireRequestLimits   `cbor:"4,keyasint,omitempty"`
+	Tenants  []wireTenantSpec    `cbor:"5,keyasint,omitempty"`
 }
 
 func toRouteUpdate(m cassiatally.RouteUpdate) wireRouteUpdate {
@@ -83,6 +102,7 @@
 		Routes:   convertAll(m.Table.Routes, toRoute),
 		Services: convertAll(m.Table.Services, toServiceSpec),
 		Limits:   wireRequestLimits{HeaderBytes: l.HeaderBytes, BodyBytes: l.BodyBytes, HeaderTimeout: l.HeaderTimeout, IdleTimeout: l.IdleTimeout},
+		Tenants:  convertAll(m.Table.Tenants, toTenantSpec),
 	}
 }
 
@@ -93,6 +113,7 @@
 		Routes:   convertAll(w.Routes, fromRoute),
 		Services: convertAll(w.Services, fromServiceSpec),
 		Limits:   cassiatally.RequestLimits{HeaderBytes: l.HeaderBytes, BodyBytes: l.BodyBytes, HeaderTimeout: l.HeaderTimeout, IdleTimeout: l.IdleTimeout},
+		Tenants:  convertAll(w.Tenants, fromTenantSpec),
 	}}
 }
 
--- a/cassiatally/routetable.go
+++ b/cassiatally/routetable.go
@@ -25,6 +25,23 @@
 	Rank   Rank
 	// Attempts bounds the endpoints that one request is sent to.
 	Attempts int
+	// AllowAnonymous admits requests without a key while the table has tenants.
+	AllowAnonymous bool
+}
+
+// TenantSpec is the configuration of a tenant.
+type TenantSpec struct {
+	Name Tenant
+	// Keys has the digests of the keys that identify the tenant.
+	Keys []KeyDigest
+	// Ranked is set when Rank replaces that of the route.
+	Ranked bool
+	Rank   Rank
+	// Rate is the quota in requests per second over all nodes together, and Burst the
+	// number of requests beyond it that unused quota accumulates to. A rate of 0 is no
+	// limit.
+	Rate  Rate
+	Burst float64
 }
 
 // ServiceSpec is the configuration of a service.
@@ -50,6 +67,8 @@
 	Routes   []Route
 	Services []ServiceSpec
 	Limits   RequestLimits
+	// Tenants is empty when requests are not authenticated.
+	Tenants []TenantSpec
 }
 
 // Service returns the configuration of a service.
--- a/node/forwarder/forwarder.go
+++ b/node/forwarder/forwarder.go
@@ -52,6 +52,8 @@
 	Observer cassiatally.Observer
 	Logger   cassiatally.Logger
 	NextID   func() cassiatally.CallID
+	// Quotas bounds the requests of tenants; nil when there are no quotas.
+	Quotas cassiatally.Quotas
 	// LocalService returns the service of the backend server of this host.
 	LocalService func() cassiatally.Service
 
@@ -89,17 +91,71 @@
 		f.Logger.Info("request without a route", "request", in.Name, "host", in.Host, "path", path, "version", routes.Table().Version)
 		return refuse(cassiatally.KindUnknownKind, "no route matches", 0)
 	}
+	tenant, kind := authenticate(routes, route, in)
+	if kind != cassiatally.KindNone {
+		f.Logger.Info("request not authenticated", "request", in.Name, "route", route.Name, "has_key", in.Key != nil, "version", routes.Table().Version)
+		return refuse(kind, "no tenant has this key", 0)
+	}
+	if !routes.HasTenants() {
+		in.Head.Fields = append(in.Head.Fields, in.Identity...)
+	}
+	if d := f.takeQuota(ctx, tenant); !d.Granted {
+		f.Logger.Info("request over quota", "request", in.Name, "route", route.Name, "tenant", tenant.Name, "kind", d.Kind, "retry_after", d.RetryAfter)
+		return refuse(d.Kind, "the quota of the tenant is used up", d.RetryAfter)
+	}
 	req := f.newRequest(in, route, routes.Table().Version, arrived)
+	setTenant(&req, tenant)
 	if latest := cassiatally.Instant(f.latest.Load()); latest != 0 && latest.Before(req.Deadline) {
 		req.Deadline = latest
 	}
 	a := f.awaitAnswer(ctx, in, req, arrived)
 	took := f.Clock.Now().Sub(arrived)
-	f.Observer.Request(req.Policy, "", a, took)
+	f.Observer.Request(req.Policy, req.Tenant, a, took)
 	f.logAnswer(req, a, took)
 	return a
 }
 
+// authenticate returns the tenant of a request, nil when it needs none. Onward calls of
+// runs carry no key; they get the tenant of the run that makes them.
+func authenticate(routes *matcher.Matcher, route *cassiatally.Route, in cassiatally.Inbound) (*cassiatally.TenantSpec, cassiatally.ErrorKind) {
+	switch {
+	case !routes.HasTenants(), in.Key == nil && (route.AllowAnonymous || in.Parent != ""):
+		return nil, cassiatally.KindNone
+	case in.Key == nil:
+		return nil, cassiatally.KindUnauthenticated
+	}
+	t, ok := routes.Tenant(*in.Key)
+	if !ok {
+		return nil, cassiatally.KindUnauthenticated
+	}
+	return t, cassiatally.KindNone
+}
+
+// takeQuota charges a request to the quota of its tenant.
+func (f *Forwarder) takeQuota(ctx context.Context, t *cassiatally.TenantSpec) cassiatally.QuotaDecision {
+	if t == nil || t.Rate == 0 || f.Quotas == nil {
+		return cassiatally.QuotaDecision{Granted: true}
+	}
+	return f.Quotas.Take(ctx, t)
+}
+
+// setTenant gives a request its tenant, whose rank replaces that of the route.
+func setTenant(req *cassiatally.Request, t *cassiatally.TenantSpec) {
+	if t == nil {
+		return
+	}
+	req.Tenant = t.Name
+	if t.Ranked {
+		req.Policy.Rank = t.Rank
+	}
+}
+
+// authenticates reports whether requests on the route of a request need a key.
+func (f *Forwarder) authenticates(req cassiatally.Request) bool {
+	routes, ok := f.Routes()
+	return ok && routes.HasTenants() && !req.Route.AllowAnonymous
+}
+
 func refuse(kind cassiatally.ErrorKind, detail string, retryAfter time.Duration) cassiatally.Answer {
 	return cassiatally.Answer{Outcome: cassiatally.OutcomeNotRun, Kind: kind, Detail: detail, RetryAfter: retryAfter}
 }
@@ -163,6 +219,10 @@
 		if parentFound {
 			return a
 		}
+		if req.Tenant == "" && f.authenticates(req) {
+			// The tenant of the call is known to the run that made it only.
+			return refuse(cassiatally.KindUnavailable, "the run that makes the call is not known", refusalRetryAfter)
+		}
 	}
 	if f.refusing.Load() {
 		return refuse(cassiatally.KindDraining, stoppingDetail, refusalRetryAfter)
