--- a/operator/adviser/adviser.go
+++ b/operator/adviser/adviser.go
@@ -50,6 +50,8 @@
 	cassiatally.KindLogUnavailable:     "try again when the log service answers",
 	cassiatally.KindInvalidSettings:    "correct the settings; cassiatally settings check shows every problem",
 	cassiatally.KindUsage:              "see --help",
+	cassiatally.KindUnauthenticated:    "send a key that the configuration in force has for the tenant",
+	cassiatally.KindQuotaExceeded:      "the tenant has used up its quota; send it again after the time in Retry-After",
 	cassiatally.KindInternal:           "report it with the log of the node",
 }
 
