--- a/cassiatally/ids.go
+++ b/cassiatally/ids.go
@@ -71,6 +71,9 @@
 // CrashNumber numbers the crashes of one incarnation of a node, from 1.
 type CrashNumber uint64
 
+// ConnID identifies a connection of a client within one process.
+type ConnID uint64
+
 // CallOrigin identifies the incarnation of a node that assigned the id of a call.
 type CallOrigin uint64
 
