--- a/node/gatekeeper/gatekeeper.go
+++ b/node/gatekeeper/gatekeeper.go
@@ -16,6 +16,7 @@
 	"context"
 	"math/rand/v2"
 	"net/http"
+	"strings"
 	"sync/atomic"
 	"time"
 
@@ -161,6 +162,17 @@
 	return g.forwarder.Forward(ctx, in)
 }
 
+// Idempotent reports whether a request for a host and target may run more than once.
+func (g *Gatekeeper) Idempotent(host, target string) bool {
+	routes, ok := g.routes.Routes()
+	if !ok {
+		return false
+	}
+	path, _, _ := strings.Cut(target, "?")
+	route, ok := routes.Match(host, path)
+	return ok && route.Idempotent
+}
+
 // Report records a report of the backend server, and returns true once it is in force.
 func (g *Gatekeeper) Report(ctx context.Context, r cassiatally.InstanceReport) bool {
 	return g.instances.Report(ctx, r)
