--- a/cassiatally/backend.go
+++ b/cassiatally/backend.go
@@ -75,6 +75,8 @@
 	Instance InstanceID
 	Healthy  bool
 	Slots    Concurrency
+	// Occupancy is the number of requests that the backend server runs and queues.
+	Occupancy Concurrency
 }
 
 // BackendProber checks the health of the backend server of this host.
--- a/cassiatally/message.go
+++ b/cassiatally/message.go
@@ -159,6 +159,10 @@
 	// FailureRate is the fraction of the recent runs that the endpoint failed or refused
 	// by its own fault.
 	FailureRate FailureRate
+	// Slowdown is the newest one that the backend server stated, and TypicalSlowdown the
+	// one at which TypicalSelfTime was measured. Both are 0 when it states none.
+	Slowdown        Slowdown
+	TypicalSlowdown Slowdown
 }
 
 // ServiceLoad has the level of each rank at an endpoint of a service, or the mean over
--- a/cassiatally/notice.go
+++ b/cassiatally/notice.go
@@ -18,4 +18,11 @@
 	// InvalidRateLimit is the text of a rate limit that is not a rate. The earlier limit
 	// stays in force.
 	InvalidRateLimit string
+	// Slowdown is the current one of the machine. It changes many times a second, so it
+	// is no part of the notice in force; EndpointLoad carries it to other nodes.
+	Slowdown Slowdown
+	// Occupancy is the number of requests that the backend server runs and queues, if
+	// OccupancyKnown is set.
+	Occupancy      Concurrency
+	OccupancyKnown bool
 }
--- a/cassiatally/protocol/codec_test.go
+++ b/cassiatally/protocol/codec_test.go
@@ -17,7 +17,7 @@
 	ref := cassiatally.NodeRef{Node: "depot-1", Incarnation: 7}
 	id := cassiatally.CallID{Origin: 7, Seq: 9}
 	shard := cassiatally.ShardRef{DataCentre: "north", Shard: 3}
-	load := cassiatally.EndpointLoad{Node: "depot-1", Limit: 12, InFlight: 3, Queued: 1, TypicalSelfTime: time.Millisecond}
+	load := cassiatally.EndpointLoad{Node: "depot-1", Limit: 12, InFlight: 3, Queued: 1, TypicalSelfTime: time.Millisecond, FailureRate: 0.25, Slowdown: 2.53, TypicalSlowdown: 1.07}
 	levels := cassiatally.ServiceLoad{Service: "avail-svc", Weight: 15, Levels: []cassiatally.Level{1, 0.5}}
 	notice := cassiatally.Notice{Instance: "i-1", StartedMs: 1700000000000, RateLimited: true, RateLimit: 30.1, Leaving: true}
 	answer := cassiatally.Answer{
@@ -73,6 +73,33 @@
 	}
 }
 
+// Guards against bytes for the slowdown in answers and gossip of endpoints that state
+// none, and against more than a few where they do.
+func TestUnknownSlowdownTakesNoBytes(t *testing.T) {
+	is := is.New(t)
+	c, err := protocol.New()
+	is.NoErr(err)
+	size := func(l cassiatally.EndpointLoad) int {
+		frame, err := c.Encode(cassiatally.Answer{Endpoint: l})
+		is.NoErr(err)
+		return len(frame)
+	}
+	// The keys are those of an answer's load without a slowdown: node, limit and run time.
+	without := cassiatally.EndpointLoad{Node: "n", Limit: 9, TypicalSelfTime: time.Millisecond}
+	with := without
+	with.Slowdown, with.TypicalSlowdown = 2.5, 1.25
+	frame, err := c.Encode(cassiatally.Answer{Endpoint: without})
+	is.NoErr(err)
+	var fields []cbor.RawMessage
+	is.NoErr(cbor.Unmarshal(frame, &fields))
+	var answer map[int]cbor.RawMessage
+	is.NoErr(cbor.Unmarshal(fields[2], &answer))
+	var load map[int]any
+	is.NoErr(cbor.Unmarshal(answer[11], &load))
+	is.Equal(len(load), 3)
+	is.True(size(with)-size(without) <= 6)
+}
+
 // Guards against a malformed frame that is decoded to a message, or refused with
 // an error of another kind.
 func TestMalformedFrames(t *testing.T) {
--- a/cassiatally/protocol/wire.go
+++ b/cassiatally/protocol/wire.go
@@ -1,6 +1,7 @@
 package protocol
 
 import (
+	"math"
 	"time"
 
 	"github.com/cassiatally/cassiatally/cassiatally"
@@ -65,12 +66,33 @@
 	Queued          int                     `cbor:"4,keyasint,omitempty"`
 	TypicalSelfTime time.Duration           `cbor:"5,keyasint,omitempty"`
 	FailureRate     cassiatally.FailureRate `cbor:"6,keyasint,omitempty"`
+	Slowdown        wirePercent             `cbor:"7,keyasint,omitempty"`
+	TypicalSlowdown wirePercent             `cbor:"8,keyasint,omitempty"`
 }
 
-func toEndpointLoad(m cassiatally.EndpointLoad) wireEndpointLoad { return wireEndpointLoad(m) }
+// wirePercent is a slowdown in percent. It takes 2 or 3 bytes, a float 9.
+type wirePercent uint16
+
+func toPercent(s cassiatally.Slowdown) wirePercent {
+	return wirePercent(min(max(math.Round(100*float64(s)), 0), math.MaxUint16))
+}
+
+func fromPercent(p wirePercent) cassiatally.Slowdown { return cassiatally.Slowdown(p) / 100 }
+
+func toEndpointLoad(m cassiatally.EndpointLoad) wireEndpointLoad {
+	return wireEndpointLoad{
+		Node: m.Node, Limit: m.Limit, InFlight: m.InFlight, Queued: m.Queued,
+		TypicalSelfTime: m.TypicalSelfTime, FailureRate: m.FailureRate,
+		Slowdown: toPercent(m.Slowdown), TypicalSlowdown: toPercent(m.TypicalSlowdown),
+	}
+}
 
 func fromEndpointLoad(w wireEndpointLoad) cassiatally.EndpointLoad {
-	return cassiatally.EndpointLoad(w)
+	return cassiatally.EndpointLoad{
+		Node: w.Node, Limit: w.Limit, InFlight: w.InFlight, Queued: w.Queued,
+		TypicalSelfTime: w.TypicalSelfTime, FailureRate: w.FailureRate,
+		Slowdown: fromPercent(w.Slowdown), TypicalSlowdown: fromPercent(w.TypicalSlowdown),
+	}
 }
 
 type wireServiceLoad struct {
--- a/cassiatally/units.go
+++ b/cassiatally/units.go
@@ -30,6 +30,9 @@
 	Share float64
 	// FailureRate is the fraction of runs in [0, 1] that failed.
 	FailureRate float64
+	// Slowdown is the duration of work on a machine as a multiple of its usual duration;
+	// 0 means that it is unknown.
+	Slowdown float64
 	// Rate counts requests per second.
 	Rate float64
 	// Concurrency counts requests that run at the same time.
