--- a/cassiatally/backend.go
+++ b/cassiatally/backend.go
@@ -77,6 +77,8 @@
 	Slots    Concurrency
 	// Occupancy is the number of requests that the backend server runs and queues.
 	Occupancy Concurrency
+	// Slowdown is the one of its machine.
+	Slowdown Slowdown
 }
 
 // BackendProber checks the health of the backend server of this host.
--- a/cassiatally/nodeinterfaces.go
+++ b/cassiatally/nodeinterfaces.go
@@ -101,6 +101,9 @@
 	// that is unknown.
 	StartedMs int64
 	Endpoint  Endpoint
+	// Occupancy is the number of requests that an earlier node of this host has left at
+	// the backend server. Only the first announcement after a restart states it.
+	Occupancy Concurrency
 }
 
 // BackendGate admits calls to the announced backend server.
--- a/cassiatally/runner/notice.go
+++ b/cassiatally/runner/notice.go
@@ -4,7 +4,11 @@
 
 // SetInstance records which start of the backend server the next announcement is of.
 func (r *Runner) SetInstance(now cassiatally.Instant, id cassiatally.InstanceID, startedMs int64) {
+	before := r.notices.Start()
 	r.notices.SetInstance(id, startedMs)
+	if r.notices.Start() != before {
+		r.slowdowns, r.detached = slowdowns{}, detached{}
+	}
 	r.applyNotice(now)
 }
 
@@ -13,7 +17,14 @@
 
 // observeNotice records what the answer to a run states about the backend server.
 func (r *Runner) observeNotice(now cassiatally.Instant, rec *record, n *cassiatally.Notice) {
-	if n != nil && r.notices.Observe(rec.serverStart, *n) {
+	if n == nil {
+		return
+	}
+	if rec.serverStart == r.notices.Start() {
+		r.slowdowns.state(now, n.Slowdown)
+		r.observeOccupancy(rec, *n)
+	}
+	if r.notices.Observe(rec.serverStart, *n) {
 		r.applyNotice(now)
 	}
 }
--- a/cassiatally/runner/result.go
+++ b/cassiatally/runner/result.go
@@ -34,6 +34,7 @@
 	}
 	actions := r.abandonChildren(rec)
 	r.running--
+	r.detachCancelled(rec, res)
 	r.observeNotice(now, rec, res.Notice)
 	if !cutOff(res) {
 		r.recordProgress(now)
@@ -110,6 +111,9 @@
 	failed := res.Kind != cassiatally.ResultAnswered && res.Kind != cassiatally.ResultTimedOut
 	if r.isLoadSample(res, self) {
 		r.limiter.Observe(now, cassiatally.RunSample{SelfTime: self, InFlight: rec.concurrency, Failed: failed})
+		if res.Kind == cassiatally.ResultAnswered && rec.serverStart == r.notices.Start() {
+			r.slowdowns.measure()
+		}
 	}
 	if cutOff(res) || rec.gaveUpAtDeadline(now, res) {
 		// A run that was cut off while it waited for an onward call is no evidence that
--- a/cassiatally/runner/runner.go
+++ b/cassiatally/runner/runner.go
@@ -125,6 +125,8 @@
 	sheds        map[shedKey]uint64
 	notices      noticetracker.Tracker
 	rates        ratelimiter.Limiter
+	slowdowns    slowdowns
+	detached     detached
 	queueWait    [cassiatally.MaxRanks]QueueWait
 }
 
@@ -191,14 +193,16 @@
 func (r *Runner) Running() int { return r.running }
 
 func (r *Runner) load() cassiatally.EndpointLoad {
-	return cassiatally.EndpointLoad{
+	l := cassiatally.EndpointLoad{
 		Node:            r.self.Node,
 		Limit:           r.concurrency(),
-		InFlight:        cassiatally.Concurrency(r.running),
+		InFlight:        cassiatally.Concurrency(r.occupied()),
 		Queued:          r.admitter.Len(),
 		TypicalSelfTime: r.limiter.TypicalSelfTime(),
 		FailureRate:     r.failureRate,
 	}
+	r.slowdowns.addTo(&l)
+	return l
 }
 
 // HandleCall queues or refuses a call from a node. A call that has arrived before
@@ -351,6 +355,7 @@
 		actions = r.Withdraw(now)
 	}
 	r.evictFinished(now)
+	r.slowdowns.expire(now)
 	r.failureRate = r.failures.Rate(now)
 	r.admitter.Tick(now, r.limiter.Limit())
 	actions = r.resendCrashReports(actions, now)
@@ -374,8 +379,9 @@
 	if r.endpoint.State == cassiatally.EndpointNone {
 		return actions
 	}
+	r.detached.expire(now)
 	for {
-		free := min(max(int(r.limiter.Limit())-r.running, 0), r.rates.Free(now))
+		free := min(max(int(r.limiter.Limit())-r.occupied(), 0), r.rates.Free(now))
 		before := r.running
 		start, dropped := r.admitter.Next(now, free)
 		for _, id := range start {
--- a/node/executor/events.go
+++ b/node/executor/events.go
@@ -121,6 +121,10 @@
 	})
 	x.addWorkers(int(e.a.Endpoint.Slots))
 	x.Runner.SetInstance(now, e.a.Instance, e.a.StartedMs)
+	if e.a.Occupancy > 0 {
+		x.Logger.Info("backend server has requests of an earlier node", "instance", e.a.Instance, "requests", e.a.Occupancy)
+		x.Runner.AdoptOccupancy(now, e.a.Occupancy, e.a.Endpoint.Slots)
+	}
 	x.carryOut(now, x.Runner.Announce(now, e.a.Endpoint, x.AnnounceTTL))
 	x.reportEndpoint(now)
 }
--- a/node/instancekeeper/instancekeeper.go
+++ b/node/instancekeeper/instancekeeper.go
@@ -163,7 +163,7 @@
 	if before.Instance != e.report.Instance || before.State != e.report.State || before.StartedMs != e.report.StartedMs {
 		k.Logger.Info("instance in place", "instance", e.report.Instance, "service", e.report.Service, "state", e.report.State, "sequence", e.report.Sequence, "before", before.Instance)
 	}
-	k.announce()
+	k.announce(0)
 }
 
 // accepts reports whether a report may be used. A new instance of a service that no
@@ -211,7 +211,7 @@
 func (e routesEvent) apply(k *Keeper, _ cassiatally.Instant) {
 	k.routes = e.routes
 	k.probeExpected()
-	k.announce()
+	k.announce(0)
 }
 
 // probeExpected checks, after a restart, the health of the backend server in the
@@ -236,8 +236,9 @@
 	}
 }
 
-// announce announces the current instance to the executor.
-func (k *Keeper) announce() {
+// announce announces the current instance to the executor, with the number of requests of
+// an earlier node that it has.
+func (k *Keeper) announce(occupancy cassiatally.Concurrency) {
 	r, ok := k.Tracker.Current()
 	if !ok || k.routes == nil {
 		return
@@ -249,6 +250,7 @@
 		Instance:  r.Instance,
 		StartedMs: r.StartedMs,
 		Endpoint:  cassiatally.Endpoint{Service: r.Service, Slots: r.Slots, Connections: spec.Connections, State: r.State},
+		Occupancy: occupancy,
 	})
 }
 
@@ -293,6 +295,16 @@
 		return
 	}
 	if k.Tracker.Observe(now, r) {
-		k.announce()
+		k.announce(remainingOccupancy(e.health))
 	}
 }
+
+// remainingOccupancy returns the number of requests that a health check found at the
+// backend server before this node sent any. It counts only where the backend server states
+// a slowdown: those hang when they get more than they can run and queue.
+func remainingOccupancy(h cassiatally.BackendHealth) cassiatally.Concurrency {
+	if h.Slowdown == 0 {
+		return 0
+	}
+	return h.Occupancy
+}
