--- a/cassiatally/balancer/balancer.go
+++ b/cassiatally/balancer/balancer.go
@@ -5,6 +5,10 @@
 // all calls to the same endpoint for a time; two random choices avoid that. Endpoints
 // in the data centre of this node are preferred.
 //
+// For an endpoint that states the slowdown of its machine, the predicted wait is the
+// completion time at the present slowdown, and the margin to another data centre is the
+// latency to it. Other endpoints are chosen as if there were no slowdowns.
+//
 // # Usage
 //
 //	b := &balancer.Balancer{Rand: rng, DataCentre: "lower"}
@@ -97,6 +101,7 @@
 	// Exclusion is the duration of a first exclusion; 0 means 5 s.
 	Exclusion time.Duration
 
+	latencies latencies
 	nodes     map[cassiatally.NodeID]*endpoint
 	services  map[cassiatally.Service][]*endpoint
 	near, far []*endpoint
@@ -198,7 +203,7 @@
 func (b *Balancer) nearOrFar(now cassiatally.Instant) (*endpoint, float64) {
 	near, nearWait := b.betterOfTwo(now, b.near)
 	far, farWait := b.betterOfTwo(now, b.far)
-	if near == nil || far != nil && nearWait > b.farThreshold(farWait) {
+	if near == nil || far != nil && nearWait > b.farThreshold(far, farWait) {
 		return far, farWait
 	}
 	return near, nearWait
@@ -235,11 +240,14 @@
 }
 
 // farThreshold returns the near wait above which a far endpoint is chosen.
-func (b *Balancer) farThreshold(farWait float64) float64 {
+func (b *Balancer) farThreshold(far *endpoint, farWait float64) float64 {
 	margin := b.Margin
 	if margin <= 0 {
 		margin = defaultMargin
 	}
+	if far.load.Slowdown > 0 {
+		margin = max(margin, b.latencies.extra(b.DataCentre, far.candidate.DataCentre))
+	}
 	return farWait*(1+positiveOr(b.RelativeMargin, defaultRelativeMargin)) + float64(margin)
 }
 
@@ -281,7 +289,7 @@
 // weight of the endpoint.
 func (b *Balancer) predictedWait(now cassiatally.Instant, e *endpoint) float64 {
 	age := now.Sub(e.reportedAt)
-	others := e.othersInFlight * math.Exp2(-float64(age)/float64(reportHalfLife))
+	others := e.othersInFlight * math.Exp2(-float64(age)/float64(e.loadHalfLife()))
 	typical := e.load.TypicalSelfTime
 	if typical <= 0 {
 		typical = e.meanDuration
@@ -294,7 +302,7 @@
 		limit = unknownLimit
 	}
 	used := (float64(e.inFlight) + others + 1) / float64(limit)
-	return float64(typical) * (slowdown(used) + failureCost*float64(e.load.FailureRate)) / b.weight(now, e)
+	return e.runTime(age, typical) * (slowdown(used) + failureCost*float64(e.load.FailureRate)) / b.weight(now, e)
 }
 
 // minTypical stands in for the run time of an endpoint without completed runs. It is
@@ -345,6 +353,9 @@
 	if r.Load.Node != "" {
 		e.applyReport(now, r.Load)
 	}
+	if r.Load.Slowdown > 0 && !r.Failed {
+		b.latencies.observe(now, e.candidate.DataCentre, r.Took)
+	}
 	e.calls++
 	if r.Unreachable {
 		e.startBackoff(now)
