--- a/cassiatally/runner/counts.go
+++ b/cassiatally/runner/counts.go
@@ -32,6 +32,20 @@
 	Crashes uint64
 }
 
+// MachineLoad is the state of a backend server that shares its machine. It is zero while
+// the backend server states no slowdown.
+type MachineLoad struct {
+	Slowdown cassiatally.Slowdown
+	// Detached counts the slots of requests that may still run although no call waits for
+	// them.
+	Detached int
+}
+
+// MachineLoad returns the state as of the last call of a method that has a time.
+func (r *Runner) MachineLoad() MachineLoad {
+	return MachineLoad{Slowdown: r.slowdowns.current, Detached: len(r.detached.runs)}
+}
+
 type shedKey struct {
 	rank cassiatally.Rank
 	kind cassiatally.ErrorKind
--- a/node/executor/executor.go
+++ b/node/executor/executor.go
@@ -66,6 +66,9 @@
 	// OnNotice, if set, is called by the duty when the backend server states something
 	// else about itself than before; it must not block.
 	OnNotice func(cassiatally.Notice)
+	// OnMachineLoad, if set, is called by the duty at most every 100 ms when the state of a
+	// backend server that shares its machine has changed; it must not block.
+	OnMachineLoad func(runner.MachineLoad)
 
 	inbox       *ring.Ring[event]
 	duty        looper.Looper[event]
@@ -80,6 +83,8 @@
 	loggedState cassiatally.EndpointState
 	// reportedNotice is the notice of the last call of OnNotice.
 	reportedNotice cassiatally.Notice
+	// reportedMachineLoad is the state of the last call of OnMachineLoad.
+	reportedMachineLoad runner.MachineLoad
 	// lastTick and lastReport are the times of the last tick and the last report.
 	lastTick, lastReport cassiatally.Instant
 	running, unanswered  atomic.Int64
@@ -222,6 +227,7 @@
 	x.carryOut(now, x.Runner.Tick(now))
 	if now.Sub(x.lastReport) >= tickInterval {
 		x.reportEndpoint(now)
+		x.reportMachineLoad()
 	}
 }
 
--- a/node/executor/report.go
+++ b/node/executor/report.go
@@ -63,3 +63,12 @@
 		x.reportEndpoint(now) // all members stop sending calls to it
 	}
 }
+
+func (x *Executor) reportMachineLoad() {
+	m := x.Runner.MachineLoad()
+	if m == x.reportedMachineLoad || x.OnMachineLoad == nil {
+		return
+	}
+	x.reportedMachineLoad = m
+	x.OnMachineLoad(m)
+}
--- a/node/gatekeeper/build.go
+++ b/node/gatekeeper/build.go
@@ -149,6 +149,10 @@
 		OnEndpoint:  g.members.SetEndpoint,
 		OnQueueWait: g.metrics.QueueWait,
 		OnNotice:    g.reportNotice,
+		OnMachineLoad: func(m runner.MachineLoad) {
+			g.metrics.Gauge("backend_slowdown", float64(m.Slowdown))
+			g.metrics.Gauge("backend_detached_requests", float64(m.Detached))
+		},
 	}
 }
 
