--- a/cassiatally/admitter/admitter.go
+++ b/cassiatally/admitter/admitter.go
@@ -448,32 +448,6 @@
 	}
 }
 
-// setProportionalShares sets the reserved shares from the demand of each rank. The
-// most urgent rank with demand keeps its whole proportion, so that it goes before the
-// reserved shares of the others.
-func (a *Admitter) setProportionalShares() {
-	demands := a.meter.demands()
-	total := 0.0
-	for _, d := range demands {
-		total += d
-	}
-	part := 1.0
-	for r, d := range demands {
-		a.ranks[r].share = 0
-		if d > 0 {
-			a.ranks[r].share = cassiatally.Share(part * d / total)
-			part = a.Proportion
-		}
-	}
-}
-
-func (a *Admitter) shares() (shares [cassiatally.MaxRanks]float64) {
-	for r := range a.ranks {
-		shares[r] = float64(a.ranks[r].share)
-	}
-	return shares
-}
-
 // Levels returns the level of each rank.
 func (a *Admitter) Levels() []cassiatally.Level { return a.meter.publishedLevels() }
 
--- a/cassiatally/admitter/tenants.go
+++ b/cassiatally/admitter/tenants.go
@@ -85,3 +85,11 @@
 	}
 	t.fairShare = max(t.fairShare, minDemand)
 }
+
+// named returns the number of accounts of tenants with a name.
+func (t *tenants) named() int {
+	if _, ok := t.accounts[""]; ok {
+		return len(t.accounts) - 1
+	}
+	return len(t.accounts)
+}
