--- a/cassiatally/interfaces.go
+++ b/cassiatally/interfaces.go
@@ -207,6 +207,10 @@
 	// RecordEndpoint records the levels that one endpoint had at an instant, as gossip
 	// reports them. A report that is not newer than the last one is ignored.
 	RecordEndpoint(at Instant, n NodeID, load ServiceLoad)
+	// FairOrder returns the order value by which Admit and the services of the chain treat
+	// a request of the tenant. It is above the given one for a tenant far above its fair
+	// share, and below it for the others.
+	FairOrder(now Instant, s Service, w WorkKind, r Rank, n Tenant, o Order) Order
 	// Admit reports whether the whole chain serves the order value, and if not, the
 	// service that lacks the capacity.
 	Admit(now Instant, s Service, w WorkKind, r Rank, o Order) (bool, Service)
--- a/cassiatally/loadtracker/loadtracker.go
+++ b/cassiatally/loadtracker/loadtracker.go
@@ -61,9 +61,13 @@
 	MaxKinds int
 	// MaxServices bounds the services; 0 means 1024.
 	MaxServices int
+	// FairTenants divides a shortage fairly among tenants. It is set where the tenants of
+	// requests are authenticated; otherwise a caller could claim another tenant's share.
+	FairTenants bool
 
-	chains   map[work]*chain
-	services map[cassiatally.Service]*service
+	chains    map[work]*chain
+	services  map[cassiatally.Service]*service
+	shortages map[shortageKey]*shortage
 
 	chainsSweptAt, servicesSweptAt cassiatally.Instant
 }
@@ -134,6 +138,16 @@
 // Admit reports whether every service that the work touches can serve the order
 // value, and if not, the service with the lowest level.
 func (t *Tracker) Admit(now cassiatally.Instant, s cassiatally.Service, w cassiatally.WorkKind, r cassiatally.Rank, o cassiatally.Order) (bool, cassiatally.Service) {
+	lowest, short := t.lowestLevel(now, s, w, r)
+	if float64(o) > float64(lowest) {
+		return false, short
+	}
+	return true, ""
+}
+
+// lowestLevel returns the lowest level among the services that the work touches, and the
+// service that has it.
+func (t *Tracker) lowestLevel(now cassiatally.Instant, s cassiatally.Service, w cassiatally.WorkKind, r cassiatally.Rank) (cassiatally.Level, cassiatally.Service) {
 	lowest, short := t.Level(now, s, r), s
 	c := t.chains[work{s, w}]
 	if c != nil {
@@ -148,10 +162,7 @@
 			}
 		}
 	}
-	if float64(o) > float64(lowest) {
-		return false, short
-	}
-	return true, ""
+	return lowest, short
 }
 
 // Level returns the level of a service for a rank, as the weighted geometric mean
--- a/cassiatally/router/router.go
+++ b/cassiatally/router/router.go
@@ -193,6 +193,7 @@
 	if p.req.Parent != "" || p.req.Claimed || (p.isClaim && p.req.Attempt != 1) {
 		return cassiatally.Answer{}, false
 	}
+	p.req.Order = r.cfg.Loads.FairOrder(now, p.req.Service, p.req.Work, p.req.Policy.Rank, p.req.Tenant, p.req.Order)
 	ok, short := r.cfg.Loads.Admit(now, p.req.Service, p.req.Work, p.req.Policy.Rank, p.req.Order)
 	if ok {
 		return cassiatally.Answer{}, false
--- a/cassiatally/router/router_test.go
+++ b/cassiatally/router/router_test.go
@@ -69,6 +69,10 @@
 
 func (l stubLoads) RecordEndpoint(cassiatally.Instant, cassiatally.NodeID, cassiatally.ServiceLoad) {}
 
+func (l stubLoads) FairOrder(_ cassiatally.Instant, _ cassiatally.Service, _ cassiatally.WorkKind, _ cassiatally.Rank, _ cassiatally.Tenant, o cassiatally.Order) cassiatally.Order {
+	return o
+}
+
 func (l stubLoads) Admit(cassiatally.Instant, cassiatally.Service, cassiatally.WorkKind, cassiatally.Rank, cassiatally.Order) (bool, cassiatally.Service) {
 	return !l.short, "avail-svc"
 }
--- a/cassiatally/runner/recoverytest/fleet_test.go
+++ b/cassiatally/runner/recoverytest/fleet_test.go
@@ -11,6 +11,7 @@
 	"github.com/cassiatally/cassiatally/cassiatally/admitter"
 	"github.com/cassiatally/cassiatally/cassiatally/balancer"
 	"github.com/cassiatally/cassiatally/cassiatally/budgeter"
+	"github.com/cassiatally/cassiatally/cassiatally/granter"
 	"github.com/cassiatally/cassiatally/cassiatally/limiter"
 	"github.com/cassiatally/cassiatally/cassiatally/loadtracker"
 	"github.com/cassiatally/cassiatally/cassiatally/quarantiner"
@@ -48,6 +49,8 @@
 	slots       cassiatally.Concurrency
 	serviceTime time.Duration
 	calls       cassiatally.Service
+	// failing is the fraction of the runs that end with a failure, after their whole time.
+	failing float64
 }
 
 // fleet connects routers, runners and the packages that they use, in virtual time.
@@ -60,6 +63,8 @@
 	byName   map[cassiatally.NodeID]*host
 	slowdown func(at cassiatally.Instant) float64
 	requests []*request
+	// gated is set if nodes are assembled as beside the endpoints of the users' platform.
+	gated bool
 }
 
 // host is a node with its backend server.
@@ -72,7 +77,7 @@
 	router   *router.Router
 	balancer *balancer.Balancer
 	tracker  *loadtracker.Tracker
-	limiter  *limiter.Limiter
+	limiter  cassiatally.Limiter
 	seq      uint64
 	replies  map[cassiatally.CallID]func(cassiatally.Answer)
 	children map[cassiatally.CallID]func(cassiatally.Answer)
@@ -128,10 +133,10 @@
 	heap.Push(&f.events, event{at: f.now.Add(d), seq: f.seq, do: do})
 }
 
-func newFleet(seed uint64, services []serviceSpec, shares [cassiatally.MaxRanks]cassiatally.Share) *fleet {
+func newFleet(seed uint64, services []serviceSpec, shares [cassiatally.MaxRanks]cassiatally.Share, gated bool) *fleet {
 	f := &fleet{
 		rand: rand.New(rand.NewPCG(seed, seed)), now: cassiatally.Instant(time.Hour),
-		byName: make(map[cassiatally.NodeID]*host),
+		byName: make(map[cassiatally.NodeID]*host), gated: gated,
 	}
 	for _, s := range services {
 		for i := range endpointsPerService {
@@ -156,12 +161,19 @@
 		runs:     make(map[cassiatally.CallID]*execution),
 		tracker:  &loadtracker.Tracker{}, limiter: &limiter.Limiter{},
 	}
-	h.runner = runner.New(h.ref, &admitter.Admitter{}, h.limiter, quarantiner.New(h.ref), h.nextID)
+	queue := &admitter.Admitter{}
+	cfg := router.Config{Self: h.ref, Budget: &budgeter.Budgeter{}, Loads: h.tracker, NextID: h.nextID}
+	if f.gated {
+		h.assembleGate(queue, &cfg)
+	}
+	h.runner = runner.New(h.ref, queue, h.limiter, quarantiner.New(h.ref), h.nextID)
 	h.runner.SetShares(shares)
+	if f.gated {
+		h.runner.Granter = &granter.Granter{Ratio: platformRetries, Window: platformWindow}
+	}
 	h.balancer = &balancer.Balancer{Rand: rand.New(rand.NewPCG(uint64(h.ref.Incarnation), 1)), DataCentre: h.dc}
-	h.router = router.New(router.Config{
-		Self: h.ref, Balancer: h.balancer, Budget: &budgeter.Budgeter{}, Loads: h.tracker, NextID: h.nextID,
-	})
+	cfg.Balancer = h.balancer
+	h.router = router.New(cfg)
 	h.carryOut(h.runner.Announce(f.now, h.announced(), announceTTL))
 	f.nodes = append(f.nodes, h)
 	f.byName[h.ref.Node] = h
@@ -234,6 +246,9 @@
 			h.replies[a.Request.ID] = func(answer cassiatally.Answer) {
 				h.carryOut(h.runner.ChildAnswered(f.now, a.Request.ID, answer))
 			}
+			if f.gated {
+				a.Request.Sends = platformAttempts
+			}
 			h.carryOut(h.router.Submit(f.now, a.Request))
 		case cassiatally.Withdraw:
 			delete(h.replies, a.Call)
@@ -275,7 +290,11 @@
 		if x.ended {
 			return
 		}
-		if h.spec.calls == "" {
+		if h.spec.failing > 0 && f.rand.Float64() < h.spec.failing {
+			h.endRun(x, cassiatally.RunResult{Kind: cassiatally.ResultAnswered, Status: 500})
+			return
+		}
+		if h.spec.calls == "" || c.Work == lightWork {
 			h.endRun(x, cassiatally.RunResult{Kind: cassiatally.ResultAnswered, Status: 200})
 			return
 		}
--- a/cassiatally/runner/recoverytest/recovery_test.go
+++ b/cassiatally/runner/recoverytest/recovery_test.go
@@ -38,10 +38,10 @@
 )
 
 var services = []serviceSpec{
-	{bottleneck, 15, 200 * time.Millisecond, ""},
-	{"booking-svc", 110, 20 * time.Millisecond, bottleneck},
-	{"dispatch-svc", 110, 20 * time.Millisecond, bottleneck},
-	{"depot-svc", 110, 20 * time.Millisecond, bottleneck},
+	{bottleneck, 15, 200 * time.Millisecond, "", 0},
+	{"booking-svc", 110, 20 * time.Millisecond, bottleneck, 0},
+	{"dispatch-svc", 110, 20 * time.Millisecond, bottleneck, 0},
+	{"depot-svc", 110, 20 * time.Millisecond, bottleneck, 0},
 }
 
 var classes = []class{
@@ -65,7 +65,7 @@
 }
 
 func simulateSlowDown(seed uint64, trace bool) outcome {
-	f := newFleet(seed, services, shares)
+	f := newFleet(seed, services, shares, false)
 	start := f.now
 	from := start.Add(warmUpTime + timeBefore)
 	to := from.Add(slowTime)
--- a/node/gatekeeper/build.go
+++ b/node/gatekeeper/build.go
@@ -98,7 +98,7 @@
 
 func (g *Gatekeeper) buildDispatcher() {
 	b := &balancer.Balancer{Rand: newRand(), DataCentre: g.Settings.DataCentre, RelativeMargin: remoteMargin, SlowStart: noSlowStart}
-	loads := &loadtracker.Tracker{}
+	loads := &loadtracker.Tracker{FairTenants: true}
 	g.dispatcher = &dispatcher.Dispatcher{
 		Balancer:  b,
 		Loads:     loads,
