--- a/cassiatally/backend.go
+++ b/cassiatally/backend.go
@@ -75,6 +75,10 @@
 	Instance InstanceID
 	Healthy  bool
 	Slots    Concurrency
+	// Occupancy is the number of requests that the backend server runs and queues.
+	Occupancy Concurrency
+	// Slowdown is the one of its machine.
+	Slowdown Slowdown
 }
 
 // BackendProber checks the health of the backend server of this host.
--- a/node/gatekeeper/build.go
+++ b/node/gatekeeper/build.go
@@ -98,7 +98,7 @@
 
 func (g *Gatekeeper) buildDispatcher() {
 	b := &balancer.Balancer{Rand: newRand(), DataCentre: g.Settings.DataCentre, RelativeMargin: remoteMargin, SlowStart: noSlowStart}
-	loads := &loadtracker.Tracker{}
+	loads := &loadtracker.Tracker{FairTenants: true}
 	g.dispatcher = &dispatcher.Dispatcher{
 		Balancer:  b,
 		Loads:     loads,
@@ -149,6 +149,10 @@
 		OnEndpoint:  g.members.SetEndpoint,
 		OnQueueWait: g.metrics.QueueWait,
 		OnNotice:    g.reportNotice,
+		OnMachineLoad: func(m runner.MachineLoad) {
+			g.metrics.Gauge("backend_slowdown", float64(m.Slowdown))
+			g.metrics.Gauge("backend_detached_requests", float64(m.Detached))
+		},
 	}
 }
 
