--- a/cassiatally/message.go
+++ b/cassiatally/message.go
@@ -129,9 +129,10 @@
 	QueuedOnly bool
 }
 
-// RunQuery queries the outcome of a Call whose link was lost. A node that has not
-// received the call voids its id, so that a delayed copy is never run. Target is the
-// incarnation that the call was sent to; another one has no record of it.
+// RunQuery queries the outcome of a non-idempotent Call whose link was lost. A node that
+// has not received the call voids its id, so that a delayed copy is never run. Target is
+// the incarnation that the call was sent to; another one has no record of it. It is 0 when
+// the sender is not certain of the incarnation.
 type RunQuery struct {
 	ID     CallID
 	Target Incarnation
--- /dev/null
+++ b/cassiatally/outcomekeeper/keeper.go
@@ -0,0 +1,124 @@
+// Package outcomekeeper keeps the outcomes of finished calls for senders that have lost
+// the link on which the answer was sent, and states for which other calls the lack of an
+// outcome is evidence.
+//
+// An outcome is kept until its deadline and is never dropped earlier: while there is no
+// room, calls whose outcome would have to be kept must be refused before they run. Of the
+// outcomes that were dropped the keeper retains the highest sequence number of each
+// origin. An origin numbers its calls in ascending order, so a call with a higher number
+// has no outcome here only if it has not run.
+//
+// # Usage
+//
+//	k := &outcomekeeper.Keeper{MaxOutcomes: 16384}
+//	if !k.HasRoom(reserved) { refuse(call) }
+//	k.Keep(answer, expires)
+//	if answer, ok := k.Find(id); ok { send(answer) }
+//	if k.MayHaveForgotten(id) { say(unknown) }
+//	k.Expire(now)
+//
+// A Keeper is not safe for concurrent use.
+package outcomekeeper
+
+import (
+	"container/heap"
+
+	"github.com/cassiatally/cassiatally/cassiatally"
+)
+
+const (
+	defaultMaxOutcomes = 16384
+	// maxOrigins bounds the origins whose highest dropped number is retained. An origin
+	// is one start of one node.
+	maxOrigins = 4096
+)
+
+// Keeper holds the outcomes. Its fields are set before its first use.
+type Keeper struct {
+	// MaxOutcomes bounds the number of outcomes; 0 means 16,384, which is 16 s of 1,000
+	// calls a second.
+	MaxOutcomes int
+
+	answers map[cassiatally.CallID]cassiatally.Answer
+	expiry  expiryHeap
+	// forgotten has the highest dropped sequence number of each origin.
+	forgotten map[cassiatally.CallOrigin]uint64
+	// originsDropped is set once entries of forgotten were dropped, so that an origin
+	// without an entry proves nothing any more.
+	originsDropped bool
+}
+
+// HasRoom reports whether the outcome of one more call can be kept, beside those of
+// reserved calls that have not ended.
+func (k *Keeper) HasRoom(reserved int) bool {
+	limit := k.MaxOutcomes
+	if limit == 0 {
+		limit = defaultMaxOutcomes
+	}
+	return len(k.answers)+reserved < limit
+}
+
+// Keep stores the answer to a call until it expires.
+func (k *Keeper) Keep(a cassiatally.Answer, expires cassiatally.Instant) {
+	if k.answers == nil {
+		k.answers = make(map[cassiatally.CallID]cassiatally.Answer)
+	}
+	if _, exists := k.answers[a.ID]; exists {
+		return
+	}
+	k.answers[a.ID] = a
+	heap.Push(&k.expiry, entry{expires: expires, id: a.ID})
+}
+
+// Find returns the stored answer to a call.
+func (k *Keeper) Find(id cassiatally.CallID) (cassiatally.Answer, bool) {
+	a, ok := k.answers[id]
+	return a, ok
+}
+
+// Len returns the number of stored outcomes.
+func (k *Keeper) Len() int { return len(k.answers) }
+
+// Expire drops the outcomes that have expired.
+func (k *Keeper) Expire(now cassiatally.Instant) {
+	for len(k.expiry) > 0 && now.Reached(k.expiry[0].expires) {
+		e := heap.Pop(&k.expiry).(entry)
+		delete(k.answers, e.id)
+		k.recordForgotten(e.id)
+	}
+}
+
+// MayHaveForgotten reports whether a call may have had an outcome that was dropped.
+func (k *Keeper) MayHaveForgotten(id cassiatally.CallID) bool {
+	highest, ok := k.forgotten[id.Origin]
+	return (ok && id.Seq <= highest) || (!ok && k.originsDropped)
+}
+
+func (k *Keeper) recordForgotten(id cassiatally.CallID) {
+	if k.forgotten == nil {
+		k.forgotten = make(map[cassiatally.CallOrigin]uint64)
+	}
+	if _, ok := k.forgotten[id.Origin]; !ok && len(k.forgotten) >= maxOrigins {
+		clear(k.forgotten)
+		k.originsDropped = true
+	}
+	k.forgotten[id.Origin] = max(k.forgotten[id.Origin], id.Seq)
+}
+
+type entry struct {
+	expires cassiatally.Instant
+	id      cassiatally.CallID
+}
+
+type expiryHeap []entry
+
+func (h expiryHeap) Len() int           { return len(h) }
+func (h expiryHeap) Less(i, j int) bool { return h[i].expires < h[j].expires }
+func (h expiryHeap) Swap(i, j int)      { h[i], h[j] = h[j], h[i] }
+func (h *expiryHeap) Push(x any)        { *h = append(*h, x.(entry)) }
+func (h *expiryHeap) Pop() any {
+	old := *h
+	last := old[len(old)-1]
+	*h = old[:len(old)-1]
+	return last
+}
--- a/cassiatally/router/answer.go
+++ b/cassiatally/router/answer.go
@@ -239,13 +239,17 @@
 	return r.cfg.Budget.TakeRetry(now, p.servicePair(), p.req.Policy.Rank, r.cfg.Loads.Level(now, p.req.Service, p.req.Policy.Rank))
 }
 
+// LinkOpened records that a link to a node was opened. Calls that were sent before may
+// have gone to an earlier incarnation of the node, of which a later one knows nothing.
+func (r *Router) LinkOpened(peer cassiatally.NodeRef) { r.incarnations[peer.Node] = peer.Incarnation }
+
 // LinkLost handles the loss of the link to a node. Idempotent calls are retried
 // within the retry budget, claims are sent again, and for all other calls the outcome
 // is queried.
 func (r *Router) LinkLost(now cassiatally.Instant, peer cassiatally.NodeRef) []cassiatally.Action {
 	var actions []cassiatally.Action
 	for _, p := range r.attemptsTo(peer.Node) {
-		actions = append(actions, r.handleLostAttempt(now, p, peer)...)
+		actions = append(actions, r.handleLostAttempt(now, p)...)
 	}
 	return actions
 }
@@ -298,7 +302,7 @@
 	return out
 }
 
-func (r *Router) handleLostAttempt(now cassiatally.Instant, p *pending, peer cassiatally.NodeRef) []cassiatally.Action {
+func (r *Router) handleLostAttempt(now cassiatally.Instant, p *pending) []cassiatally.Action {
 	switch {
 	case p.isClaim:
 		r.finishAttempt(now, p, cassiatally.CallResult{Failed: true})
@@ -320,7 +324,6 @@
 		return r.deliver(now, p, refusal(cassiatally.KindUnreachable, "the connection to the node was lost"))
 	default:
 		p.querying = true
-		p.queriedIncarnation = peer.Incarnation
 		return r.queryRun(now, p)
 	}
 }
@@ -335,7 +338,7 @@
 	r.scheduleWake(p, now.Add(queryInterval))
 	return []cassiatally.Action{cassiatally.Send{
 		To:      p.target,
-		Message: cassiatally.RunQuery{ID: p.attempt, Target: p.queriedIncarnation, Request: p.tag},
+		Message: cassiatally.RunQuery{ID: p.attempt, Target: p.sentTo, Request: p.tag},
 	}}
 }
 
--- a/cassiatally/router/router.go
+++ b/cassiatally/router/router.go
@@ -98,6 +98,9 @@
 	counts   Counts
 	// notices has what the backend server beside a node has stated in its last answer.
 	notices map[cassiatally.NodeID]*cassiatally.Notice
+	// incarnations has the incarnation of each node at the other end of the last link that
+	// was opened.
+	incarnations map[cassiatally.NodeID]cassiatally.Incarnation
 	// firstRequestAt is when the first request was submitted.
 	firstRequestAt cassiatally.Instant
 	// recalled is set once Recall was called: nothing is sent to an endpoint any more.
@@ -106,14 +109,15 @@
 
 // pending is a request without a final answer and its current attempt.
 type pending struct {
-	req                cassiatally.Request
-	attempt            cassiatally.CallID
-	tag                cassiatally.RequestTag
-	target             cassiatally.NodeID
-	queriedIncarnation cassiatally.Incarnation
-	isClaim            bool
-	querying           bool
-	waiting            bool
+	req     cassiatally.Request
+	attempt cassiatally.CallID
+	tag     cassiatally.RequestTag
+	target  cassiatally.NodeID
+	// sentTo is the incarnation that the attempt was sent to; 0 if it is not certain.
+	sentTo   cassiatally.Incarnation
+	isClaim  bool
+	querying bool
+	waiting  bool
 	// mayHaveRun is set when an earlier attempt may have been run, so that a refusal of
 	// a later one does not prove that the request was not run.
 	mayHaveRun bool
@@ -142,6 +146,8 @@
 		pending:  make(map[cassiatally.CallID]*pending),
 		attempts: make(map[cassiatally.CallID]*pending),
 		notices:  make(map[cassiatally.NodeID]*cassiatally.Notice),
+
+		incarnations: make(map[cassiatally.NodeID]cassiatally.Incarnation),
 	}
 }
 
@@ -263,6 +269,7 @@
 	}
 	p.attempt = r.cfg.NextID()
 	p.target = to
+	p.sentTo = r.incarnations[to]
 	p.sentAt = now
 	p.waiting = false
 	p.querying = false
--- a/cassiatally/router/router_test.go
+++ b/cassiatally/router/router_test.go
@@ -379,6 +379,7 @@
 func TestLostLink(t *testing.T) {
 	is := is.New(t)
 	h := newHarness([]cassiatally.NodeID{"a", "b"}, stubBudget{}, stubLoads{})
+	h.LinkOpened(cassiatally.NodeRef{Node: "a", Incarnation: 4})
 	to, call := sent(t, h.Submit(start, request(false)))
 	actions := h.LinkLost(start, cassiatally.NodeRef{Node: to, Incarnation: 4})
 	is.Equal(len(actions), 1)
@@ -387,6 +388,32 @@
 	is.Equal(delivered(t, h.HandleAnswer(start, to, ran)).Outcome, cassiatally.OutcomeRan)
 }
 
+// Guards against a later incarnation, which has no record of the call, being asked as if
+// the call had been sent to it: it would state that the call never arrived. The link to
+// the later one may be lost before the end of the link that the call was sent on is
+// noticed.
+func TestQueryNamesTheIncarnationOfTheCall(t *testing.T) {
+	for name, c := range map[string]struct {
+		opened []cassiatally.Incarnation
+		target cassiatally.Incarnation
+	}{
+		"restarted since": {[]cassiatally.Incarnation{4}, 4},
+		"not known":       {nil, 0},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			h := newHarness([]cassiatally.NodeID{"a", "b"}, stubBudget{}, stubLoads{})
+			for _, i := range c.opened {
+				h.LinkOpened(cassiatally.NodeRef{Node: "a", Incarnation: i})
+			}
+			to, call := sent(t, h.Submit(start, request(false)))
+			h.LinkOpened(cassiatally.NodeRef{Node: to, Incarnation: 5})
+			actions := h.LinkLost(start, cassiatally.NodeRef{Node: to, Incarnation: 5})
+			is.Equal(actions[0], cassiatally.Action(cassiatally.Send{To: to, Message: cassiatally.RunQuery{ID: call.ID, Target: c.target, Request: call.Tag()}}))
+		})
+	}
+}
+
 // Guards against a claim that fails although another holder can accept it.
 func TestClaimFollowsItsHolder(t *testing.T) {
 	is := is.New(t)
--- a/cassiatally/runner/crash.go
+++ b/cassiatally/runner/crash.go
@@ -69,7 +69,7 @@
 	}
 	for _, c := range r.unacknowledgedCrashes {
 		if rec.lastCrash < c.number {
-			r.storeAnswer(now, rec, a)
+			r.setAnswer(now, rec, a)
 			rec.answerWithheld = true
 			c.brokenRuns = append(c.brokenRuns, rec)
 			return actions
@@ -86,10 +86,17 @@
 	r.lastCrashAt = now
 	inFlight := []cassiatally.Fingerprint{broken.fingerprint}
 	for _, rec := range r.records {
-		if rec != broken && rec.mayHaveCausedCrash(now) {
+		if rec != broken && rec.phase == phaseRunning {
 			inFlight = append(inFlight, rec.fingerprint)
 		}
 	}
+	// The backend server may work on a request for a while after its deadline or its
+	// cancellation.
+	for _, c := range r.cutOffs {
+		if now.Sub(c.ended) <= crashWindow {
+			inFlight = append(inFlight, c.fingerprint)
+		}
+	}
 	r.quarantine.Crashed(now, inFlight)
 	r.endpoint.State = cassiatally.EndpointNone
 	peers := slices.Clone(r.peers[r.endpoint.Service])
@@ -104,12 +111,6 @@
 	return c.sendReports(actions, r.self)
 }
 
-// mayHaveCausedCrash reports whether the backend server may have been working on
-// the request, which it may do for a while after the deadline or a cancellation.
-func (rec *record) mayHaveCausedCrash(now cassiatally.Instant) bool {
-	return rec.phase == phaseRunning || (rec.cutOff && now.Sub(rec.ended) <= crashWindow)
-}
-
 func (c *crash) sendReports(actions []cassiatally.Action, self cassiatally.NodeRef) []cassiatally.Action {
 	for _, n := range c.unacknowledgedBy {
 		actions = append(actions, cassiatally.Send{To: n, Message: cassiatally.Gossip{
@@ -141,6 +142,7 @@
 		}
 		for _, rec := range c.brokenRuns {
 			rec.answerWithheld = false
+			r.remember(rec)
 			actions = append(actions, cassiatally.Send{To: rec.from, Message: rec.answer})
 		}
 		return true
--- a/cassiatally/runner/refusals.go
+++ b/cassiatally/runner/refusals.go
@@ -8,7 +8,7 @@
 		if !ok || rec.phase != phaseQueued {
 			continue
 		}
-		delete(r.records, d.ID)
+		r.removeRecord(rec)
 		r.countShed(rec.call.Rank, d.Kind)
 		actions = r.refuse(actions, rec.from, rec.call, d.Kind, "refused before the backend server")
 	}
@@ -56,14 +56,15 @@
 	return levels
 }
 
-// finishCall answers a call and keeps the answer for a sender whose link was lost.
+// finishCall answers a call and keeps the answer if the sender may query it.
 func (r *Runner) finishCall(actions []cassiatally.Action, now cassiatally.Instant, rec *record, a cassiatally.Answer) []cassiatally.Action {
-	r.storeAnswer(now, rec, a)
+	r.setAnswer(now, rec, a)
+	r.remember(rec)
 	return append(actions, cassiatally.Send{To: rec.from, Message: rec.answer})
 }
 
-// storeAnswer marks the call as finished and stores its answer without sending it.
-func (r *Runner) storeAnswer(now cassiatally.Instant, rec *record, a cassiatally.Answer) {
+// setAnswer marks the call as finished and sets its answer.
+func (r *Runner) setAnswer(now cassiatally.Instant, rec *record, a cassiatally.Answer) {
 	a.ID = rec.call.ID
 	a.Request = rec.call.Tag()
 	a.Endpoint = r.load()
@@ -71,14 +72,15 @@
 	a.Notice = r.stated()
 	a.RetriesSpent = rec.children.retriesSpent
 	rec.phase = phaseFinished
-	rec.ended = now
+	if rec.cutOff {
+		r.recordCutOff(now, rec)
+	}
 	if r.runsByName[rec.call.Name] == rec.call.ID {
 		delete(r.runsByName, rec.call.Name)
 	}
 	rec.answer = a
 	rec.call.Body = nil
 	rec.children.calls, rec.children.attempts = nil, nil
-	r.retainFinished(rec.call.ID)
 }
 
 func notRun(id cassiatally.CallID, kind cassiatally.ErrorKind, detail string) cassiatally.Answer {
--- a/cassiatally/runner/runner.go
+++ b/cassiatally/runner/runner.go
@@ -28,19 +28,12 @@
 	"github.com/cassiatally/cassiatally/cassiatally"
 	"github.com/cassiatally/cassiatally/cassiatally/failuremeter"
 	"github.com/cassiatally/cassiatally/cassiatally/noticetracker"
+	"github.com/cassiatally/cassiatally/cassiatally/outcomekeeper"
 	"github.com/cassiatally/cassiatally/cassiatally/ratelimiter"
 )
 
-const (
-	// finishedRetention is how long the answer of a finished call is kept for a
-	// sender whose link was lost. It exceeds the time after which a link counts as
-	// dead.
-	finishedRetention = 10 * time.Second
-	// maxFinished bounds the finished and voided calls that are kept.
-	maxFinished = 4096
-	// maxHeldSuspects bounds the suspects that wait for another one to end.
-	maxHeldSuspects = 64
-)
+// maxHeldSuspects bounds the suspects that wait for another one to end.
+const maxHeldSuspects = 64
 
 const quarantinedDetail = "this request crashed backend servers; do not send it again"
 
@@ -49,8 +42,9 @@
 const (
 	phaseQueued phase = iota
 	phaseRunning
+	// phaseFinished is the phase of a call whose answer is withheld. Other finished calls
+	// have no record.
 	phaseFinished
-	phaseVoid
 )
 
 type record struct {
@@ -61,7 +55,6 @@
 	deadline    cassiatally.Instant
 	queued      cassiatally.Instant
 	started     cassiatally.Instant
-	ended       cassiatally.Instant
 	concurrency cassiatally.Concurrency
 	cancelled   bool
 	// lastCrash is the number of the last crash before the run started.
@@ -79,6 +72,8 @@
 	// answerWithheld is set until the peers have acknowledged the crash that broke
 	// off the run.
 	answerWithheld bool
+	// mustRemember is set when the sender may query the outcome of the call.
+	mustRemember bool
 	// cutOff is set when the run ended at its deadline or was cancelled.
 	cutOff   bool
 	answer   cassiatally.Answer
@@ -91,6 +86,9 @@
 	// Granter, if set, decides which of the calls that the backend server refused may be
 	// sent once more.
 	Granter cassiatally.RetryGranter
+	// Outcomes keeps the outcomes of the finished calls whose senders may query them. New
+	// sets it.
+	Outcomes *outcomekeeper.Keeper
 
 	self       cassiatally.NodeRef
 	admitter   cassiatally.Admitter
@@ -105,8 +103,11 @@
 	childRefs           map[cassiatally.CallID]childRef
 	// runsByName maps the ids that callers gave to their requests to the runs in
 	// flight.
-	runsByName   map[cassiatally.RequestName]cassiatally.CallID
-	finished     []cassiatally.CallID
+	runsByName map[cassiatally.RequestName]cassiatally.CallID
+	// unremembered counts the records of calls whose outcome will have to be kept.
+	unremembered int
+	// cutOffs has the runs that were cut off in the last crashWindow.
+	cutOffs      []cutOffRun
 	heldSuspects []cassiatally.CallID
 	running      int
 	peers        map[cassiatally.Service][]cassiatally.NodeID
@@ -132,6 +133,7 @@
 // onward calls.
 func New(self cassiatally.NodeRef, a cassiatally.Admitter, l cassiatally.Limiter, q cassiatally.Quarantine, nextID func() cassiatally.CallID) *Runner {
 	return &Runner{
+		Outcomes:   &outcomekeeper.Keeper{},
 		self:       self,
 		admitter:   a,
 		limiter:    l,
@@ -205,10 +207,14 @@
 // is not run again.
 func (r *Runner) HandleCall(now cassiatally.Instant, from cassiatally.NodeID, c cassiatally.Call) []cassiatally.Action {
 	if rec, ok := r.records[c.ID]; ok {
-		return r.resendAnswer(rec, from)
+		rec.from = from // the answer follows
+		return nil
+	}
+	if a, ok := r.knownOutcome(c); ok {
+		return []cassiatally.Action{cassiatally.Send{To: from, Message: a}}
 	}
 	actions := r.adoptNotice(now, c.Notice)
-	if kind, detail := r.refusal(now, c); kind != cassiatally.KindNone {
+	if kind, detail := r.refusal(now, from, c); kind != cassiatally.KindNone {
 		r.countShed(c.Rank, kind)
 		return r.refuse(actions, from, c, kind, detail)
 	}
@@ -218,10 +224,13 @@
 		fingerprint: c.Fingerprint(),
 		deadline:    now.Add(c.Remaining),
 		queued:      now,
+		// Senders repeat idempotent calls instead of querying them, and this node has no
+		// link to itself that could be lost.
+		mustRemember: !c.Idempotent && from != r.self.Node,
 	}
 	rec.children.retriesLeft = c.Retries
 	rec.held = r.mustWait(now, rec, phaseQueued)
-	r.records[c.ID] = rec
+	r.addRecord(rec)
 	if rec.held {
 		r.heldSuspects = append(r.heldSuspects, c.ID)
 		return actions
@@ -268,7 +277,7 @@
 	return actions
 }
 
-func (r *Runner) refusal(now cassiatally.Instant, c cassiatally.Call) (cassiatally.ErrorKind, string) {
+func (r *Runner) refusal(now cassiatally.Instant, from cassiatally.NodeID, c cassiatally.Call) (cassiatally.ErrorKind, string) {
 	switch {
 	case r.leaving || r.endpoint.State != cassiatally.EndpointReady:
 		return cassiatally.KindDraining, "the backend server takes no new work"
@@ -276,6 +285,8 @@
 		return cassiatally.KindDraining, "the backend server of this host serves " + string(r.endpoint.Service)
 	case c.Remaining <= 0:
 		return cassiatally.KindExpired, "the deadline passed on the way"
+	case !c.Idempotent && from != r.self.Node && !r.Outcomes.HasRoom(r.unremembered):
+		return cassiatally.KindOverloaded, "the node has no room for the outcome of the call"
 	}
 	f := c.Fingerprint()
 	switch {
@@ -287,20 +298,6 @@
 	return cassiatally.KindNone, ""
 }
 
-// resendAnswer handles a call that has arrived before, or a query for it: it sends the
-// answer again if there is one, and directs a later answer to the sender.
-func (r *Runner) resendAnswer(rec *record, from cassiatally.NodeID) []cassiatally.Action {
-	rec.from = from
-	switch {
-	case rec.answerWithheld:
-		return nil
-	case rec.phase == phaseFinished, rec.phase == phaseVoid:
-		return []cassiatally.Action{cassiatally.Send{To: from, Message: rec.answer}}
-	default:
-		return nil
-	}
-}
-
 // HandleCancel removes a call from the queue, or aborts its run when it is
 // idempotent, since nobody waits for its answer any more.
 func (r *Runner) HandleCancel(now cassiatally.Instant, id cassiatally.CallID) []cassiatally.Action {
@@ -324,25 +321,7 @@
 	return nil
 }
 
-// HandleRunQuery answers a query for the outcome of a call whose link was lost. A
-// call that has not arrived is voided, so that it does not run if it arrives later.
-func (r *Runner) HandleRunQuery(now cassiatally.Instant, from cassiatally.NodeID, q cassiatally.RunQuery) []cassiatally.Action {
-	if q.Target != r.self.Incarnation {
-		a := cassiatally.Answer{ID: q.ID, Request: q.Request, Outcome: cassiatally.OutcomeUnknown, Kind: cassiatally.KindOutcomeUnknown, Detail: "the node was restarted after the call was sent"}
-		return []cassiatally.Action{cassiatally.Send{To: from, Message: a}}
-	}
-	if rec, ok := r.records[q.ID]; ok {
-		return r.resendAnswer(rec, from)
-	}
-	rec := &record{call: cassiatally.Call{ID: q.ID}, from: from, phase: phaseVoid, ended: now}
-	rec.answer = notRun(q.ID, cassiatally.KindUnreachable, "the call never arrived")
-	rec.answer.Request = q.Request
-	r.records[q.ID] = rec
-	r.retainFinished(q.ID)
-	return []cassiatally.Action{cassiatally.Send{To: from, Message: rec.answer}}
-}
-
-// Tick withdraws an endpoint whose announcement has expired, evicts finished calls,
+// Tick withdraws an endpoint whose announcement has expired, drops outcomes whose deadline has passed,
 // passes the concurrency limit to the admitter, resends crash reports, aborts
 // stalled runs and starts queued calls.
 func (r *Runner) Tick(now cassiatally.Instant) []cassiatally.Action {
@@ -350,26 +329,13 @@
 	if r.endpoint.State != cassiatally.EndpointNone && now.Reached(r.announcementExpires) {
 		actions = r.Withdraw(now)
 	}
-	r.evictFinished(now)
+	r.Outcomes.Expire(now)
 	r.failureRate = r.failures.Rate(now)
 	r.admitter.Tick(now, r.limiter.Limit())
 	actions = r.resendCrashReports(actions, now)
 	return r.startQueued(now, r.abortStalledRuns(r.queueHeldSuspects(actions, now), now))
 }
 
-func (r *Runner) evictFinished(now cassiatally.Instant) {
-	for len(r.finished) > 0 {
-		rec := r.records[r.finished[0]]
-		if rec != nil && now.Sub(rec.ended) < finishedRetention && len(r.finished) <= maxFinished {
-			return
-		}
-		delete(r.records, r.finished[0])
-		r.finished = r.finished[1:]
-	}
-}
-
-func (r *Runner) retainFinished(id cassiatally.CallID) { r.finished = append(r.finished, id) }
-
 func (r *Runner) startQueued(now cassiatally.Instant, actions []cassiatally.Action) []cassiatally.Action {
 	if r.endpoint.State == cassiatally.EndpointNone {
 		return actions
--- a/node/dispatcher/dispatcher.go
+++ b/node/dispatcher/dispatcher.go
@@ -193,7 +193,7 @@
 
 // LinkResponding queues the event that a link to a node has opened, or that a message
 // has arrived on a silent one. It is dropped when the inbox is full; the endpoint is
-// tried again later.
+// tried again later, and calls to a restarted node that have no outcome count as unknown.
 func (d *Dispatcher) LinkResponding(peer cassiatally.NodeRef) {
 	d.inbox.Offer(respondingEvent{peer: peer}, 0)
 }
@@ -266,6 +266,7 @@
 }
 
 func (e respondingEvent) apply(d *Dispatcher, _ cassiatally.Instant) {
+	d.Router.LinkOpened(e.peer)
 	d.Balancer.MarkResponding(e.peer.Node)
 }
 
--- a/node/supervisor/supervisor.go
+++ b/node/supervisor/supervisor.go
@@ -149,6 +149,7 @@
 		AddressOf:   func(n cassiatally.NodeID) (cassiatally.Address, bool) { return s.members.AddressOf(n) },
 		Inbound:     s.inbound,
 		Lost:        func(peer cassiatally.NodeRef) { s.dispatcher.LinkLost(peer) },
+		Responding:  func(peer cassiatally.NodeRef) { s.dispatcher.LinkResponding(peer) },
 		NewDelay:    func() func(began, ended time.Time) time.Duration { return s.pauses.NewDelay() },
 		Undelivered: func(to cassiatally.NodeID, m cassiatally.Message) { s.dispatcher.SendFailed(to, m) },
 	}
