--- a/cassiatally/instancetracker/tracker.go
+++ b/cassiatally/instancetracker/tracker.go
@@ -90,9 +90,17 @@
 }
 
 func (t *Tracker) updateCurrent(r cassiatally.InstanceReport) bool {
-	if t.currentLeft || (t.current.Sequence != 0 && r.Sequence <= t.current.Sequence) {
+	if t.currentLeft {
 		return false
 	}
+	if t.current.Sequence != 0 && r.Sequence <= t.current.Sequence {
+		if r.State != cassiatally.EndpointDraining || t.current.State == cassiatally.EndpointDraining {
+			return false
+		}
+		// An instance that drains does so to its end, however late its report arrives.
+		t.current.State = cassiatally.EndpointDraining
+		return true
+	}
 	if t.current.State == cassiatally.EndpointDraining {
 		// A draining instance does not become ready again.
 		r.State = cassiatally.EndpointDraining
@@ -104,6 +112,11 @@
 	return true
 }
 
+// Discard forgets the current instance, whose reports are then those of a new one.
+func (t *Tracker) Discard() {
+	t.current, t.hasCurrent, t.currentLeft = cassiatally.InstanceReport{}, false, false
+}
+
 // RecordLeave records that an instance has left and returns whether it was the
 // current one.
 func (t *Tracker) RecordLeave(now cassiatally.Instant, id cassiatally.InstanceID) bool {
--- a/cassiatally/instancetracker/tracker_test.go
+++ b/cassiatally/instancetracker/tracker_test.go
@@ -31,6 +31,7 @@
 	}{
 		{"newer report", []cassiatally.InstanceReport{report("a", 5, 1, ready), report("a", 5, 2, draining)}, "a", draining, true},
 		{"late report", []cassiatally.InstanceReport{report("a", 5, 3, draining), report("a", 5, 2, ready)}, "a", draining, false},
+		{"late report of draining", []cassiatally.InstanceReport{report("a", 5, 9, ready), report("a", 5, 2, draining)}, "a", draining, true},
 		{"drained instance reports ready", []cassiatally.InstanceReport{report("a", 5, 3, draining), report("a", 5, 4, ready)}, "a", draining, true},
 		{"new instance", []cassiatally.InstanceReport{report("a", 5, 9, ready), report("b", 6, 1, ready)}, "b", ready, true},
 		{"late report of the previous instance", []cassiatally.InstanceReport{report("a", 5, 1, ready), report("b", 6, 1, ready), report("a", 5, 2, ready)}, "b", ready, false},
--- a/node/instancekeeper/instancekeeper.go
+++ b/node/instancekeeper/instancekeeper.go
@@ -58,8 +58,10 @@
 	service atomic.Pointer[cassiatally.Service]
 	// confirmed is the last instance that was confirmed since the node started.
 	// unconfirmed counts the reports of each instance that was not.
-	confirmed   cassiatally.InstanceID
-	unconfirmed map[cassiatally.InstanceID]int
+	confirmed cassiatally.InstanceID
+	// confirmedAddress is where the last health check that succeeded was made.
+	confirmedAddress cassiatally.Address
+	unconfirmed      map[cassiatally.InstanceID]int
 	// startupProbes counts the health checks that were made without a report, and
 	// startupProbing is set while one of them is in progress.
 	startupProbes  int
@@ -76,11 +78,11 @@
 type (
 	reportEvent struct {
 		report cassiatally.InstanceReport
-		done   chan struct{}
+		done   chan bool
 	}
 	deregisterEvent struct {
 		id   cassiatally.InstanceID
-		done chan struct{}
+		done chan bool
 	}
 	routesEvent struct{ routes *matcher.Matcher }
 	expectEvent struct {
@@ -88,8 +90,9 @@
 		address cassiatally.Address
 	}
 	probeEvent struct {
-		health cassiatally.BackendHealth
-		err    error
+		address cassiatally.Address
+		health  cassiatally.BackendHealth
+		err     error
 	}
 )
 
@@ -121,15 +124,16 @@
 // LocalService returns the service of the backend server of this host.
 func (k *Keeper) LocalService() cassiatally.Service { return *k.service.Load() }
 
-// Report queues the report of an instance and waits until it is processed.
+// Report queues the report of an instance and waits until it is processed. It returns
+// false when the report is refused or could not be put in force.
 func (k *Keeper) Report(ctx context.Context, r cassiatally.InstanceReport) bool {
-	done := make(chan struct{})
+	done := make(chan bool, 1)
 	return k.inbox.Push(ctx, reportEvent{report: r, done: done}) && await(ctx, done)
 }
 
 // Deregister queues the departure of an instance and waits until it is processed.
 func (k *Keeper) Deregister(ctx context.Context, id cassiatally.InstanceID) bool {
-	done := make(chan struct{})
+	done := make(chan bool, 1)
 	return k.inbox.Push(ctx, deregisterEvent{id: id, done: done}) && await(ctx, done)
 }
 
@@ -141,10 +145,10 @@
 // SetRoutes queues the routes in force.
 func (k *Keeper) SetRoutes(m *matcher.Matcher) { k.inbox.Push(k.ctx, routesEvent{routes: m}) }
 
-func await(ctx context.Context, done chan struct{}) bool {
+func await(ctx context.Context, done chan bool) bool {
 	select {
-	case <-done:
-		return true
+	case inForce := <-done:
+		return inForce
 	case <-ctx.Done():
 		return false
 	}
@@ -152,52 +156,54 @@
 
 func (e reportEvent) apply(k *Keeper, now cassiatally.Instant) {
 	defer close(e.done)
-	if !k.accepts(e.report) {
+	r := e.report
+	if reason := k.refusal(r); reason != "" {
+		k.Logger.Warn("instance report refused", "reason", reason, "instance", r.Instance, "service", r.Service, "address", r.Address, "sequence", r.Sequence)
 		return
 	}
-	before, _ := k.Tracker.Current()
-	if !k.Tracker.Observe(now, e.report) {
-		k.Logger.Debug("instance report not used", "instance", e.report.Instance, "sequence", e.report.Sequence, "state", e.report.State, "in_place", before.Instance)
+	if !k.inPlace(r) && !k.knowsService(r.Service) {
+		// It is acknowledged, since it gets no work. The one in place may outlive its
+		// service, and has to be able to leave.
+		k.Logger.Warn("instance report of a service that the routes do not name", "instance", r.Instance, "service", r.Service, "version", k.routes.Table().Version)
+		e.done <- true
 		return
 	}
-	if before.Instance != e.report.Instance || before.State != e.report.State || before.StartedMs != e.report.StartedMs {
-		k.Logger.Info("instance in place", "instance", e.report.Instance, "service", e.report.Service, "state", e.report.State, "sequence", e.report.Sequence, "before", before.Instance)
+	if k.mustBeConfirmed(r) {
+		e.done <- true
+		return
 	}
-	k.announce()
+	e.done <- k.use(now, r)
 }
 
-// accepts reports whether a report may be used. A new instance of a service that no
-// configuration names is another writer's; the one in place may outlive its service, and
-// has to be able to leave. A restarted node has to confirm a ready
-// instance first: the report may have been sent before the instance deregistered at the
-// earlier node. If not, it starts a health check of the instance.
-func (k *Keeper) accepts(r cassiatally.InstanceReport) bool {
-	current, _ := k.Tracker.Current()
-	if r.Instance != current.Instance && !k.knowsService(r.Service) {
-		k.Logger.Warn("instance report of an unknown service", "instance", r.Instance, "service", r.Service, "version", k.routes.Table().Version)
-		return false
+// use passes a report on and returns whether what it states is in force.
+func (k *Keeper) use(now cassiatally.Instant, r cassiatally.InstanceReport) bool {
+	before, _ := k.Tracker.Current()
+	if !k.Tracker.Observe(now, r) {
+		k.Logger.Debug("instance report not used", "instance", r.Instance, "sequence", r.Sequence, "state", r.State, "in_place", before.Instance)
+		// The executor may have had no room for the same statement in an earlier report.
+		return before.Instance != r.Instance || before.State != cassiatally.EndpointDraining || k.announce()
+	}
+	if before.Instance != r.Instance || before.State != r.State || before.StartedMs != r.StartedMs {
+		k.Logger.Info("instance in place", "instance", r.Instance, "service", r.Service, "state", r.State, "sequence", r.Sequence, "before", before.Instance)
 	}
+	return k.announce()
+}
+
+// mustBeConfirmed reports whether a report of a ready instance may not be used yet. After
+// a restart of the node it may have been sent before the instance deregistered at the
+// earlier node, so that a health check or repeated reports have to confirm it.
+func (k *Keeper) mustBeConfirmed(r cassiatally.InstanceReport) bool {
 	if !k.Restarted || r.State != cassiatally.EndpointReady || r.Instance == k.confirmed {
-		return true
+		return false
 	}
 	k.unconfirmed[r.Instance]++
 	if k.unconfirmed[r.Instance] >= acceptAfterReports {
 		k.confirmed = r.Instance
-		return true
+		return false
 	}
 	k.pending = r
 	k.probe(r.Address, r.Service)
-	return false
-}
-
-// knowsService reports whether the routes in force name a service. Without routes any
-// service may be in them.
-func (k *Keeper) knowsService(s cassiatally.Service) bool {
-	if k.routes == nil {
-		return true
-	}
-	_, ok := k.routes.Table().Service(s)
-	return ok
+	return true
 }
 
 func (e deregisterEvent) apply(k *Keeper, now cassiatally.Instant) {
@@ -206,10 +212,16 @@
 		k.Logger.Info("instance left", "instance", e.id)
 		k.Backend.Withdraw()
 	}
+	e.done <- true
 }
 
 func (e routesEvent) apply(k *Keeper, _ cassiatally.Instant) {
+	first := k.routes == nil
 	k.routes = e.routes
+	if r, ok := k.Tracker.Current(); ok && first && !k.knowsService(r.Service) {
+		k.Logger.Warn("instance dropped, since the routes do not name its service", "instance", r.Instance, "service", r.Service)
+		k.Tracker.Discard()
+	}
 	k.probeExpected()
 	k.announce()
 }
@@ -236,15 +248,16 @@
 	}
 }
 
-// announce announces the current instance to the executor.
-func (k *Keeper) announce() {
+// announce announces the current instance to the executor. It returns false when the
+// executor has no room for the announcement.
+func (k *Keeper) announce() bool {
 	r, ok := k.Tracker.Current()
 	if !ok || k.routes == nil {
-		return
+		return true
 	}
 	spec, _ := k.routes.Table().Service(r.Service)
 	k.service.Store(&r.Service)
-	k.Backend.Announce(cassiatally.Announcement{
+	return k.Backend.Announce(cassiatally.Announcement{
 		Address:   r.Address,
 		Instance:  r.Instance,
 		StartedMs: r.StartedMs,
@@ -266,7 +279,7 @@
 		ctx, cancel := context.WithTimeout(k.ctx, probeTimeout)
 		defer cancel()
 		h, err := k.Prober.Probe(ctx, a, spec.HealthPath)
-		k.inbox.Push(k.ctx, probeEvent{health: h, err: err})
+		k.inbox.Push(k.ctx, probeEvent{address: a, health: h, err: err})
 	})
 	return true
 }
@@ -278,11 +291,15 @@
 		return
 	}
 	k.confirmed = e.health.Instance
+	k.confirmedAddress = e.address
 	if _, hasCurrent := k.Tracker.Current(); hasCurrent {
 		return
 	}
 	r := k.pending
 	if r.Instance != e.health.Instance {
+		if !k.Restarted || e.address != k.Address {
+			return
+		}
 		r = cassiatally.InstanceReport{
 			Instance: e.health.Instance, Service: k.Service, Address: k.Address, Slots: e.health.Slots, State: cassiatally.EndpointReady,
 		}
