--- a/cassiatally/outcomekeeper/keeper.go
+++ b/cassiatally/outcomekeeper/keeper.go
@@ -3,8 +3,9 @@
 // outcome is evidence.
 //
 // An outcome is kept until its deadline and is never dropped earlier: while there is no
-// room, calls whose outcome would have to be kept must be refused before they run. Of the
-// outcomes that were dropped the keeper retains the highest sequence number of each
+// room, calls whose outcome would have to be kept must be refused before they run. When
+// the calls in flight by then answer with more than is left, the last ones are kept
+// without their bodies. Of the outcomes that were dropped the keeper retains the highest sequence number of each
 // origin. An origin numbers its calls in ascending order, so a call with a higher number
 // has no outcome here only if it has not run.
 //
@@ -28,6 +29,14 @@
 
 const (
 	defaultMaxOutcomes = 16384
+	defaultMaxBytes    = 32 << 20
+	// outcomeBytes is the size of an outcome without its variable parts, with its places in
+	// the map and the heap.
+	outcomeBytes = 1024
+	// fieldBytes is the size of the headers of a field or a load, and more than a level.
+	fieldBytes = 48
+	// meanWeight is the weight of a new answer in the mean size.
+	meanWeight = 1.0 / 16
 	// maxOrigins bounds the origins whose highest dropped number is retained. An origin
 	// is one start of one node.
 	maxOrigins = 4096
@@ -38,9 +47,17 @@
 	// MaxOutcomes bounds the number of outcomes; 0 means 16,384, which is 16 s of 1,000
 	// calls a second.
 	MaxOutcomes int
+	// MaxBytes bounds the bytes of the outcomes; 0 means 32 MiB. They may exceed it by 1 KiB
+	// for each call that was in flight when it was reached.
+	MaxBytes int64
 
-	answers map[cassiatally.CallID]cassiatally.Answer
-	expiry  expiryHeap
+	bytes int64
+	// full is set from when an outcome lost its body until one expires.
+	full bool
+	// meanBytes is the smoothed size of the outcomes as they came.
+	meanBytes float64
+	answers   map[cassiatally.CallID]cassiatally.Answer
+	expiry    expiryHeap
 	// forgotten has the highest dropped sequence number of each origin.
 	forgotten map[cassiatally.CallOrigin]uint64
 	// originsDropped is set once entries of forgotten were dropped, so that an origin
@@ -55,9 +72,21 @@
 	if limit == 0 {
 		limit = defaultMaxOutcomes
 	}
-	return len(k.answers)+reserved < limit
+	mean := int64(max(k.meanBytes, outcomeBytes))
+	return !k.full && len(k.answers)+reserved < limit && k.bytes+int64(reserved+1)*mean <= k.ByteLimit()
 }
 
+// ByteLimit returns the bound of the bytes of the outcomes.
+func (k *Keeper) ByteLimit() int64 {
+	if k.MaxBytes == 0 {
+		return defaultMaxBytes
+	}
+	return k.MaxBytes
+}
+
+// Bytes returns the size of the stored outcomes.
+func (k *Keeper) Bytes() int64 { return k.bytes }
+
 // Keep stores the answer to a call until it expires.
 func (k *Keeper) Keep(a cassiatally.Answer, expires cassiatally.Instant) {
 	if k.answers == nil {
@@ -66,6 +95,17 @@
 	if _, exists := k.answers[a.ID]; exists {
 		return
 	}
+	size := sizeOf(a)
+	if k.meanBytes == 0 {
+		k.meanBytes = float64(size)
+	}
+	k.meanBytes += meanWeight * (float64(size) - k.meanBytes)
+	if k.bytes+size > k.ByteLimit() {
+		k.full = true
+		a = withoutBody(a)
+		size = sizeOf(a)
+	}
+	k.bytes += size
 	k.answers[a.ID] = a
 	heap.Push(&k.expiry, entry{expires: expires, id: a.ID})
 }
@@ -83,6 +123,8 @@
 func (k *Keeper) Expire(now cassiatally.Instant) {
 	for len(k.expiry) > 0 && now.Reached(k.expiry[0].expires) {
 		e := heap.Pop(&k.expiry).(entry)
+		k.full = false
+		k.bytes -= sizeOf(k.answers[e.id])
 		delete(k.answers, e.id)
 		k.recordForgotten(e.id)
 	}
@@ -105,6 +147,30 @@
 	k.forgotten[id.Origin] = max(k.forgotten[id.Origin], id.Seq)
 }
 
+// withoutBody returns an answer that states the outcome of a, and that its content is no
+// longer there.
+func withoutBody(a cassiatally.Answer) cassiatally.Answer {
+	kind := a.Kind
+	if a.Outcome == cassiatally.OutcomeRan {
+		kind = cassiatally.KindIncompleteAnswer
+	}
+	return cassiatally.Answer{
+		ID: a.ID, Request: a.Request, Outcome: a.Outcome, Kind: kind, Detail: "the node has no room for the answer",
+		RetriesSpent: a.RetriesSpent, Endpoint: a.Endpoint,
+	}
+}
+
+func sizeOf(a cassiatally.Answer) int64 {
+	n := outcomeBytes + len(a.Body) + len(a.Detail) + len(a.ContentType)
+	for _, f := range a.Fields {
+		n += len(f.Name) + len(f.Value)
+	}
+	for _, l := range a.Loads {
+		n += len(l.Service) + fieldBytes*(len(l.Levels)+1)
+	}
+	return int64(n + fieldBytes*len(a.Fields))
+}
+
 type entry struct {
 	expires cassiatally.Instant
 	id      cassiatally.CallID
--- a/cassiatally/runner/counts.go
+++ b/cassiatally/runner/counts.go
@@ -28,6 +28,9 @@
 	QueueWait [cassiatally.MaxRanks]QueueWait
 	// LateResults counts the results for runs that had already been answered.
 	LateResults uint64
+	// KeptAnswerBytes is the size of the answers that are kept for senders which may ask for
+	// them, and UnsentAnswerBytes that of those which wait to be written.
+	KeptAnswerBytes, UnsentAnswerBytes int64
 	// Crashes counts the crashes of the backend server that broke off runs.
 	Crashes uint64
 }
@@ -39,7 +42,7 @@
 
 // Counts returns a copy of the totals so far.
 func (r *Runner) Counts() Counts {
-	c := Counts{QueueWait: r.queueWait, LateResults: r.lateResults, Crashes: uint64(r.crashes)}
+	c := Counts{QueueWait: r.queueWait, LateResults: r.lateResults, Crashes: uint64(r.crashes), KeptAnswerBytes: r.Outcomes.Bytes(), UnsentAnswerBytes: r.unsentAnswerBytes}
 	for k, n := range r.sheds {
 		c.Sheds = append(c.Sheds, Shed{Kind: k.kind, Rank: k.rank, Count: n})
 	}
--- a/cassiatally/runner/outcomes.go
+++ b/cassiatally/runner/outcomes.go
@@ -28,6 +28,10 @@
 	r.cutOffs = append(r.cutOffs, cutOffRun{fingerprint: rec.fingerprint, ended: now})
 }
 
+// SetUnsentAnswerBytes records the size of the answers that wait to be written to other
+// nodes. Calls of other nodes are refused while it is at the bound of the answers kept.
+func (r *Runner) SetUnsentAnswerBytes(n int64) { r.unsentAnswerBytes = n }
+
 func (r *Runner) addRecord(rec *record) {
 	r.records[rec.call.ID] = rec
 	if rec.mustRemember {
--- a/cassiatally/runner/runner.go
+++ b/cassiatally/runner/runner.go
@@ -106,6 +106,8 @@
 	runsByName map[cassiatally.RequestName]cassiatally.CallID
 	// unremembered counts the records of calls whose outcome will have to be kept.
 	unremembered int
+	// unsentAnswerBytes is the size of the answers that wait to be written.
+	unsentAnswerBytes int64
 	// cutOffs has the runs that were cut off in the last crashWindow.
 	cutOffs      []cutOffRun
 	heldSuspects []cassiatally.CallID
@@ -285,6 +287,8 @@
 		return cassiatally.KindDraining, "the backend server of this host serves " + string(r.endpoint.Service)
 	case c.Remaining <= 0:
 		return cassiatally.KindExpired, "the deadline passed on the way"
+	case from != r.self.Node && r.unsentAnswerBytes >= r.Outcomes.ByteLimit():
+		return cassiatally.KindOverloaded, "too many bytes of answers wait to be written"
 	case !c.Idempotent && from != r.self.Node && !r.Outcomes.HasRoom(r.unremembered):
 		return cassiatally.KindOverloaded, "the node has no room for the outcome of the call"
 	}
--- a/cassiatally/units.go
+++ b/cassiatally/units.go
@@ -34,6 +34,8 @@
 	Rate float64
 	// Concurrency counts requests that run at the same time.
 	Concurrency int
+	// Bytes is an amount of memory.
+	Bytes int64
 	// RetryCount counts retries.
 	RetryCount uint8
 	// Depth counts the calls between a root request and a call in its chain.
--- a/node/executor/events.go
+++ b/node/executor/events.go
@@ -54,6 +54,9 @@
 )
 
 func (e callEvent) apply(x *Executor, now cassiatally.Instant) {
+	if x.UnsentAnswerBytes != nil {
+		x.Runner.SetUnsentAnswerBytes(x.UnsentAnswerBytes())
+	}
 	actions := x.Runner.HandleCall(now, e.from, e.call)
 	x.reportNotice(now, string(e.from), e.call.Name)
 	x.logRefusal(e, actions)
--- a/node/executor/executor.go
+++ b/node/executor/executor.go
@@ -57,6 +57,9 @@
 	// AnswerGrace is how long after the deadline of a run its answer may still arrive.
 	AnswerGrace time.Duration
 	Logger      cassiatally.Logger
+	// UnsentAnswerBytes, if set, returns the size of the answers that wait to be written to
+	// other nodes.
+	UnsentAnswerBytes func() int64
 	// OnQueueWait is called with the time that each started call spent in the queue;
 	// it must not block.
 	OnQueueWait func(cassiatally.Rank, time.Duration)
--- a/node/gatekeeper/build.go
+++ b/node/gatekeeper/build.go
@@ -11,6 +11,7 @@
 	"github.com/cassiatally/cassiatally/cassiatally/instancetracker"
 	"github.com/cassiatally/cassiatally/cassiatally/loadtracker"
 	"github.com/cassiatally/cassiatally/cassiatally/matcher"
+	"github.com/cassiatally/cassiatally/cassiatally/outcomekeeper"
 	"github.com/cassiatally/cassiatally/cassiatally/protocol"
 	"github.com/cassiatally/cassiatally/cassiatally/quarantiner"
 	"github.com/cassiatally/cassiatally/cassiatally/registrar"
@@ -135,6 +136,7 @@
 func (g *Gatekeeper) buildExecutor() {
 	quarantine := quarantiner.New(g.self)
 	r := runner.New(g.self, &admitter.Admitter{Proportion: reservedProportion}, &fixedlimiter.Limiter{UseSlots: true, Fraction: usedSlots}, quarantine, g.nextID)
+	r.Outcomes = &outcomekeeper.Keeper{MaxBytes: int64(g.Settings.Memory) / keptAnswersDivisor}
 	r.Granter = &granter.Granter{Ratio: g.Settings.RetryRatio, Window: g.Settings.RetryWindow}
 	g.executor = &executor.Executor{
 		Runner:      r,
@@ -149,6 +151,8 @@
 		OnEndpoint:  g.members.SetEndpoint,
 		OnQueueWait: g.metrics.QueueWait,
 		OnNotice:    g.reportNotice,
+
+		UnsentAnswerBytes: g.links.UnsentAnswerBytes,
 	}
 }
 
@@ -166,6 +170,11 @@
 	g.metrics.Gauge("backend_leaving", leaving)
 }
 
+// reportAnswerBytes sets the gauge of the answers that this node holds.
+func (g *Gatekeeper) reportAnswerBytes() {
+	g.metrics.Gauge("answer_bytes", float64(g.executor.Counts().KeptAnswerBytes+g.links.UnsentAnswerBytes()))
+}
+
 func (g *Gatekeeper) buildKeepers() {
 	g.routes = &routekeeper.Keeper{
 		Source:    g.Source,
@@ -184,7 +193,10 @@
 		Address:   g.Settings.Backend,
 		Restarted: g.Settings.Restarted,
 	}
-	g.flusher = &flusher{clock: g.Clock, flush: g.logs.Flush}
+	g.flusher = &flusher{clock: g.Clock, flush: func() {
+		g.logs.Flush()
+		g.reportAnswerBytes()
+	}}
 	g.pauses = &pausemeter.Meter{Clock: g.Clock, Uptime: pausemeter.Uptime}
 }
 
--- a/node/gatekeeper/drain_test.go
+++ b/node/gatekeeper/drain_test.go
@@ -33,7 +33,8 @@
 	}}
 	f := &fleet{store: newStore()}
 	f.store.publish(table(3))
-	b := f.add(t, gatekeeper.Settings{Node: "b", Service: "avail-svc"}, avail, false)
+	// The host has room for all answers at the same time.
+	b := f.add(t, gatekeeper.Settings{Node: "b", Service: "avail-svc", Memory: 16 * calls * bodyBytes}, avail, false)
 	is.True(b.Report(context.Background(), report("avail-svc", cassiatally.EndpointReady, 1)))
 
 	whole := make(chan cassiatally.CallID, calls)
--- a/node/gatekeeper/gatekeeper.go
+++ b/node/gatekeeper/gatekeeper.go
@@ -37,6 +37,10 @@
 )
 
 const (
+	// keptAnswersDivisor sets the bound of the answers that are kept for senders, and of
+	// those that wait to be written, as a part of the memory. Live bytes may take twice their
+	// size between collections, so that each of the two takes a quarter at most.
+	keptAnswersDivisor = 8
 	// outboxSize bounds the messages that wait to be written to one link.
 	outboxSize = 4096
 	// When a data centre is cut off, requests in flight lose linkDeadAfter of their
@@ -98,6 +102,8 @@
 	// RetryWindow.
 	RetryRatio  float64
 	RetryWindow time.Duration
+	// Memory is that of the host for this process; 0 means a default for each bound.
+	Memory cassiatally.Bytes
 }
 
 // Gatekeeper is a node with its duties. Its fields are set before Run.
--- a/node/linker/link.go
+++ b/node/linker/link.go
@@ -86,8 +86,9 @@
 }
 
 func (k *link) countUnsent(m cassiatally.Message, delta int64) {
-	if _, ok := m.(cassiatally.Answer); ok {
+	if a, ok := m.(cassiatally.Answer); ok {
 		k.unsentAnswers.Add(delta)
+		k.owner.unsentAnswerBytes.Add(delta * int64(len(a.Body)))
 	}
 }
 
--- a/node/linker/linker.go
+++ b/node/linker/linker.go
@@ -23,6 +23,7 @@
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -118,6 +119,9 @@
 	server   *http.Server
 	running  sync.WaitGroup
 	bytes    counters
+	// unsentAnswerBytes is the size of the bodies of the answers that are queued or being
+	// written on all links.
+	unsentAnswerBytes atomic.Int64
 	// recoverer handles panics of the readers of links.
 	recoverer recoverer.Recoverer
 
@@ -228,6 +232,10 @@
 	return len(l.all)
 }
 
+// UnsentAnswerBytes returns the size of the bodies of the answers that are queued or being
+// written.
+func (l *Linker) UnsentAnswerBytes() int64 { return l.unsentAnswerBytes.Load() }
+
 // UnsentAnswers returns the number of answers that are queued or being written on open
 // links.
 func (l *Linker) UnsentAnswers() int {
@@ -436,6 +444,7 @@
 		to = k.peer.Node
 	}
 	for _, m := range k.outbox.TakeAll(nil) {
+		k.countUnsent(m, -1)
 		l.Undelivered(to, m)
 	}
 }
--- a/node/linker/linker_test.go
+++ b/node/linker/linker_test.go
@@ -115,9 +115,11 @@
 	listener net.Listener
 	target   string
 	dropping atomic.Bool
-	running  sync.WaitGroup
-	mu       sync.Mutex
-	open     []net.Conn
+	// hold stops reading while it is set.
+	hold    atomic.Bool
+	running sync.WaitGroup
+	mu      sync.Mutex
+	open    []net.Conn
 }
 
 func newProxy(t *testing.T, target cassiatally.Address) *proxy {
@@ -153,6 +155,9 @@
 func (p *proxy) copy(to, from net.Conn) {
 	buf := make([]byte, 4096)
 	for {
+		for p.hold.Load() {
+			time.Sleep(time.Millisecond)
+		}
 		n, err := from.Read(buf)
 		if err != nil {
 			return
@@ -164,6 +169,7 @@
 }
 
 func (p *proxy) close() {
+	p.hold.Store(false)
 	_ = p.listener.Close()
 	p.mu.Lock()
 	for _, c := range p.open {
@@ -240,6 +246,50 @@
 	}
 }
 
+// Guards against a sum of waiting answers that stays, or goes astray, when answers are
+// written, when a link ends before they are, and when a queue has no room: the node would
+// refuse calls for good, or keep bytes without a bound.
+func TestUnsentAnswerBytes(t *testing.T) {
+	defer goleak.VerifyNone(t)
+	is := is.New(t)
+	b := &addressBook{addresses: make(map[cassiatally.NodeID]cassiatally.Address)}
+	one, two := newPeer(t, b, "one"), newPeer(t, b, "two")
+	defer one.Close()
+	defer two.Close()
+	held := newProxy(t, two.Addr())
+	defer held.close()
+	b.set("two", cassiatally.Address(held.listener.Addr().String()))
+	settled := func() {
+		t.Helper()
+		for deadline := time.Now().Add(testTimeout); one.UnsentAnswerBytes() != 0; time.Sleep(time.Millisecond) {
+			if time.Now().After(deadline) {
+				t.Fatalf("%d bytes are left", one.UnsentAnswerBytes())
+			}
+		}
+	}
+	const bodyBytes = 512 << 10
+	answer := cassiatally.Answer{ID: cassiatally.CallID{Origin: 1, Seq: 1}, Body: make([]byte, bodyBytes)}
+	is.NoErr(one.Send("two", answer))
+	is.True(one.UnsentAnswerBytes() <= bodyBytes)
+	receive(t, two.received)
+	settled()
+
+	held.hold.Store(true)
+	is.NoErr(one.Send("two", cassiatally.KeyQuery{Key: "north.0.1.1"}))
+	refused := false
+	for range 200 { // more than the buffers of a connection take
+		if refused = one.Send("two", answer) != nil; refused {
+			break
+		}
+		time.Sleep(time.Millisecond)
+	}
+	is.True(refused)
+	is.True(one.UnsentAnswerBytes() >= 7*bodyBytes)
+	is.True(one.UnsentAnswerBytes() <= 9*bodyBytes) // the ring, and one that is being written
+	receive(t, one.lost)
+	settled()
+}
+
 // Guards against a link that stays open after its connection has begun to drop all
 // data silently, although new connections work.
 func TestSilentConnection(t *testing.T) {
