--- a/cassiatally/claimer/claimer_test.go
+++ b/cassiatally/claimer/claimer_test.go
@@ -106,6 +106,22 @@
 	}
 }
 
+// Guards against a run of a claimed key that the holder submits as if it entered the
+// system there: the router then refuses it for lack of capacity, although the entry has
+// admitted it and its key is claimed (scenario claims, line 73).
+func TestRunOfAClaimedKeyIsMarked(t *testing.T) {
+	for _, attempt := range []uint16{0, 1, 2} {
+		is := is.New(t)
+		h := newHolder()
+		c := callOf(1, keyOf(1, 1), "a")
+		c.Attempt = attempt
+		h.HandleCall(0, entryNode, c)
+		r, runs := submitted(h.HandleClaimAck(0, "standby", ackOf(1, standbyRef, 2)))
+		is.True(runs)
+		is.True(r.Claimed)
+	}
+}
+
 // Guards against a refusal with a wrong outcome: not_run for a request that may
 // have run elsewhere, or unknown for a key that cannot have been claimed.
 func TestRefusals(t *testing.T) {
