--- a/node/gatekeeper/build.go
+++ b/node/gatekeeper/build.go
@@ -11,6 +11,7 @@
 	"github.com/cassiatally/cassiatally/cassiatally/instancetracker"
 	"github.com/cassiatally/cassiatally/cassiatally/loadtracker"
 	"github.com/cassiatally/cassiatally/cassiatally/matcher"
+	"github.com/cassiatally/cassiatally/cassiatally/outcomekeeper"
 	"github.com/cassiatally/cassiatally/cassiatally/protocol"
 	"github.com/cassiatally/cassiatally/cassiatally/quarantiner"
 	"github.com/cassiatally/cassiatally/cassiatally/registrar"
@@ -135,6 +136,7 @@
 func (g *Gatekeeper) buildExecutor() {
 	quarantine := quarantiner.New(g.self)
 	r := runner.New(g.self, &admitter.Admitter{Proportion: reservedProportion}, &fixedlimiter.Limiter{UseSlots: true, Fraction: usedSlots}, quarantine, g.nextID)
+	r.Outcomes = &outcomekeeper.Keeper{MaxBytes: int64(g.Settings.Memory) / keptAnswersDivisor}
 	r.Granter = &granter.Granter{Ratio: g.Settings.RetryRatio, Window: g.Settings.RetryWindow}
 	g.executor = &executor.Executor{
 		Runner:      r,
@@ -153,6 +155,8 @@
 			g.metrics.Gauge("backend_slowdown", float64(m.Slowdown))
 			g.metrics.Gauge("backend_detached_requests", float64(m.Detached))
 		},
+
+		UnsentAnswerBytes: g.links.UnsentAnswerBytes,
 	}
 }
 
@@ -170,6 +174,11 @@
 	g.metrics.Gauge("backend_leaving", leaving)
 }
 
+// reportAnswerBytes sets the gauge of the answers that this node holds.
+func (g *Gatekeeper) reportAnswerBytes() {
+	g.metrics.Gauge("answer_bytes", float64(g.executor.Counts().KeptAnswerBytes+g.links.UnsentAnswerBytes()))
+}
+
 func (g *Gatekeeper) buildKeepers() {
 	g.routes = &routekeeper.Keeper{
 		Source:    g.Source,
@@ -188,7 +197,10 @@
 		Address:   g.Settings.Backend,
 		Restarted: g.Settings.Restarted,
 	}
-	g.flusher = &flusher{clock: g.Clock, flush: g.logs.Flush}
+	g.flusher = &flusher{clock: g.Clock, flush: func() {
+		g.logs.Flush()
+		g.reportAnswerBytes()
+	}}
 	g.pauses = &pausemeter.Meter{Clock: g.Clock, Uptime: pausemeter.Uptime}
 }
 
