--- a/cassiatally/protocol/codec_test.go
+++ b/cassiatally/protocol/codec_test.go
@@ -31,6 +31,7 @@
 	}
 	claim := cassiatally.Claim{Key: "north.3.1.00000000000000ff", Fingerprint: 5, State: cassiatally.ClaimRan, Answer: &answer}
 	assignment := cassiatally.Assignment{Shard: shard, Epoch: 2, Holder: ref, Standby: ref, CompleteFrom: 1, Reappend: true}
+	candidate := cassiatally.QuotaCandidate{Node: "depot-1", DataCentre: "north", Address: "127.0.0.1:1"}
 	return []cassiatally.Message{
 		cassiatally.Hello{From: ref, DataCentre: "north", Address: "127.0.0.1:1"},
 		cassiatally.Ping{Seq: 1},
@@ -54,6 +55,10 @@
 			Services: []cassiatally.ServiceSpec{{Name: "s", HealthPath: "/health", Connections: 9}},
 			Limits:   cassiatally.RequestLimits{HeaderBytes: 1, BodyBytes: 2, HeaderTimeout: 3, IdleTimeout: 4},
 		}},
+		cassiatally.QuotaRequest{Seq: 1, Tenant: "t", Want: 2},
+		cassiatally.QuotaGrant{Seq: 1, Tenant: "t", Granted: 2, Next: time.Second, RetryAfter: time.Minute, Declined: true, Better: candidate, Fleet: 61},
+		cassiatally.QuotaGrant{Seq: 1, Tenant: "t", Granted: 2},
+		cassiatally.QuotaBeat{From: candidate, Eligible: true, Live: 19, Known: 20, Heard: []cassiatally.NodeID{"depot-2"}, Candidates: []cassiatally.QuotaCandidate{candidate}},
 	}
 }
 
--- a/cassiatally/protocol/types.go
+++ b/cassiatally/protocol/types.go
@@ -30,6 +30,9 @@
 	typeClaimCopy
 	typeRoutePull
 	typeRouteUpdate
+	typeQuotaRequest
+	typeQuotaGrant
+	typeQuotaBeat
 )
 
 func toWire(m cassiatally.Message) (messageType, any) {
@@ -68,6 +71,12 @@
 		return typeRoutePull, toRoutePull(m)
 	case cassiatally.RouteUpdate:
 		return typeRouteUpdate, toRouteUpdate(m)
+	case cassiatally.QuotaRequest:
+		return typeQuotaRequest, toQuotaRequest(m)
+	case cassiatally.QuotaGrant:
+		return typeQuotaGrant, toQuotaGrant(m)
+	case cassiatally.QuotaBeat:
+		return typeQuotaBeat, toQuotaBeat(m)
 	default:
 		return typeNone, nil
 	}
@@ -76,23 +85,26 @@
 type decoder func(cbor.DecMode, []byte) (cassiatally.Message, error)
 
 var decoders = map[messageType]decoder{
-	typeHello:       decodeWith(fromHello),
-	typePing:        decodeWith(fromPing),
-	typeCall:        decodeWith(fromCall),
-	typeAnswer:      decodeWith(fromAnswer),
-	typeCancel:      decodeWith(fromCancel),
-	typeRunQuery:    decodeWith(fromRunQuery),
-	typeKeyQuery:    decodeWith(fromKeyQuery),
-	typeGossip:      decodeWith(fromGossip),
-	typeSheetPull:   decodeWith(fromSheetPull),
-	typeSheetRecord: decodeWith(fromSheetRecord),
-	typeShardPull:   decodeWith(fromShardPull),
-	typeShardTable:  decodeWith(fromShardTable),
-	typeClaimUpdate: decodeWith(fromClaimUpdate),
-	typeClaimAck:    decodeWith(fromClaimAck),
-	typeClaimCopy:   decodeWith(fromClaimCopy),
-	typeRoutePull:   decodeWith(fromRoutePull),
-	typeRouteUpdate: decodeWith(fromRouteUpdate),
+	typeHello:        decodeWith(fromHello),
+	typePing:         decodeWith(fromPing),
+	typeCall:         decodeWith(fromCall),
+	typeAnswer:       decodeWith(fromAnswer),
+	typeCancel:       decodeWith(fromCancel),
+	typeRunQuery:     decodeWith(fromRunQuery),
+	typeKeyQuery:     decodeWith(fromKeyQuery),
+	typeGossip:       decodeWith(fromGossip),
+	typeSheetPull:    decodeWith(fromSheetPull),
+	typeSheetRecord:  decodeWith(fromSheetRecord),
+	typeShardPull:    decodeWith(fromShardPull),
+	typeShardTable:   decodeWith(fromShardTable),
+	typeClaimUpdate:  decodeWith(fromClaimUpdate),
+	typeClaimAck:     decodeWith(fromClaimAck),
+	typeClaimCopy:    decodeWith(fromClaimCopy),
+	typeRoutePull:    decodeWith(fromRoutePull),
+	typeRouteUpdate:  decodeWith(fromRouteUpdate),
+	typeQuotaRequest: decodeWith(fromQuotaRequest),
+	typeQuotaGrant:   decodeWith(fromQuotaGrant),
+	typeQuotaBeat:    decodeWith(fromQuotaBeat),
 }
 
 func decodeWith[W any, M cassiatally.Message](from func(W) M) decoder {
