--- a/cassiatally/protocol/types.go
+++ b/cassiatally/protocol/types.go
@@ -71,6 +71,14 @@
 		return typeRoutePull, toRoutePull(m)
 	case cassiatally.RouteUpdate:
 		return typeRouteUpdate, toRouteUpdate(m)
+	default:
+		return toWireQuota(m)
+	}
+}
+
+// toWireQuota is toWire for the messages of quotas.
+func toWireQuota(m cassiatally.Message) (messageType, any) {
+	switch m := m.(type) {
 	case cassiatally.QuotaRequest:
 		return typeQuotaRequest, toQuotaRequest(m)
 	case cassiatally.QuotaGrant:
--- a/cassiatally/quotaowner/beats.go
+++ b/cassiatally/quotaowner/beats.go
@@ -25,7 +25,10 @@
 		}
 	}
 	if b.Known <= 0 {
-		// The sender is no candidate.
+		// The sender is no candidate, or no more.
+		if p := o.peers[b.From.Node]; p != nil {
+			p.eligible = false
+		}
 		return cassiatally.QuotaBeat{}, false
 	}
 	if !o.candidate() {
--- a/cassiatally/quotaowner/quotaowner.go
+++ b/cassiatally/quotaowner/quotaowner.go
@@ -64,6 +64,8 @@
 	settled  cassiatally.Instant
 	eligible bool
 	isolated bool
+	// announced is whether the last beats said that the node is eligible.
+	announced bool
 }
 
 // peer is another candidate.
@@ -161,11 +163,11 @@
 	}
 }
 
-// SetLeaving makes the node stop to grant, because it is about to stop.
+// SetLeaving makes the node stop to grant, because it is about to stop. The next Tick
+// announces it.
 func (o *Owner) SetLeaving(now cassiatally.Instant) {
 	o.leaving = true
-	o.update(now)
-	o.nextBeat = now
+	o.updateEligible(now)
 }
 
 // restart discards all that was heard and granted.
@@ -215,13 +217,13 @@
 		o.restart(now)
 	}
 	o.lastTick = now
-	wasEligible := o.eligible
 	o.update(now)
 	o.forget(now)
-	if !o.candidate() && !wasEligible || (now.Before(o.nextBeat) && wasEligible == o.eligible) {
+	// A change is announced at once: the next owner waits for it.
+	if due := o.candidate() && now.Reached(o.nextBeat); !due && o.eligible == o.announced {
 		return cassiatally.QuotaBeat{}, nil
 	}
-	o.nextBeat = now.Add(BeatInterval)
+	o.nextBeat, o.announced = now.Add(BeatInterval), o.eligible
 	return o.beat(now), o.targets(now)
 }
 
--- a/cassiatally/quotataker/waiting.go
+++ b/cassiatally/quotataker/waiting.go
@@ -56,7 +56,7 @@
 			t.decide(w.id, cassiatally.QuotaDecision{Granted: true}, true)
 		default:
 			t.decide(w.id, cassiatally.QuotaDecision{
-				Kind: cassiatally.KindOverloaded, RetryAfter: t.spread(unavailableRetryAfter),
+				Kind: cassiatally.KindUnavailable, RetryAfter: t.spread(unavailableRetryAfter),
 			}, false)
 		}
 	}
--- a/node/forwarder/forwarder.go
+++ b/node/forwarder/forwarder.go
@@ -100,8 +100,8 @@
 		in.Head.Fields = append(in.Head.Fields, in.Identity...)
 	}
 	if d := f.takeQuota(ctx, tenant); !d.Granted {
-		f.Logger.Info("request over quota", "request", in.Name, "route", route.Name, "tenant", tenant.Name, "kind", d.Kind, "retry_after", d.RetryAfter)
-		return refuse(d.Kind, "the quota of the tenant is used up", d.RetryAfter)
+		f.Logger.Info("request refused by quota", "request", in.Name, "route", route.Name, "tenant", tenant.Name, "kind", d.Kind, "retry_after", d.RetryAfter)
+		return refuse(d.Kind, quotaDetail(d.Kind), d.RetryAfter)
 	}
 	req := f.newRequest(in, route, routes.Table().Version, arrived)
 	setTenant(&req, tenant)
@@ -131,14 +131,23 @@
 	return t, cassiatally.KindNone
 }
 
-// takeQuota charges a request to the quota of its tenant.
+// takeQuota charges a request to the quota of its tenant. Requests that are refused
+// because the node stops are not charged.
 func (f *Forwarder) takeQuota(ctx context.Context, t *cassiatally.TenantSpec) cassiatally.QuotaDecision {
-	if t == nil || t.Rate == 0 || f.Quotas == nil {
+	if t == nil || t.Rate == 0 || f.Quotas == nil || f.refusing.Load() {
 		return cassiatally.QuotaDecision{Granted: true}
 	}
 	return f.Quotas.Take(ctx, t)
 }
 
+// quotaDetail describes why a request got no token of its tenant's quota.
+func quotaDetail(k cassiatally.ErrorKind) string {
+	if k == cassiatally.KindQuotaExceeded {
+		return "the quota of the tenant is used up"
+	}
+	return "the quota of the tenant is not known to have room"
+}
+
 // setTenant gives a request its tenant, whose rank replaces that of the route.
 func setTenant(req *cassiatally.Request, t *cassiatally.TenantSpec) {
 	if t == nil {
--- a/node/gatekeeper/build.go
+++ b/node/gatekeeper/build.go
@@ -26,6 +26,7 @@
 	"github.com/cassiatally/cassiatally/node/linker"
 	"github.com/cassiatally/cassiatally/node/memberkeeper"
 	"github.com/cassiatally/cassiatally/node/pausemeter"
+	"github.com/cassiatally/cassiatally/node/quotakeeper"
 	"github.com/cassiatally/cassiatally/node/reporter"
 	"github.com/cassiatally/cassiatally/node/routekeeper"
 )
@@ -52,16 +53,17 @@
 		RingSize:    outboxSize,
 		AddressOf:   func(n cassiatally.NodeID) (cassiatally.Address, bool) { return g.members.AddressOf(n) },
 		Inbound:     g.inbound,
-		Lost:        func(peer cassiatally.NodeRef) { g.dispatcher.LinkLost(peer) },
+		Lost:        g.linkLost,
 		Silent:      func(peer cassiatally.NodeRef) { g.dispatcher.LinkSilent(peer) },
 		Responding:  func(peer cassiatally.NodeRef) { g.dispatcher.LinkResponding(peer) },
 		NewDelay:    func() func(began, ended time.Time) time.Duration { return g.pauses.NewDelay() },
-		Undelivered: func(to cassiatally.NodeID, m cassiatally.Message) { g.dispatcher.SendFailed(to, m) },
+		Undelivered: g.undelivered,
 	}
 	if err := g.links.OpenListener(); err != nil {
 		return err
 	}
 	g.buildMembers()
+	g.buildQuotas()
 	g.buildDispatcher()
 	g.buildExecutor()
 	g.buildKeepers()
@@ -96,6 +98,18 @@
 	}
 }
 
+func (g *Gatekeeper) buildQuotas() {
+	g.quotas = &quotakeeper.Keeper{
+		Self:      cassiatally.QuotaCandidate{Node: g.self.Node, DataCentre: g.Settings.DataCentre, Address: g.links.Advertise},
+		Clock:     g.Clock,
+		Links:     g.links,
+		AddressOf: g.members.AddressOf,
+		Rand:      newRand(),
+		Metrics:   g.metrics,
+		Logger:    g.logs,
+	}
+}
+
 func (g *Gatekeeper) buildDispatcher() {
 	b := &balancer.Balancer{Rand: newRand(), DataCentre: g.Settings.DataCentre, RelativeMargin: remoteMargin, SlowStart: noSlowStart}
 	loads := &loadtracker.Tracker{}
@@ -128,6 +142,7 @@
 		Observer:     g.metrics,
 		Logger:       g.logs,
 		NextID:       g.nextID,
+		Quotas:       g.quotas,
 		LocalService: func() cassiatally.Service { return g.instances.LocalService() },
 	}
 }
@@ -191,10 +206,11 @@
 // start starts all duties; those that receive messages start before the links.
 func (g *Gatekeeper) start() error {
 	g.members.Open()
+	g.quotas.Open()
 	for _, d := range []interface {
 		Run()
 		Close()
-	}{g.flusher, g.pauses, g.dispatcher, g.executor, g.instances, g.routes, g.members, g.links, g.introducer} {
+	}{g.flusher, g.pauses, g.quotas, g.dispatcher, g.executor, g.instances, g.routes, g.members, g.links, g.introducer} {
 		d.Run()
 		g.onClose(d.Close)
 	}
--- a/node/gatekeeper/drain.go
+++ b/node/gatekeeper/drain.go
@@ -35,6 +35,7 @@
 // flight when it returns before the end of ctx.
 func (g *Gatekeeper) Drain(ctx context.Context, p DrainPlan) {
 	g.leaving.Store(true)
+	g.quotas.Leave()
 	g.members.Leave()
 	g.executor.Leave()
 	g.forwarder.EndBy(g.Clock.Now().Add(p.AnswerAfter - answerMargin))
--- a/node/gatekeeper/gatekeeper.go
+++ b/node/gatekeeper/gatekeeper.go
@@ -32,6 +32,7 @@
 	"github.com/cassiatally/cassiatally/node/loglimiter"
 	"github.com/cassiatally/cassiatally/node/memberkeeper"
 	"github.com/cassiatally/cassiatally/node/pausemeter"
+	"github.com/cassiatally/cassiatally/node/quotakeeper"
 	"github.com/cassiatally/cassiatally/node/reporter"
 	"github.com/cassiatally/cassiatally/node/routekeeper"
 )
@@ -122,6 +123,7 @@
 	executor   *executor.Executor
 	routes     *routekeeper.Keeper
 	instances  *instancekeeper.Keeper
+	quotas     *quotakeeper.Keeper
 	introducer *introducer.Introducer
 	forwarder  *forwarder.Forwarder
 	flusher    *flusher
--- a/node/gatekeeper/routes.go
+++ b/node/gatekeeper/routes.go
@@ -29,6 +29,8 @@
 		g.members.Gossip(from, m)
 	case cassiatally.RoutePull, cassiatally.RouteUpdate:
 		g.routes.Message(from, m)
+	case cassiatally.QuotaRequest, cassiatally.QuotaGrant, cassiatally.QuotaBeat:
+		g.quotas.Message(from, m)
 	default:
 		g.logs.Warn("message without a receiver", "from", from)
 	}
@@ -55,6 +57,22 @@
 func (g *Gatekeeper) viewChanged(v *registrar.View) {
 	g.dispatcher.SetEndpoints(v.Candidates, dispatcher.LevelsOf(v.Loads))
 	g.executor.SetPeers(v.Peers(g.self))
+	g.quotas.SetView(v)
+}
+
+// linkLost passes the loss of a link to the duties that wait for messages on it.
+func (g *Gatekeeper) linkLost(peer cassiatally.NodeRef) {
+	g.dispatcher.LinkLost(peer)
+	g.quotas.Unreachable(peer.Node)
+}
+
+// undelivered passes a message that was not sent to the duty that sent it.
+func (g *Gatekeeper) undelivered(to cassiatally.NodeID, m cassiatally.Message) {
+	if _, ok := m.(cassiatally.QuotaRequest); ok {
+		g.quotas.Unreachable(to)
+		return
+	}
+	g.dispatcher.SendFailed(to, m)
 }
 
 // gossipReceived passes on the contents of gossip other than members.
@@ -69,6 +87,7 @@
 func (g *Gatekeeper) tableInForce(m *matcher.Matcher) {
 	g.members.SetVersion(m.Table().Version)
 	g.instances.SetRoutes(m)
+	g.quotas.SetTable(m.Table().Tenants)
 }
 
 // alone reports whether every other member is suspect or there is none.
