--- a/cassiatally/quotaowner/fleettest/calm_test.go
+++ b/cassiatally/quotaowner/fleettest/calm_test.go
@@ -46,24 +46,7 @@
 			f := newFleet(t, seed+1, sizes, tenants)
 			f.trace = t.Logf
 			f.runTo(startTime)
-			total := 0.0
-			for i, s := range tenants {
-				entries := []int{}
-				for j := range f.hosts {
-					// Each host beyond the first half has a third of the weight.
-					if i < 8 && (j < len(f.hosts)/2 || j%3 == 0) {
-						entries = append(entries, j)
-					}
-				}
-				if i >= 8 {
-					for range 1 + i%4 {
-						entries = append(entries, f.rand.IntN(len(f.hosts)))
-					}
-				}
-				rate := calmLoad * float64(s.Rate)
-				total += rate
-				f.load(s.Name, entries, func(time.Duration) float64 { return rate }, startTime+calmTime)
-			}
+			total := f.calmLoad(tenants)
 			for _, h := range f.hosts {
 				h.sent, h.size = 0, 0
 			}
@@ -88,6 +71,10 @@
 			if limit := 2*total + 9*8*2*1.1; float64(messages)/s > limit {
 				t.Errorf("%.0f messages a second, the bound is %.0f", float64(messages)/s, limit)
 			}
+			// A node spends less than a tenth of the 16 KB/s at which operators are alarmed.
+			if limit := 1600 * float64(len(f.hosts)); float64(bytes)/s > limit {
+				t.Errorf("%.0f bytes a second, the bound is %.0f", float64(bytes)/s, limit)
+			}
 		})
 	}
 }
@@ -102,3 +89,27 @@
 		}
 	}
 }
+
+// calmLoad has clients send calmLoad of each quota, and returns the rate of all requests.
+// Tenants with large quotas enter at most hosts, the others at one to four.
+func (f *fleet) calmLoad(tenants []cassiatally.TenantSpec) float64 {
+	total := 0.0
+	for i, s := range tenants {
+		entries := []int{}
+		for j := range f.hosts {
+			// Half of the hosts, and a third of the others.
+			if i < 8 && (j < len(f.hosts)/2 || j%3 == 0) {
+				entries = append(entries, j)
+			}
+		}
+		if i >= 8 {
+			for range 1 + i%4 {
+				entries = append(entries, f.rand.IntN(len(f.hosts)))
+			}
+		}
+		rate := calmLoad * float64(s.Rate)
+		total += rate
+		f.load(s.Name, entries, func(time.Duration) float64 { return rate }, startTime+calmTime)
+	}
+	return total
+}
--- a/cassiatally/quotaowner/quotaowner.go
+++ b/cassiatally/quotaowner/quotaowner.go
@@ -149,6 +149,7 @@
 		limited[t.Name] = b
 	}
 	o.tenants = limited
+	o.eligible = o.eligible && o.Active()
 }
 
 // SetMembers replaces what is known of the members.
--- a/cassiatally/quotaowner/quotaowner_test.go
+++ b/cassiatally/quotaowner/quotaowner_test.go
@@ -184,6 +184,24 @@
 	}
 }
 
+// Guards against an owner that goes on with its bucket after it was isolated: another one
+// has granted meanwhile. A request for another tenant notices the isolation, before the
+// next tick.
+func TestOwnerThatWasIsolatedStartsAgain(t *testing.T) {
+	is := is.New(t)
+	w := newWorld(cassiatally.TenantSpec{Name: "t", Rate: 100, Burst: 1000})
+	w.owner.SetTenants(w.now, []cassiatally.TenantSpec{{Name: "t", Rate: 100, Burst: 1000}, {Name: "u", Rate: 1}})
+	w.pass(10 * time.Second)
+	w.setMembers(1, 3)
+	is.True(w.owner.HandleRequest(w.now, cassiatally.QuotaRequest{Tenant: "u", Want: 1}).Declined)
+	w.pass(time.Second)
+	w.setMembers(3, 3)
+	w.pass(1600 * time.Millisecond)
+	g := w.ask(1000)
+	is.True(!g.Declined)
+	is.True(g.Granted < 50)
+}
+
 // Guards against a lower quota that leaves what had accumulated under the higher one.
 func TestLowerQuotaAppliesAtOnce(t *testing.T) {
 	is := is.New(t)
--- a/cassiatally/quotataker/quotataker.go
+++ b/cassiatally/quotataker/quotataker.go
@@ -41,6 +41,8 @@
 	// and names no other one. Owners change within a round trip when both are live.
 	declineBackoff = 30 * time.Millisecond
 	minAskInterval = 10 * time.Millisecond
+	// maxAskInterval bounds the time for which an owner's answer is relied on.
+	maxAskInterval = time.Second
 	maxRedirects   = 4
 	// maxWaiting bounds the waiting requests of a tenant.
 	maxWaiting = 1024
@@ -214,7 +216,7 @@
 		}
 		s.short = g.Next > 0
 		if s.short {
-			s.nextAsk, s.retryAfter = now.Add(max(g.Next, minAskInterval)), g.RetryAfter
+			s.nextAsk, s.retryAfter = now.Add(min(max(g.Next, minAskInterval), maxAskInterval)), g.RetryAfter
 		}
 		t.serve(now, s)
 		t.refuseHopeless(now, s)
--- a/node/quotakeeper/quotakeeper.go
+++ b/node/quotakeeper/quotakeeper.go
@@ -214,7 +214,7 @@
 	for _, c := range to {
 		k.send(c, beat)
 	}
-	k.report.logChanges(k)
+	k.report.logChanges(k, now)
 }
 
 func (e takeEvent) apply(k *Keeper, now cassiatally.Instant) {
@@ -234,11 +234,14 @@
 	}
 	k.inForce = table
 	viewEvent{}.apply(k, now)
+	if !k.owner.Active() {
+		k.report.isolatedAt = now
+	}
 	k.owner.SetTenants(now, *table)
 	k.nextOwner = now
 	if !k.owner.Active() {
 		k.report.tick(k, now)
-		k.report.logChanges(k)
+		k.report.logChanges(k, now)
 	}
 }
 
--- a/node/quotakeeper/quotakeeper_test.go
+++ b/node/quotakeeper/quotakeeper_test.go
@@ -134,6 +134,9 @@
 	is.True(!n.keepers["b"].Take(ctx, &cassiatally.TenantSpec{Name: "u", Rate: 1}).Granted)
 	n.keepers["c"].Close()
 	is.True(!n.keepers["c"].Take(t.Context(), spec).Granted)
+	for _, k := range n.keepers {
+		k.Close() // passes on what it has counted
+	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	is.True(m.counts["quota_granted"] > 0)
--- a/node/quotakeeper/report.go
+++ b/node/quotakeeper/report.go
@@ -1,6 +1,8 @@
 package quotakeeper
 
 import (
+	"time"
+
 	"github.com/cassiatally/cassiatally/cassiatally"
 	"github.com/cassiatally/cassiatally/cassiatally/quotataker"
 )
@@ -11,8 +13,14 @@
 	granted, refused, floor, noOwner int64
 	next                             cassiatally.Instant
 	eligible, isolated               bool
+	// isolatedAt is when the present isolation began.
+	isolatedAt cassiatally.Instant
 }
 
+// isolationDelay keeps the start of a node out of the log: it has not heard the others
+// yet.
+const isolationDelay = 3 * time.Second
+
 // count counts a decision.
 func (r *report) count(d quotataker.Decision) {
 	switch {
@@ -55,7 +63,7 @@
 }
 
 // logChanges logs when the node becomes or ceases to be an owner or isolated.
-func (r *report) logChanges(k *Keeper) {
+func (r *report) logChanges(k *Keeper, now cassiatally.Instant) {
 	if eligible := k.owner.Eligible(); eligible != r.eligible {
 		r.eligible = eligible
 		if eligible {
@@ -64,7 +72,10 @@
 			k.Logger.Info("node owns quotas no more")
 		}
 	}
-	if isolated := k.owner.Isolated(); isolated != r.isolated {
+	if !k.owner.Isolated() {
+		r.isolatedAt = now
+	}
+	if isolated := now.Sub(r.isolatedAt) >= isolationDelay; isolated != r.isolated {
 		r.isolated = isolated
 		if isolated {
 			k.Logger.Warn("quota candidate isolated; it grants nothing")
