--- a/cassiatally/digest.go
+++ b/cassiatally/digest.go
@@ -3,6 +3,8 @@
 import (
 	"crypto/sha256"
 	"encoding/hex"
+	"fmt"
+	"io"
 )
 
 // Digest is the SHA-256 digest of a body.
@@ -23,3 +25,6 @@
 
 // String hides the digest, so that it does not appear in logs.
 func (KeyDigest) String() string { return "hidden" }
+
+// Format hides the digest from all verbs, since %x and %d do not use String.
+func (d KeyDigest) Format(s fmt.State, _ rune) { _, _ = io.WriteString(s, d.String()) }
--- a/cassiatally/protocol/codec_test.go
+++ b/cassiatally/protocol/codec_test.go
@@ -50,7 +50,8 @@
 		cassiatally.RoutePull{Have: 4},
 		cassiatally.RouteUpdate{Table: cassiatally.RouteTable{
 			Version:  5,
-			Routes:   []cassiatally.Route{{Name: "r", Host: "h", Prefix: "/a/", Services: []cassiatally.WeightedService{{Service: "s", Weight: 0.5}}, Idempotent: true, Timeout: time.Second, Target: time.Minute, Rank: 1, Attempts: 2}},
+			Routes:   []cassiatally.Route{{Name: "r", Host: "h", Prefix: "/a/", Services: []cassiatally.WeightedService{{Service: "s", Weight: 0.5}}, Idempotent: true, Timeout: time.Second, Target: time.Minute, Rank: 1, Attempts: 2, AllowAnonymous: true}},
+			Tenants:  []cassiatally.TenantSpec{{Name: "t", Keys: []cassiatally.KeyDigest{cassiatally.KeyDigestOf("a"), cassiatally.KeyDigestOf("b")}, Ranked: true, Rank: 2, Rate: 0.5, Burst: 7}, {Name: "u"}},
 			Services: []cassiatally.ServiceSpec{{Name: "s", HealthPath: "/health", Connections: 9}},
 			Limits:   cassiatally.RequestLimits{HeaderBytes: 1, BodyBytes: 2, HeaderTimeout: 3, IdleTimeout: 4},
 		}},
--- a/node/forwarder/forwarder.go
+++ b/node/forwarder/forwarder.go
@@ -96,8 +96,13 @@
 		f.Logger.Info("request not authenticated", "request", in.Name, "route", route.Name, "has_key", in.Key != nil, "version", routes.Table().Version)
 		return refuse(kind, "no tenant has this key", 0)
 	}
-	if !routes.HasTenants() {
+	switch {
+	case !routes.HasTenants():
 		in.Head.Fields = append(in.Head.Fields, in.Identity...)
+	case tenant != nil:
+		// Onward calls carry no key, so this is a client's request. It must not join the
+		// run of another tenant by the form of its id.
+		in.Parent = ""
 	}
 	if d := f.takeQuota(ctx, tenant); !d.Granted {
 		f.Logger.Info("request over quota", "request", in.Name, "route", route.Name, "tenant", tenant.Name, "kind", d.Kind, "retry_after", d.RetryAfter)
@@ -108,7 +113,9 @@
 	if latest := cassiatally.Instant(f.latest.Load()); latest != 0 && latest.Before(req.Deadline) {
 		req.Deadline = latest
 	}
-	a := f.awaitAnswer(ctx, in, req, arrived)
+	// The tenant of an onward call is known to the run that makes it only.
+	serveOrphans := !routes.HasTenants()
+	a := f.awaitAnswer(ctx, in, req, arrived, serveOrphans)
 	took := f.Clock.Now().Sub(arrived)
 	f.Observer.Request(req.Policy, req.Tenant, a, took)
 	f.logAnswer(req, a, took)
@@ -150,12 +157,6 @@
 	}
 }
 
-// authenticates reports whether requests on the route of a request need a key.
-func (f *Forwarder) authenticates(req cassiatally.Request) bool {
-	routes, ok := f.Routes()
-	return ok && routes.HasTenants() && !req.Route.AllowAnonymous
-}
-
 func refuse(kind cassiatally.ErrorKind, detail string, retryAfter time.Duration) cassiatally.Answer {
 	return cassiatally.Answer{Outcome: cassiatally.OutcomeNotRun, Kind: kind, Detail: detail, RetryAfter: retryAfter}
 }
@@ -209,8 +210,9 @@
 }
 
 // awaitAnswer submits a request and waits for its answer. An onward call of a run in
-// flight on this host shares the deadline and the retries of that run.
-func (f *Forwarder) awaitAnswer(ctx context.Context, in cassiatally.Inbound, req cassiatally.Request, arrived cassiatally.Instant) cassiatally.Answer {
+// flight on this host shares the deadline and the retries of that run. Onward calls whose
+// run is not known are refused unless serveOrphans is set.
+func (f *Forwarder) awaitAnswer(ctx context.Context, in cassiatally.Inbound, req cassiatally.Request, arrived cassiatally.Instant, serveOrphans bool) cassiatally.Answer {
 	if arrived.Reached(req.Deadline) {
 		return refuse(cassiatally.KindDraining, stoppingDetail, refusalRetryAfter)
 	}
@@ -219,8 +221,7 @@
 		if parentFound {
 			return a
 		}
-		if req.Tenant == "" && f.authenticates(req) {
-			// The tenant of the call is known to the run that made it only.
+		if !serveOrphans {
 			return refuse(cassiatally.KindUnavailable, "the run that makes the call is not known", refusalRetryAfter)
 		}
 	}
