--- a/cassiatally/ids.go
+++ b/cassiatally/ids.go
@@ -35,6 +35,9 @@
 	Version uint64
 	// Offset is the position of a record in a stream of the log service.
 	Offset uint64
+	// StoreEra numbers the times that the store was restored from an earlier copy of itself.
+	// Offsets of one era mean nothing in another.
+	StoreEra uint64
 	// Stream names a stream of the log service.
 	Stream string
 	// Key is an idempotency key as callers send it.
--- a/node/gatekeeper/gatekeeper.go
+++ b/node/gatekeeper/gatekeeper.go
@@ -176,6 +176,10 @@
 // which may change while the node runs.
 func (g *Gatekeeper) Reload(s cassiatally.Service, a cassiatally.Address) { g.instances.Expect(s, a) }
 
+// Reintroduce saves the member record of the node again if the store has lost it. Store may
+// call it once Run has begun; it does not block.
+func (g *Gatekeeper) Reintroduce() { g.introducer.Reintroduce() }
+
 // Ready reports whether callers may use the node.
 func (g *Gatekeeper) Ready() bool {
 	_, ok := g.routes.Routes()
--- a/node/introducer/introducer.go
+++ b/node/introducer/introducer.go
@@ -1,13 +1,15 @@
 // Package introducer is the duty by which the nodes of a fleet discover each other: it
 // saves this node with its address in a store that all nodes reach, and loads the other
 // nodes. Further changes spread by gossip, so that a node reads and writes the store
-// once at its start, and reads it again only while it is alone.
+// once at its start, and reads it again only while it is alone or after the store has lost
+// records.
 //
 // # Usage
 //
 //	i := &introducer.Introducer{Store: store, Self: member, Alone: alone, OnLoad: merge, Logger: logs}
 //	i.Run()
 //	defer i.Close()
+//	i.Reintroduce() // when the store may have lost the member
 package introducer
 
 import (
@@ -48,12 +50,29 @@
 	OnLoad func([]cassiatally.Member)
 	Logger cassiatally.Logger
 
+	setUp   sync.Once
+	again   chan struct{}
 	running sync.WaitGroup
 	cancel  context.CancelFunc
 }
 
+// Reintroduce makes the duty load the members again, and save this one again if the store
+// no longer has it. It does not block.
+func (i *Introducer) Reintroduce() {
+	i.init()
+	select {
+	case i.again <- struct{}{}:
+	default: // one that has not begun covers this one
+	}
+}
+
+func (i *Introducer) init() {
+	i.setUp.Do(func() { i.again = make(chan struct{}, 1) })
+}
+
 // Run starts the duty.
 func (i *Introducer) Run() {
+	i.init()
 	ctx, cancel := context.WithCancel(context.Background())
 	i.cancel = cancel
 	i.running.Go(func() { i.introduce(ctx) })
@@ -70,18 +89,30 @@
 		return
 	}
 	for _, interval := range earlyCheckIntervals {
-		if !wait(ctx, interval) {
+		if !i.check(ctx, interval) {
 			return
 		}
-		if i.Alone() {
-			_, _ = i.load(ctx)
-		}
 	}
-	for wait(ctx, aloneCheckInterval) {
-		if i.Alone() {
-			_, _ = i.load(ctx)
-		}
+	for i.check(ctx, aloneCheckInterval) {
+	}
+}
+
+// check waits for an interval and then loads the members if the node is alone, or registers
+// again as soon as that is asked for. It returns false when ctx ends first.
+func (i *Introducer) check(ctx context.Context, interval time.Duration) bool {
+	t := time.NewTimer(interval)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-i.again:
+		return i.register(ctx)
+	case <-t.C:
+	}
+	if i.Alone() {
+		_, _ = i.load(ctx)
 	}
+	return true
 }
 
 // register loads the members, and saves this one unless the store has it with its
--- a/node/introducer/introducer_test.go
+++ b/node/introducer/introducer_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"io"
+	"slices"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -133,3 +134,93 @@
 		is.Equal(len(s.members), 1)
 	})
 }
+
+// remove removes the records of a node, as a store does that is restored from a copy.
+func (s *store) remove(id cassiatally.NodeID) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.members = slices.DeleteFunc(s.members, func(m cassiatally.Member) bool { return m.Ref.Node == id })
+}
+
+func (s *store) has(id cassiatally.NodeID) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return slices.ContainsFunc(s.members, func(m cassiatally.Member) bool { return m.Ref.Node == id })
+}
+
+// Guards against a member record that stays missing after the store lost it, in each state
+// of the duty, and against writing a record that the store still has.
+func TestReintroduction(t *testing.T) {
+	cases := []struct {
+		name string
+		// before is what happens from the start of the node to its reintroduction.
+		before       func(s *store, n *node)
+		loads, saves int
+	}{
+		{"record lost", func(s *store, _ *node) {
+			time.Sleep(time.Minute)
+			s.remove("a")
+		}, 2, 2},
+		{"record kept", func(*store, *node) { time.Sleep(time.Minute) }, 2, 1},
+		{"between the checks at the start", func(s *store, _ *node) {
+			time.Sleep(time.Second)
+			s.remove("a")
+		}, 2, 2},
+		{"several times at once", func(s *store, n *node) {
+			time.Sleep(time.Minute)
+			s.remove("a")
+			for range 10 {
+				n.Reintroduce()
+			}
+		}, 3, 2}, // at the start, one that has begun, and one that covers the others
+		{"before the start has ended", func(s *store, n *node) {
+			s.setUnavailable(true)
+			time.Sleep(2300 * time.Millisecond)
+			n.Reintroduce()
+			s.setUnavailable(false)
+		}, 7, 2},
+		{"store unavailable meanwhile", func(s *store, n *node) {
+			time.Sleep(time.Minute)
+			s.remove("a")
+			s.setUnavailable(true)
+			n.Reintroduce()
+			time.Sleep(2300 * time.Millisecond)
+			s.setUnavailable(false)
+		}, 8, 2}, // at the start, six until the store is back, and the second one
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				s := &store{members: []cassiatally.Member{{Ref: cassiatally.NodeRef{Node: "b"}}}}
+				n := newNode(s, "a")
+				n.Run()
+				c.before(s, n)
+				n.Reintroduce()
+				time.Sleep(5 * time.Second)
+				n.Close()
+				is.True(s.has("a"))
+				t.Logf("%d loads, %d saves", s.loads, s.saves)
+				is.True(s.loads <= c.loads)
+				is.True(s.saves <= c.saves)
+			})
+		})
+	}
+}
+
+// Guards against a reintroduction that is lost because it is asked for before the duty runs,
+// and against one after its end that blocks.
+func TestReintroductionOutsideARun(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		s := &store{}
+		n := newNode(s, "a")
+		n.Reintroduce()
+		n.Run()
+		time.Sleep(200 * time.Millisecond)
+		n.Close()
+		n.Reintroduce()
+		n.Reintroduce()
+		is.True(s.has("a"))
+	})
+}
