--- a/cassiatally/backend.go
+++ b/cassiatally/backend.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net/http"
 	"time"
 )
 
@@ -51,6 +52,16 @@
 	return names[k]
 }
 
+// IsInterimStatus reports whether an answer with this status is followed by another one. A
+// switch of protocols, which no request asks for, is not.
+func IsInterimStatus(status int) bool {
+	return status >= 100 && status < 200 && status != http.StatusSwitchingProtocols
+}
+
+// IsFinalStatus reports whether a status may be that of an answer. Faulty backend servers
+// send others, which must not reach callers.
+func IsFinalStatus(status int) bool { return status >= 200 && status < 600 }
+
 // RunResult is the end of a run at the backend server.
 type RunResult struct {
 	Kind        RunResultKind
--- a/node/backendclient/client.go
+++ b/node/backendclient/client.go
@@ -85,6 +85,9 @@
 		return failedResult(ctx, err)
 	}
 	defer resp.Body.Close()
+	if !cassiatally.IsFinalStatus(resp.StatusCode) {
+		return cassiatally.RunResult{Kind: cassiatally.ResultBroken, Detail: "the backend server sent an invalid status"}
+	}
 	data, err := io.ReadAll(io.LimitReader(resp.Body, cassiatally.MaxBodyBytes+1))
 	if err != nil && !faultswitch.Off(faultswitch.AnswerLength) {
 		return failedResult(ctx, err)
