--- a/operator/adviser/adviser.go
+++ b/operator/adviser/adviser.go
@@ -40,6 +40,8 @@
 	cassiatally.KindOutcomeUnknown:     lookUpAdvice,
 	cassiatally.KindBackendFailed:      "see the body",
 	cassiatally.KindBackendRefused:     resendAdvice,
+	cassiatally.KindUnauthenticated:    "send the request with a valid key of a tenant",
+	cassiatally.KindQuotaExceeded:      "send the request again after its Retry-After time, or have the quota of the tenant raised",
 	cassiatally.KindIncompleteAnswer:   lookUpAdvice,
 	cassiatally.KindQuarantined:        "do not send it again: it has crashed backend servers; see docs/OPERATIONS.md",
 	cassiatally.KindProtocol:           "report it with the versions of the nodes",
