--- a/node/callerconn/conn.go
+++ b/node/callerconn/conn.go
@@ -79,11 +79,13 @@
 	}
 }
 
-// end closes the connection and waits for its requests.
+// end waits for the requests of the connection and closes it. A client that sends nothing
+// more may still read the answer that is being written.
 func (c *conn) end() {
-	c.abort()
-	c.handlers.Wait()
+	c.cancel()
 	c.dropReader()
+	c.handlers.Wait()
+	c.abort()
 	c.mu.Lock()
 	c.reading, c.queue = false, nil
 	c.updateBusy()
