--- a/cassiatally/runner/detached_test.go
+++ b/cassiatally/runner/detached_test.go
@@ -71,6 +71,12 @@
 		{"gone from the backend server", 1, func(h *harness) []cassiatally.Action {
 			return h.Finished(start, call(3, "").ID, stating(0, 1))
 		}, 2},
+		{"answer without a load", 1, func(h *harness) []cassiatally.Action {
+			return h.Finished(start, call(3, "").ID, cassiatally.RunResult{Kind: cassiatally.ResultAnswered, Status: 500, Notice: &cassiatally.Notice{}})
+		}, 1},
+		{"answer with a load of three figures", 1, func(h *harness) []cassiatally.Action {
+			return h.Finished(start, call(3, "").ID, stating(1, 0))
+		}, 2},
 		{"deadline", 1, func(h *harness) []cassiatally.Action { return h.Tick(start.Add(time.Second)) }, 1},
 		{"new start of the backend server", 1, func(h *harness) []cassiatally.Action {
 			h.SetInstance(start, instance, 2)
--- a/cassiatally/runner/notice.go
+++ b/cassiatally/runner/notice.go
@@ -20,8 +20,7 @@
 	if n == nil {
 		return
 	}
-	if rec.serverStart == r.notices.Start() {
-		r.slowdowns.state(now, n.Slowdown)
+	if rec.serverStart == r.notices.Start() && r.slowdowns.state(now, *n) {
 		r.observeOccupancy(rec, *n)
 	}
 	if r.notices.Observe(rec.serverStart, *n) {
--- a/cassiatally/runner/slowdown.go
+++ b/cassiatally/runner/slowdown.go
@@ -21,13 +21,20 @@
 	statedAt cassiatally.Instant
 	// typical is the slowdown at which the typical self time was measured.
 	typical cassiatally.Slowdown
-	// none is set when the newest answer stated no slowdown.
-	none bool
+	// ever is set once a slowdown was stated, and none when the newest load had none.
+	ever, none bool
 }
 
-// state records the slowdown of an answer, and 0 for an answer without one.
-func (s *slowdowns) state(now cassiatally.Instant, stated cassiatally.Slowdown) {
-	s.current, s.statedAt, s.none = stated, now, stated == 0
+// state records the slowdown of an answer, which is 0 for a load without one. It returns
+// false for an answer that says nothing: one without any load, as endpoints in trouble send,
+// when earlier ones stated a slowdown.
+func (s *slowdowns) state(now cassiatally.Instant, n cassiatally.Notice) bool {
+	if n.Slowdown == 0 && !n.OccupancyKnown && s.ever {
+		return false
+	}
+	s.current, s.statedAt, s.none = n.Slowdown, now, n.Slowdown == 0
+	s.ever = s.ever || n.Slowdown > 0
+	return true
 }
 
 // measure records that the run of the newest answer was observed by the limiter.
