--- a/cassiatally/quotataker/quotataker.go
+++ b/cassiatally/quotataker/quotataker.go
@@ -41,6 +41,11 @@
 	// and names no other one. Owners change within a round trip when both are live.
 	declineBackoff = 30 * time.Millisecond
 	minAskInterval = 10 * time.Millisecond
+	// maxEmptyInterval leaves a request that has waited for it time for an answer.
+	maxEmptyInterval = 100 * time.Millisecond
+	// contendedAfter is the Retry-After time from which on requests do not wait for the
+	// next token: others have asked for several times the tokens that come while they wait.
+	contendedAfter = 5 * maxWait
 	// maxAskInterval bounds the time for which an owner's answer is relied on.
 	maxAskInterval = time.Second
 	maxRedirects   = 4
@@ -106,6 +111,7 @@
 	// its quota until then if short is set.
 	nextAsk    cassiatally.Instant
 	short      bool
+	interval   time.Duration
 	retryAfter time.Duration
 	noOwner    bool
 	demand     demand
@@ -216,7 +222,8 @@
 		}
 		s.short = g.Next > 0
 		if s.short {
-			s.nextAsk, s.retryAfter = now.Add(min(max(g.Next, minAskInterval), maxAskInterval)), g.RetryAfter
+			s.backOff(g.Granted)
+			s.nextAsk, s.retryAfter = now.Add(min(max(g.Next, s.interval), maxAskInterval)), g.RetryAfter
 		}
 		t.serve(now, s)
 		t.refuseHopeless(now, s)
@@ -227,6 +234,16 @@
 	return t.take()
 }
 
+// backOff sets the least time until the owner is asked again. It doubles with each answer
+// without a token: other nodes take each one that comes, and a tenant at eight times its
+// quota would cost ten messages a request.
+func (s *tenant) backOff(granted int) {
+	if granted > 0 {
+		s.interval = 0
+	}
+	s.interval = min(max(2*s.interval, minAskInterval), maxEmptyInterval)
+}
+
 // declined follows the candidate's statement of who the owner is.
 func (t *Taker) declined(now cassiatally.Instant, s *tenant, from cassiatally.NodeID, g cassiatally.QuotaGrant) {
 	named := g.Better
--- a/cassiatally/quotataker/waiting.go
+++ b/cassiatally/quotataker/waiting.go
@@ -35,7 +35,7 @@
 	}
 	kept := s.waiters[:0]
 	for _, w := range s.waiters {
-		if s.expectedWait(now, len(kept)) > w.until.Sub(now) {
+		if s.retryAfter > contendedAfter || s.expectedWait(now, len(kept)) > w.until.Sub(now) {
 			t.refuse(s, w.id)
 			continue
 		}
