--- a/cassiatally/quotaowner/quotaowner_test.go
+++ b/cassiatally/quotaowner/quotaowner_test.go
@@ -239,3 +239,13 @@
 	_, reply := w.owner.HandleBeat(w.now, *w.beating["b"])
 	is.True(!reply)
 }
+
+// Guards against a quota that is so high that its tokens exceed an int: the conversion is
+// then negative on x86-64, and every request is refused.
+func TestQuotaBeyondInt(t *testing.T) {
+	is := is.New(t)
+	w := newWorld(cassiatally.TenantSpec{Name: "t", Rate: 1e20, Burst: 1e20})
+	w.pass(10 * time.Second)
+	is.Equal(w.ask(5).Granted, 5)
+	is.Equal(w.ask(5).Granted, 5)
+}
--- a/cassiatally/quotataker/quotataker_test.go
+++ b/cassiatally/quotataker/quotataker_test.go
@@ -162,3 +162,30 @@
 	n := floors(start.Add(10 * time.Second))
 	is.True(n == 2 || n == 3)
 }
+
+// Guards against a refusal as over the quota by the old answer of an owner that has become
+// unreachable since: such a request gets the floor, or is refused because no owner grants.
+func TestLostOwnerIsNoRefusalByQuota(t *testing.T) {
+	for name, linkLost := range map[string]bool{"no answers": false, "link lost": true} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			k := newTaker("a", "b", "c")
+			first := k.Take(start, 1, spec).Asks[0]
+			g := grant(first, 0)
+			g.Next, g.RetryAfter = time.Second, 400*time.Millisecond
+			is.Equal(k.HandleGrant(start, first.To.Node, g).Decisions[0].Decision.Kind, cassiatally.KindQuotaExceeded)
+
+			now := start.Add(10 * time.Second)
+			is.Equal(k.Take(now, 2, spec).Asks[0].To, first.To)
+			if linkLost {
+				is.Equal(len(k.LinkLost(now, first.To.Node).Decisions), 0)
+			}
+			var decisions []quotataker.Decision
+			for end := now.Add(160 * time.Millisecond); now < end; now = now.Add(10 * time.Millisecond) {
+				decisions = append(decisions, k.Tick(now).Decisions...)
+			}
+			is.Equal(len(decisions), 1)
+			is.True(decisions[0].Decision.Kind != cassiatally.KindQuotaExceeded)
+		})
+	}
+}
--- a/node/forwarder/forwarder_test.go
+++ b/node/forwarder/forwarder_test.go
@@ -33,7 +33,9 @@
 	observed []cassiatally.Tenant
 	taken    []cassiatally.Tenant
 	quota    cassiatally.QuotaDecision
-	log      bytes.Buffer
+	// quotaWait is how long Take waits.
+	quotaWait time.Duration
+	log       bytes.Buffer
 }
 
 func newNode(t *cassiatally.RouteTable) *node {
@@ -76,9 +78,17 @@
 	n.observed = append(n.observed, t)
 }
 
-func (n *node) Take(_ context.Context, t *cassiatally.TenantSpec) cassiatally.QuotaDecision {
+func (n *node) Take(ctx context.Context, t *cassiatally.TenantSpec) cassiatally.QuotaDecision {
 	n.taken = append(n.taken, t.Name)
-	return n.quota
+	if n.quotaWait == 0 {
+		return n.quota
+	}
+	select {
+	case <-time.After(n.quotaWait):
+		return n.quota
+	case <-ctx.Done():
+		return cassiatally.QuotaDecision{Kind: cassiatally.KindCancelled}
+	}
 }
 
 // table has a route that needs a key, /a/, and one that does not, /open/.
@@ -252,3 +262,20 @@
 		}
 	}
 }
+
+// Guards against a request that waits for a token of its quota beyond its deadline.
+func TestQuotaWaitEndsAtTheDeadline(t *testing.T) {
+	is := is.New(t)
+	limited := acme()
+	limited.Rate = 5
+	n := newNode(table(limited))
+	n.quotaWait = 10 * time.Second
+	in := inbound("/a/1", key, "")
+	in.Remaining = 10 * time.Millisecond
+	began := time.Now()
+	a := n.Forward(context.Background(), in)
+	is.True(time.Since(began) < n.quotaWait)
+	is.Equal(a.Outcome, cassiatally.OutcomeNotRun)
+	is.Equal(a.Kind, cassiatally.KindExpired)
+	is.Equal(len(n.requests), 0)
+}
