--- a/cassiatally/quotaowner/bucket.go
+++ b/cassiatally/quotaowner/bucket.go
@@ -72,7 +72,8 @@
 		return g
 	}
 	want := min(max(r.Want, 1), maxWant)
-	g.Granted = min(want, int(b.tokens))
+	// Tokens beyond an int convert to a negative number on x86-64.
+	g.Granted = int(min(float64(want), b.tokens))
 	b.tokens -= float64(g.Granted)
 	b.miss(now, want-g.Granted)
 	if g.Granted < want {
--- a/cassiatally/quotataker/quotataker.go
+++ b/cassiatally/quotataker/quotataker.go
@@ -315,10 +315,11 @@
 	return at, found
 }
 
-// giveUp takes a candidate for unreachable.
+// giveUp takes a candidate for unreachable. Its earlier answers no longer say that the
+// tenant is over its quota.
 func (t *Taker) giveUp(now cassiatally.Instant, s *tenant, n cassiatally.NodeID) {
 	t.unreachable[n] = now.Add(unreachableFor)
-	s.unanswered = 0
+	s.unanswered, s.short = 0, false
 	s.target = cassiatally.QuotaCandidate{}
 	for i := range s.asked {
 		s.asked[i].open = s.asked[i].open && s.asked[i].to != n
--- a/node/forwarder/forwarder.go
+++ b/node/forwarder/forwarder.go
@@ -104,7 +104,7 @@
 		// run of another tenant by the form of its id.
 		in.Parent = ""
 	}
-	if d := f.takeQuota(ctx, tenant); !d.Granted {
+	if d := f.takeQuota(ctx, tenant, timeoutOf(in, route)); !d.Granted {
 		f.Logger.Info("request refused by quota", "request", in.Name, "route", route.Name, "tenant", tenant.Name, "kind", d.Kind, "retry_after", d.RetryAfter)
 		return refuse(d.Kind, quotaDetail(d.Kind), d.RetryAfter)
 	}
@@ -138,13 +138,19 @@
 	return t, cassiatally.KindNone
 }
 
-// takeQuota charges a request to the quota of its tenant. Requests that are refused
-// because the node stops are not charged.
-func (f *Forwarder) takeQuota(ctx context.Context, t *cassiatally.TenantSpec) cassiatally.QuotaDecision {
+// takeQuota charges a request to the quota of its tenant, and waits for that no longer than
+// timeout. Requests that are refused because the node stops are not charged.
+func (f *Forwarder) takeQuota(ctx context.Context, t *cassiatally.TenantSpec, timeout time.Duration) cassiatally.QuotaDecision {
 	if t == nil || t.Rate == 0 || f.Quotas == nil || f.refusing.Load() {
 		return cassiatally.QuotaDecision{Granted: true}
 	}
-	return f.Quotas.Take(ctx, t)
+	waitCtx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	d := f.Quotas.Take(waitCtx, t)
+	if d.Kind == cassiatally.KindCancelled && ctx.Err() == nil {
+		d.Kind = cassiatally.KindExpired
+	}
+	return d
 }
 
 // quotaDetail describes why a request got no token of its tenant's quota.
