--- a/cassiatally/quotaowner/quotaowner_test.go
+++ b/cassiatally/quotaowner/quotaowner_test.go
@@ -249,3 +249,82 @@
 	is.Equal(w.ask(5).Granted, 5)
 	is.Equal(w.ask(5).Granted, 5)
 }
+
+// Guards against two owners of a tenant when only the link between them is cut: others hear
+// both, and neither is isolated.
+func TestOneCutLinkMakesNoSecondOwner(t *testing.T) {
+	is := is.New(t)
+	ids := []cassiatally.NodeID{"a", "b", "c", "d"}
+	dataCentreOf := func(id cassiatally.NodeID) cassiatally.DataCentre {
+		if id == "d" {
+			return "south"
+		}
+		return "north"
+	}
+	now := start
+	owners := map[cassiatally.NodeID]*quotaowner.Owner{}
+	for _, id := range ids {
+		o := quotaowner.New(candidate(id, dataCentreOf(id)))
+		m := quotaowner.Members{Live: 3, Known: 3}
+		for _, other := range ids {
+			if c := candidate(other, dataCentreOf(other)); c.DataCentre == dataCentreOf(id) {
+				m.Local = append(m.Local, c)
+			} else {
+				m.Gateways = append(m.Gateways, c)
+			}
+		}
+		if id == "d" {
+			m.Live, m.Known = 1, 1
+		}
+		o.SetMembers(now, m)
+		o.SetTenants(now, []cassiatally.TenantSpec{plain})
+		owners[id] = o
+	}
+	// first and second are the first candidates in the order of the tenant.
+	var ordered []cassiatally.QuotaCandidate
+	for _, id := range ids {
+		ordered = append(ordered, candidate(id, dataCentreOf(id)))
+	}
+	ordered = quotaowner.Order("t", ordered)
+	first, second := ordered[0].Node, ordered[1].Node
+	cut := false
+	deliver := func(b cassiatally.QuotaBeat, to cassiatally.NodeID) (cassiatally.QuotaBeat, bool) {
+		if from := b.From.Node; cut && (from == first && to == second || from == second && to == first) {
+			return cassiatally.QuotaBeat{}, false
+		}
+		return owners[to].HandleBeat(now, b)
+	}
+	granting := func() (names []cassiatally.NodeID) {
+		for _, id := range ids {
+			if !owners[id].HandleRequest(now, cassiatally.QuotaRequest{Tenant: "t", Want: 1}).Declined {
+				names = append(names, id)
+			}
+		}
+		return names
+	}
+	pass := func(d time.Duration) {
+		for end := now.Add(d); now < end; now = now.Add(100 * time.Millisecond) {
+			for _, id := range ids {
+				beat, to := owners[id].Tick(now)
+				for _, c := range to {
+					if reply, ok := deliver(beat, c.Node); ok {
+						deliver(reply, id)
+					}
+				}
+			}
+		}
+		for _, id := range ids {
+			owners[id].Tick(now)
+		}
+	}
+	pass(8 * time.Second)
+	is.Equal(granting(), []cassiatally.NodeID{first})
+	cut = true
+	for range 10 {
+		pass(time.Second)
+		is.Equal(granting(), []cassiatally.NodeID{first})
+	}
+	cut = false
+	pass(5 * time.Second)
+	is.Equal(granting(), []cassiatally.NodeID{first})
+}
