--- a/cassiatally/quotaowner/beats.go
+++ b/cassiatally/quotaowner/beats.go
@@ -40,7 +40,12 @@
 	}
 	changed := !p.live(now) || p.eligible != b.Eligible
 	p.candidate, p.heardAt, p.heard, p.eligible = b.From, now, true, b.Eligible
-	p.hearsSelf = slices.Contains(b.Heard, o.self.Node)
+	p.hears, p.hearsSelf = b.Heard, slices.Contains(b.Heard, o.self.Node)
+	for _, heard := range b.Heard {
+		if q := o.peers[heard]; q != nil {
+			q.reportedAt = now
+		}
+	}
 	if b.From.DataCentre != o.self.DataCentre {
 		o.contact(now, b)
 	}
--- a/cassiatally/quotaowner/quotaowner.go
+++ b/cassiatally/quotaowner/quotaowner.go
@@ -76,6 +76,10 @@
 	eligible  bool
 	// hearsSelf is set while the peer takes this node for live and eligible.
 	hearsSelf bool
+	// hears has the candidates that the peer takes for live and eligible.
+	hears []cassiatally.NodeID
+	// reportedAt is when another candidate last said that it hears this one.
+	reportedAt cassiatally.Instant
 }
 
 func (p *peer) live(now cassiatally.Instant) bool {
@@ -310,7 +314,8 @@
 const minLive = 3
 
 // better returns the first live and eligible candidate before this node in the order of
-// a tenant, nil when there is none.
+// a tenant, nil when there is none. A silent candidate that a live one hears counts: only
+// the link to it may be cut, and it still grants.
 func (o *Owner) better(now cassiatally.Instant, t cassiatally.Tenant) *peer {
 	var best *peer
 	score := Score(t, o.self.Node)
@@ -318,18 +323,43 @@
 		score = ^uint64(0)
 	}
 	for id, p := range o.peers {
-		if s := Score(t, id); p.eligible && p.live(now) && s < score {
+		if !p.live(now) {
+			continue
+		}
+		if s := Score(t, id); p.eligible && s < score {
 			best, score = p, s
 		}
+		for _, heard := range p.hears {
+			if s := Score(t, heard); s < score && heard != o.self.Node && o.silent(now, heard) {
+				best, score = o.recordOf(heard), s
+			}
+		}
 	}
 	return best
 }
 
+// silent reports whether a candidate is not live for this node.
+func (o *Owner) silent(now cassiatally.Instant, n cassiatally.NodeID) bool {
+	p := o.peers[n]
+	return p == nil || !p.live(now)
+}
+
+// recordOf returns the record of a candidate, or one with its name only.
+func (o *Owner) recordOf(n cassiatally.NodeID) *peer {
+	if p := o.peers[n]; p != nil {
+		return p
+	}
+	return &peer{candidate: cassiatally.QuotaCandidate{Node: n}}
+}
+
 // ready reports whether no other node grants tokens of a tenant that this node owns.
 func (o *Owner) ready(now cassiatally.Instant, t cassiatally.Tenant, b *bucket) bool {
 	self := Score(t, o.self.Node)
 	for id, p := range o.peers {
 		switch {
+		case Score(t, id) < self && !p.live(now) && now.Before(p.reportedAt.Add(takeoverWait)):
+			// The last one that heard it may have lost it before it knows.
+			return false
 		case !p.eligible:
 		case p.live(now):
 			// It has stopped when it hears this node.
--- a/cassiatally/quotaowner/quotaowner_test.go
+++ b/cassiatally/quotaowner/quotaowner_test.go
@@ -328,3 +328,26 @@
 	pass(5 * time.Second)
 	is.Equal(granting(), []cassiatally.NodeID{first})
 }
+
+// Guards against a grant as soon as the last one that hears a better candidate has lost
+// it: that candidate may not have noticed yet.
+func TestTakeoverWaitsAfterTheLastReport(t *testing.T) {
+	is := is.New(t)
+	w := newWorld(plain)
+	better, worse := peerOf(t, w, true), peerOf(t, w, false)
+	w.beating[better].Eligible = true
+	w.pass(5 * time.Second)
+	delete(w.beating, better)
+	w.beating[worse].Heard = []cassiatally.NodeID{"a", better}
+	for range 5 {
+		w.pass(time.Second)
+		g := w.ask(1)
+		is.True(g.Declined)
+		is.Equal(g.Better.Node, better)
+	}
+	w.beating[worse].Heard = []cassiatally.NodeID{"a"}
+	w.pass(900 * time.Millisecond)
+	is.True(w.ask(1).Declined)
+	w.pass(2 * time.Second)
+	is.True(!w.ask(1).Declined)
+}
