--- a/cassiatally/quotaowner/beats.go
+++ b/cassiatally/quotaowner/beats.go
@@ -80,7 +80,7 @@
 	return p
 }
 
-// beat returns the beat of this node.
+// beat leaves Known at 0 unless this node is a candidate.
 func (o *Owner) beat(now cassiatally.Instant) cassiatally.QuotaBeat {
 	b := cassiatally.QuotaBeat{From: o.self, Eligible: o.eligible, Live: o.members.Live, Candidates: o.members.Local}
 	if !o.candidate() {
--- a/cassiatally/quotaowner/quotaowner.go
+++ b/cassiatally/quotaowner/quotaowner.go
@@ -2,7 +2,7 @@
 // many tokens it grants to the nodes where requests enter. It does no I/O.
 //
 // The owner of a tenant is the first live and eligible candidate in the rendezvous order
-// of the tenant. Candidates tell each other with beats that they are live. Two rules keep
+// of the tenant. Candidates announce with beats that they are live. Two rules keep
 // the sum of all grants within the quota: an owner grants the fraction of the quota that
 // corresponds to the data centres it reaches, and it grants nothing until its predecessor
 // is known to have stopped. docs/design/quotas.md has the reasoning.
--- a/cassiatally/quotataker/quotataker.go
+++ b/cassiatally/quotataker/quotataker.go
@@ -226,7 +226,7 @@
 			s.nextAsk, s.retryAfter = now.Add(min(max(g.Next, s.interval), maxAskInterval)), g.RetryAfter
 		}
 		t.serve(now, s)
-		t.refuseHopeless(now, s)
+		t.refuseUnservable(now, s)
 		// Whatever the answer says, the next one does not come at the same instant.
 		s.nextAsk = max(s.nextAsk, now.Add(minAskInterval))
 	}
--- a/cassiatally/quotataker/waiting.go
+++ b/cassiatally/quotataker/waiting.go
@@ -27,9 +27,9 @@
 	return s.nextAsk.Sub(now) + time.Duration(float64(before)/float64(s.spec.Rate)*float64(time.Second))
 }
 
-// refuseHopeless refuses the waiting requests that are not expected to get a token while
+// refuseUnservable refuses the waiting requests that are not expected to get a token while
 // they wait.
-func (t *Taker) refuseHopeless(now cassiatally.Instant, s *tenant) {
+func (t *Taker) refuseUnservable(now cassiatally.Instant, s *tenant) {
 	if !s.short {
 		return
 	}
--- a/node/quotakeeper/report.go
+++ b/node/quotakeeper/report.go
@@ -21,7 +21,6 @@
 // yet.
 const isolationDelay = 3 * time.Second
 
-// count counts a decision.
 func (r *report) count(d quotataker.Decision) {
 	switch {
 	case d.Floor:
