--- a/cassiatally/tablevalidator/validator_test.go
+++ b/cassiatally/tablevalidator/validator_test.go
@@ -69,3 +69,18 @@
 		})
 	}
 }
+
+// Guards against a tenant name that ends the header field in which endpoints get it: the
+// rest of the name would be read as further fields or as a request.
+func TestTenantNameWithControlCharacters(t *testing.T) {
+	for _, name := range []cassiatally.Tenant{"a\r\nX: y", "a\nb", "a\x00", "a\x7f"} {
+		err := tablevalidator.Validator{}.Validate(cassiatally.RouteTable{Tenants: []cassiatally.TenantSpec{{Name: name}}})
+		if err == nil {
+			t.Errorf("a tenant name %q is accepted", name)
+		}
+	}
+	err := tablevalidator.Validator{}.Validate(cassiatally.RouteTable{Tenants: []cassiatally.TenantSpec{{Name: "Büro 7"}}})
+	if err != nil {
+		t.Error(err)
+	}
+}
