--- a/cassiatally/tablevalidator/validator.go
+++ b/cassiatally/tablevalidator/validator.go
@@ -10,6 +10,9 @@
 package tablevalidator
 
 import (
+	"strings"
+	"unicode"
+
 	"github.com/cockroachdb/errors"
 
 	"github.com/cassiatally/cassiatally/cassiatally"
@@ -42,6 +45,9 @@
 		switch {
 		case t.Name == "":
 			return errors.New("a tenant has no name")
+		case strings.ContainsFunc(string(t.Name), unicode.IsControl):
+			// Endpoints get the name in a header field.
+			return errors.Newf("the name of tenant %q has control characters", t.Name)
 		case names[t.Name]:
 			return errors.Newf("tenant %q appears twice", t.Name)
 		case !notNegative(float64(t.Rate)), !notNegative(t.Burst):
