--- a/cassiatally/quotaowner/quotaowner_test.go
+++ b/cassiatally/quotaowner/quotaowner_test.go
@@ -239,3 +239,115 @@
 	_, reply := w.owner.HandleBeat(w.now, *w.beating["b"])
 	is.True(!reply)
 }
+
+// Guards against a quota that is so high that its tokens exceed an int: the conversion is
+// then negative on x86-64, and every request is refused.
+func TestQuotaBeyondInt(t *testing.T) {
+	is := is.New(t)
+	w := newWorld(cassiatally.TenantSpec{Name: "t", Rate: 1e20, Burst: 1e20})
+	w.pass(10 * time.Second)
+	is.Equal(w.ask(5).Granted, 5)
+	is.Equal(w.ask(5).Granted, 5)
+}
+
+// Guards against two owners of a tenant when only the link between them is cut: others hear
+// both, and neither is isolated.
+func TestOneCutLinkMakesNoSecondOwner(t *testing.T) {
+	is := is.New(t)
+	ids := []cassiatally.NodeID{"a", "b", "c", "d"}
+	dataCentreOf := func(id cassiatally.NodeID) cassiatally.DataCentre {
+		if id == "d" {
+			return "south"
+		}
+		return "north"
+	}
+	now := start
+	owners := map[cassiatally.NodeID]*quotaowner.Owner{}
+	for _, id := range ids {
+		o := quotaowner.New(candidate(id, dataCentreOf(id)))
+		m := quotaowner.Members{Live: 3, Known: 3}
+		for _, other := range ids {
+			if c := candidate(other, dataCentreOf(other)); c.DataCentre == dataCentreOf(id) {
+				m.Local = append(m.Local, c)
+			} else {
+				m.Gateways = append(m.Gateways, c)
+			}
+		}
+		if id == "d" {
+			m.Live, m.Known = 1, 1
+		}
+		o.SetMembers(now, m)
+		o.SetTenants(now, []cassiatally.TenantSpec{plain})
+		owners[id] = o
+	}
+	// first and second are the first candidates in the order of the tenant.
+	var ordered []cassiatally.QuotaCandidate
+	for _, id := range ids {
+		ordered = append(ordered, candidate(id, dataCentreOf(id)))
+	}
+	ordered = quotaowner.Order("t", ordered)
+	first, second := ordered[0].Node, ordered[1].Node
+	cut := false
+	deliver := func(b cassiatally.QuotaBeat, to cassiatally.NodeID) (cassiatally.QuotaBeat, bool) {
+		if from := b.From.Node; cut && (from == first && to == second || from == second && to == first) {
+			return cassiatally.QuotaBeat{}, false
+		}
+		return owners[to].HandleBeat(now, b)
+	}
+	granting := func() (names []cassiatally.NodeID) {
+		for _, id := range ids {
+			if !owners[id].HandleRequest(now, cassiatally.QuotaRequest{Tenant: "t", Want: 1}).Declined {
+				names = append(names, id)
+			}
+		}
+		return names
+	}
+	pass := func(d time.Duration) {
+		for end := now.Add(d); now < end; now = now.Add(100 * time.Millisecond) {
+			for _, id := range ids {
+				beat, to := owners[id].Tick(now)
+				for _, c := range to {
+					if reply, ok := deliver(beat, c.Node); ok {
+						deliver(reply, id)
+					}
+				}
+			}
+		}
+		for _, id := range ids {
+			owners[id].Tick(now)
+		}
+	}
+	pass(8 * time.Second)
+	is.Equal(granting(), []cassiatally.NodeID{first})
+	cut = true
+	for range 10 {
+		pass(time.Second)
+		is.Equal(granting(), []cassiatally.NodeID{first})
+	}
+	cut = false
+	pass(5 * time.Second)
+	is.Equal(granting(), []cassiatally.NodeID{first})
+}
+
+// Guards against a grant as soon as the last one that hears a better candidate has lost
+// it: that candidate may not have noticed yet.
+func TestTakeoverWaitsAfterTheLastReport(t *testing.T) {
+	is := is.New(t)
+	w := newWorld(plain)
+	better, worse := peerOf(t, w, true), peerOf(t, w, false)
+	w.beating[better].Eligible = true
+	w.pass(5 * time.Second)
+	delete(w.beating, better)
+	w.beating[worse].Heard = []cassiatally.NodeID{"a", better}
+	for range 5 {
+		w.pass(time.Second)
+		g := w.ask(1)
+		is.True(g.Declined)
+		is.Equal(g.Better.Node, better)
+	}
+	w.beating[worse].Heard = []cassiatally.NodeID{"a"}
+	w.pass(900 * time.Millisecond)
+	is.True(w.ask(1).Declined)
+	w.pass(2 * time.Second)
+	is.True(!w.ask(1).Declined)
+}
--- a/cassiatally/quotataker/quotataker.go
+++ b/cassiatally/quotataker/quotataker.go
@@ -226,7 +226,7 @@
 			s.nextAsk, s.retryAfter = now.Add(min(max(g.Next, s.interval), maxAskInterval)), g.RetryAfter
 		}
 		t.serve(now, s)
-		t.refuseHopeless(now, s)
+		t.refuseUnservable(now, s)
 		// Whatever the answer says, the next one does not come at the same instant.
 		s.nextAsk = max(s.nextAsk, now.Add(minAskInterval))
 	}
@@ -315,10 +315,11 @@
 	return at, found
 }
 
-// giveUp takes a candidate for unreachable.
+// giveUp takes a candidate for unreachable. Its earlier answers no longer say that the
+// tenant is over its quota.
 func (t *Taker) giveUp(now cassiatally.Instant, s *tenant, n cassiatally.NodeID) {
 	t.unreachable[n] = now.Add(unreachableFor)
-	s.unanswered = 0
+	s.unanswered, s.short = 0, false
 	s.target = cassiatally.QuotaCandidate{}
 	for i := range s.asked {
 		s.asked[i].open = s.asked[i].open && s.asked[i].to != n
