--- a/node/callerconn/conn.go
+++ b/node/callerconn/conn.go
@@ -5,6 +5,7 @@
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"sync"
 	"syscall"
 	"time"
@@ -57,7 +58,9 @@
 	reading, waiting, watching bool
 	// last is set when no request is read after those in the queue.
 	last bool
-	busy bool
+	// ending is set while a drain waits for what an idle connection has already received.
+	ending bool
+	busy   bool
 }
 
 func newConn(s *Server, nc net.Conn, raw syscall.RawConn) *conn {
@@ -87,7 +90,7 @@
 	c.handlers.Wait()
 	c.abort()
 	c.mu.Lock()
-	c.reading, c.queue = false, nil
+	c.reading, c.ending, c.queue = false, false, nil
 	c.updateBusy()
 	c.mu.Unlock()
 	c.server.remove(c)
@@ -99,14 +102,22 @@
 	_ = c.nc.Close()
 }
 
-// closeIfIdle ends the connection when it has no request.
+// closeIfIdle ends the connection when it has no request and none has arrived.
 func (c *conn) closeIfIdle() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if !c.reading && len(c.queue) == 0 {
-		c.last = true
-		_ = c.nc.SetReadDeadline(longAgo)
+	c.endIfIdle()
+}
+
+// endIfIdle wakes an idle connection, which then ends unless bytes have arrived. It counts
+// as busy until then. The caller holds mu.
+func (c *conn) endIfIdle() {
+	if c.reading || len(c.queue) > 0 || c.last {
+		return
 	}
+	c.ending = true
+	c.updateBusy()
+	_ = c.nc.SetReadDeadline(longAgo)
 }
 
 // awaitRequest waits for the first byte of a request that may be read now. It returns
@@ -121,9 +132,9 @@
 		if err == nil {
 			err = c.fillErr
 		}
-		c.mu.Lock()
-		c.waiting = false
-		c.mu.Unlock()
+		if c.stopWaiting() && err != nil {
+			err = c.receiveArrived()
+		}
 		if err != nil {
 			c.readFailed(err)
 			return false
@@ -141,14 +152,44 @@
 		return false
 	}
 	c.waiting = true
-	if len(c.queue) == 0 {
+	switch {
+	case c.ending:
+		_ = c.nc.SetReadDeadline(longAgo)
+	case len(c.queue) == 0:
 		_ = c.nc.SetReadDeadline(time.Now().Add(c.server.IdleTimeout))
-	} else {
+	default:
 		_ = c.nc.SetReadDeadline(time.Time{})
 	}
 	return true
 }
 
+// stopWaiting ends the wait for a first byte. It reports whether the connection is ending.
+func (c *conn) stopWaiting() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.waiting = false
+	return c.ending
+}
+
+// receiveArrived receives what has arrived at a connection that is ending. Without any
+// bytes, no request is read any more.
+func (c *conn) receiveArrived() error {
+	err := c.raw.Control(func(fd uintptr) { c.fill(fd) })
+	if err == nil {
+		err = c.fillErr
+	}
+	if err != nil {
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		c.last, c.ending = true, false
+		c.updateBusy()
+	}
+	if errors.Is(err, errNothingYet) {
+		return os.ErrDeadlineExceeded
+	}
+	return err
+}
+
 // receiveNow receives what has arrived, in a buffer that is taken for it only if there is
 // something. It returns false when there is nothing yet.
 func (c *conn) receiveNow(fd uintptr) bool {
@@ -204,7 +245,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	for !c.last && len(c.queue) > 0 {
-		if c.server.leaving.Load() {
+		if c.server.leaving.Load() && !c.lastKeeps() {
 			// The answer to the last request of the queue will close the connection.
 			c.last = true
 			break
@@ -219,11 +260,15 @@
 	if c.last {
 		return false
 	}
-	c.reading = true
+	c.reading, c.ending = true, false
 	c.updateBusy()
 	return true
 }
 
+// lastKeeps reports whether the answer to the last request of the queue is being written
+// with a head that keeps the connection. The caller holds mu.
+func (c *conn) lastKeeps() bool { return c.writing && len(c.queue) == 1 && !c.queue[0].closes }
+
 // watch waits until an answer was written. It returns false when the client has
 // disconnected, also when there are bytes that were not read. The caller holds mu.
 func (c *conn) watch() bool {
@@ -319,7 +364,7 @@
 
 // updateBusy tells the server whether the connection has a request. The caller holds mu.
 func (c *conn) updateBusy() {
-	busy := c.reading || len(c.queue) > 0
+	busy := c.reading || c.ending || len(c.queue) > 0
 	if busy == c.busy {
 		return
 	}
--- a/node/callerconn/exchange.go
+++ b/node/callerconn/exchange.go
@@ -8,6 +8,8 @@
 	"sync"
 	"time"
 
+	"golang.org/x/sys/unix"
+
 	"github.com/cassiatally/cassiatally/cassiatally"
 )
 
@@ -130,8 +132,11 @@
 	if c.queue = c.queue[1:]; len(c.queue) == 0 {
 		c.queue = nil
 	}
+	if c.server.draining.Load() {
+		c.endIfIdle()
+	}
 	switch {
-	case c.watching, c.last && len(c.queue) == 0:
+	case c.watching, (c.last || c.ending) && len(c.queue) == 0:
 		_ = c.nc.SetReadDeadline(longAgo)
 	case c.waiting && len(c.queue) == 0:
 		_ = c.nc.SetReadDeadline(time.Now().Add(c.server.IdleTimeout))
@@ -152,12 +157,14 @@
 	if !hasBody(ex) {
 		body = nil
 	}
+	if len(b)+len(body) <= cap(b) {
+		b, body = append(b, body...), nil
+	}
 	var err error
-	if len(b)+len(body) <= cap(b) || len(body) == 0 {
-		b = append(b, body...)
-		_, err = c.nc.Write(b)
-	} else {
+	if ex.answerHeld > 0 {
 		err = c.writeParts(b, body)
+	} else {
+		err = c.writeShort(ex, b, body)
 	}
 	if cap(b) <= readBufferBytes {
 		*buffer = b
@@ -166,6 +173,34 @@
 	return err
 }
 
+// writeShort writes an answer that is charged only if the kernel does not take it at once.
+// Its connection may then be closed for others.
+func (c *conn) writeShort(ex *exchange, head, body []byte) error {
+	n, err := c.writeNow(head, body)
+	if err != nil || n == len(head)+len(body) {
+		return err
+	}
+	ex.answerHeld = cassiatally.ByteCount(len(head) + len(body) - n)
+	c.server.holdAnswer(c, ex.answerHeld)
+	sent := min(n, len(head))
+	return c.writeParts(head[sent:], body[n-sent:])
+}
+
+// writeNow writes what the kernel takes without waiting, which may be nothing.
+func (c *conn) writeNow(parts ...[]byte) (n int, err error) {
+	failed := c.raw.Write(func(fd uintptr) bool {
+		n, err = unix.Writev(int(fd), parts)
+		return true
+	})
+	switch {
+	case failed != nil:
+		return 0, failed
+	case err == unix.EAGAIN, err == unix.EINTR:
+		return 0, nil
+	}
+	return max(n, 0), err
+}
+
 // writeParts writes a long answer in parts, so that it is known how far its reader is.
 func (c *conn) writeParts(head, body []byte) error {
 	first := body[:min(len(body), writeBytes)]
--- a/node/callerconn/server.go
+++ b/node/callerconn/server.go
@@ -127,13 +127,15 @@
 	idle := make(chan struct{})
 	s.mu.Lock()
 	s.draining.Store(true)
-	s.idle = idle
-	s.notifyIdle()
 	conns := s.openConns()
 	s.mu.Unlock()
 	for _, c := range conns {
 		c.closeIfIdle()
 	}
+	s.mu.Lock()
+	s.idle = idle
+	s.notifyIdle()
+	s.mu.Unlock()
 	select {
 	case <-idle:
 	case <-ctx.Done():
