--- a/node/callerconn/reader_test.go
+++ b/node/callerconn/reader_test.go
@@ -34,3 +34,19 @@
 	}
 	is.New(t).Equal(status(t, dial(t, s, get)), 200)
 }
+
+// Guards against an empty line after a body that counts as the begin of a request: the
+// connection was then closed after the time for a head, while its client kept it for reuse.
+func TestEmptyLineIsNoRequest(t *testing.T) {
+	is := is.New(t)
+	s := run(t, &callerconn.Server{Serve: ok, HeaderTimeout: 50 * time.Millisecond})
+	conn := dial(t, s, "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 1\r\n\r\nb\r\n")
+	is.Equal(status(t, conn), 200)
+	time.Sleep(300 * time.Millisecond)
+	_, err := io.WriteString(conn, get)
+	is.NoErr(err)
+	is.Equal(status(t, conn), 200)
+	_, err = io.WriteString(conn, strings.Repeat("\r\n", 4))
+	is.NoErr(err)
+	is.Equal(status(t, conn), 400) // more empty lines than allowed
+}
