--- a/node/callerconn/conn.go
+++ b/node/callerconn/conn.go
@@ -40,8 +40,10 @@
 
 	// The receiving goroutine owns the fields from here to mu. reader is nil while no
 	// bytes are buffered, and grown is what its buffer holds beyond the usual size.
-	reader  *reader
-	grown   cassiatally.ByteCount
+	reader *reader
+	grown  cassiatally.ByteCount
+	// empty counts the bytes of empty lines since the last request.
+	empty   int
 	fill    func(fd uintptr) bool
 	fillErr error
 	closed  func(fd uintptr) bool
@@ -123,24 +125,35 @@
 // awaitRequest waits for the first byte of a request that may be read now. It returns
 // false when there will be none.
 func (c *conn) awaitRequest() bool {
-	if c.reader == nil || c.reader.Buffered() == 0 {
-		c.dropReader()
-		if !c.setWaiting() {
+	for {
+		if (c.reader == nil || c.reader.Buffered() == 0) && !c.awaitBytes() {
 			return false
 		}
-		err := c.raw.Read(c.fill)
-		if err == nil {
-			err = c.fillErr
-		}
-		if c.stopWaiting() && err != nil {
-			err = c.receiveArrived()
-		}
-		if err != nil {
-			c.readFailed(err)
-			return false
+		c.skipEmptyLines()
+		if c.reader.Buffered() > 0 {
+			return c.awaitTurn()
 		}
 	}
-	return c.awaitTurn()
+}
+
+// awaitBytes waits until the buffer has bytes. It returns false when there will be none.
+func (c *conn) awaitBytes() bool {
+	c.dropReader()
+	if !c.setWaiting() {
+		return false
+	}
+	err := c.raw.Read(c.fill)
+	if err == nil {
+		err = c.fillErr
+	}
+	if c.stopWaiting() && err != nil {
+		err = c.receiveArrived()
+	}
+	if err != nil {
+		c.readFailed(err)
+		return false
+	}
+	return true
 }
 
 // setWaiting prepares the wait for a first byte. The idle time counts only while no
--- a/node/callerconn/reader_test.go
+++ b/node/callerconn/reader_test.go
@@ -43,7 +43,7 @@
 	conn := dial(t, s, "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 1\r\n\r\nb\r\n")
 	is.Equal(status(t, conn), 200)
 	time.Sleep(300 * time.Millisecond)
-	_, err := io.WriteString(conn, get)
+	_, err := io.WriteString(conn, "\r\n"+get) // after the one before
 	is.NoErr(err)
 	is.Equal(status(t, conn), 200)
 	_, err = io.WriteString(conn, strings.Repeat("\r\n", 4))
--- a/node/callerconn/request.go
+++ b/node/callerconn/request.go
@@ -50,6 +50,7 @@
 // readRequest reads a request whose first byte is there, and has it answered. It returns
 // false when no other request may be read after it.
 func (c *conn) readRequest() bool {
+	c.empty = 0
 	if !c.server.begin(c, requestBytes) {
 		c.refuse(&exchange{}, http.StatusServiceUnavailable)
 		return false
@@ -130,7 +131,6 @@
 
 // readHead receives bytes until the buffer has a complete head. Nothing is parsed before.
 func (c *conn) readHead() (h head, status int, err error) {
-	skipEmptyLines(c.reader)
 	deadline := false
 	lineStart := 0
 	for {
@@ -167,13 +167,14 @@
 
 // skipEmptyLines discards empty lines that precede a request, as far as they are allowed.
 // What is beyond that is an empty head, which is refused.
-func skipEmptyLines(r *reader) {
-	received, _ := r.Peek(min(r.Buffered(), maxEmptyBytes))
+func (c *conn) skipEmptyLines() {
+	received, _ := c.reader.Peek(min(c.reader.Buffered(), maxEmptyBytes-c.empty))
 	n := 0
 	for n < len(received) && (received[n] == '\r' || received[n] == '\n') {
 		n++
 	}
-	_, _ = r.Discard(n)
+	_, _ = c.reader.Discard(n)
+	c.empty += n
 }
 
 // growReader makes room for a longer head.
