--- a/node/callerconn/stop_test.go
+++ b/node/callerconn/stop_test.go
@@ -6,6 +6,8 @@
 	"io"
 	"net"
 	"net/http"
+	"net/netip"
+	"os"
 	"runtime"
 	"strings"
 	"testing"
@@ -132,3 +134,32 @@
 		}
 	}
 }
+
+// Guards against a drain that resets a connection which has a request and was not yet
+// accepted.
+func TestDrainAnswersWhatIsNotAccepted(t *testing.T) {
+	// With one processor, the server seldom accepts the connection before Drain is called.
+	defer runtime.GOMAXPROCS(runtime.GOMAXPROCS(1))
+	for range 20 {
+		t.Run("", func(t *testing.T) {
+			is := is.New(t)
+			s := run(t, &callerconn.Server{Serve: ok})
+			to := netip.MustParseAddrPort(string(s.Listen))
+			// Connects without a switch to the goroutine that accepts.
+			fd, err := unix.Socket(unix.AF_INET, unix.SOCK_STREAM|unix.SOCK_CLOEXEC, 0)
+			is.NoErr(err)
+			f := os.NewFile(uintptr(fd), "client")
+			defer f.Close()
+			is.NoErr(unix.SetsockoptTimeval(fd, unix.SOL_SOCKET, unix.SO_RCVTIMEO, &unix.Timeval{Sec: 10}))
+			is.NoErr(unix.Connect(fd, &unix.SockaddrInet4{Port: int(to.Port()), Addr: to.Addr().As4()}))
+			_, err = unix.Write(fd, []byte(get))
+			is.NoErr(err)
+			for unsent := 1; unsent > 0; {
+				unsent, err = unix.IoctlGetInt(fd, unix.TIOCOUTQ)
+				is.NoErr(err)
+			}
+			s.Drain(context.Background())
+			is.Equal(status(t, f), 200)
+		})
+	}
+}
