--- a/node/callerconn/server.go
+++ b/node/callerconn/server.go
@@ -27,6 +27,7 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+	"golang.org/x/sys/unix"
 
 	"github.com/cassiatally/cassiatally/cassiatally"
 	"github.com/cassiatally/cassiatally/cassiatally/connevictor"
@@ -40,6 +41,9 @@
 	// acceptRetryDelay is the wait after a connection could not be accepted, as when the
 	// process has no descriptor left.
 	acceptRetryDelay = 5 * time.Millisecond
+	// acceptTimeout bounds the wait for a connection that has arrived. It is taken at once
+	// unless its client has reset it.
+	acceptTimeout = 100 * time.Millisecond
 )
 
 // Request is a request that was read as a whole.
@@ -74,10 +78,12 @@
 	// Recoverer is optional. With it, a panic of Serve ends only its connection.
 	Recoverer *recoverer.Recoverer
 
-	listener net.Listener
+	listener *net.TCPListener
 	leaving  atomic.Bool
 	running  sync.WaitGroup
 	closing  chan struct{}
+	// accepted is closed once no more connections are accepted.
+	accepted chan struct{}
 
 	mu      sync.Mutex
 	account *connevictor.Evictor
@@ -106,8 +112,8 @@
 	if s.MaxConns == 0 {
 		s.MaxConns = defaultMaxConns
 	}
-	s.listener = listener
-	s.closing = make(chan struct{})
+	s.listener = listener.(*net.TCPListener)
+	s.closing, s.accepted = make(chan struct{}), make(chan struct{})
 	s.account = connevictor.New(s.Capacity, s.MaxConns)
 	s.conns = make(map[cassiatally.ConnID]*conn)
 	s.running.Go(s.accept)
@@ -118,15 +124,16 @@
 // been read.
 func (s *Server) Leave() { s.leaving.Store(true) }
 
-// Drain stops to accept connections, closes those without a request and waits until all
-// requests whose first byte has arrived are answered and the answers are written, or until
-// ctx is done.
+// Drain stops to accept connections after those that have arrived, closes those without a
+// request and waits until all requests whose first byte has arrived are answered and the
+// answers are written, or until ctx is done.
 func (s *Server) Drain(ctx context.Context) {
 	s.Leave()
-	_ = s.listener.Close()
+	s.draining.Store(true)
+	_ = s.listener.SetDeadline(longAgo)
+	<-s.accepted
 	idle := make(chan struct{})
 	s.mu.Lock()
-	s.draining.Store(true)
 	conns := s.openConns()
 	s.mu.Unlock()
 	for _, c := range conns {
@@ -181,11 +188,17 @@
 }
 
 func (s *Server) accept() {
+	defer close(s.accepted)
 	for {
 		nc, err := s.listener.Accept()
 		if errors.Is(err, net.ErrClosed) {
 			return
 		}
+		if err != nil && s.draining.Load() {
+			s.acceptArrived()
+			_ = s.listener.Close()
+			return
+		}
 		if err != nil {
 			select {
 			case <-time.After(acceptRetryDelay):
@@ -198,6 +211,34 @@
 	}
 }
 
+// acceptArrived accepts the connections that clients have already opened. Their requests
+// may be on them, and closing the listener would reset them.
+func (s *Server) acceptArrived() {
+	raw, err := s.listener.SyscallConn()
+	if err != nil {
+		return
+	}
+	for range s.MaxConns {
+		arrived := false
+		if err := raw.Control(func(fd uintptr) { arrived = readable(fd) }); err != nil || !arrived {
+			return
+		}
+		_ = s.listener.SetDeadline(time.Now().Add(acceptTimeout))
+		nc, err := s.listener.Accept()
+		if err != nil {
+			return
+		}
+		s.open(nc)
+	}
+}
+
+// readable reports whether a listener has a connection to accept.
+func readable(fd uintptr) bool {
+	fds := []unix.PollFd{{Fd: int32(fd), Events: unix.POLLIN}}
+	n, err := unix.Poll(fds, 0)
+	return err == nil && n > 0
+}
+
 // open starts to serve a connection. It may close another one for it.
 func (s *Server) open(nc net.Conn) {
 	raw, err := nc.(*net.TCPConn).SyscallConn()
@@ -211,7 +252,7 @@
 	c.id = s.lastID
 	victim, ok := s.account.Open(s.Clock.Now(), c.id)
 	evicted := s.conns[victim]
-	if ok = ok && !s.closed && !s.draining.Load(); ok {
+	if ok = ok && !s.closed; ok {
 		s.conns[c.id] = c
 		s.running.Go(c.run)
 	} else {
