--- a/node/callerconn/server_test.go
+++ b/node/callerconn/server_test.go
@@ -241,3 +241,29 @@
 	is.Equal(resp.Header.Get("A"), "b    c")
 	is.True(!resp.Close)
 }
+
+// Guards against a length that is stated for an answer without a body: 0 for an answer to
+// HEAD is wrong, and a 204 must not state any.
+func TestNoLengthWithoutBody(t *testing.T) {
+	s := run(t, &callerconn.Server{Serve: func(_ context.Context, r callerconn.Request) callerconn.Response {
+		if r.Method == http.MethodHead {
+			return callerconn.Response{Status: http.StatusOK}
+		}
+		return callerconn.Response{Status: http.StatusNoContent, Body: []byte("b")}
+	}})
+	for _, request := range []string{"HEAD / HTTP/1.1\r\nHost: h\r\n\r\n", get} {
+		conn := dial(t, s, request+request)
+		r := bufio.NewReader(conn)
+		for range 2 { // the second one shows that the first had no body
+			method, _, _ := strings.Cut(request, " ")
+			resp, err := http.ReadResponse(r, &http.Request{Method: method})
+			if err != nil {
+				t.Fatal(err)
+			}
+			_ = resp.Body.Close()
+			if v := resp.Header["Content-Length"]; v != nil {
+				t.Error(method, v)
+			}
+		}
+	}
+}
