--- a/node/callerconn/exchange.go
+++ b/node/callerconn/exchange.go
@@ -253,8 +253,10 @@
 	}
 	b = append(b, "Date: "...)
 	b = time.Now().UTC().AppendFormat(b, http.TimeFormat)
-	b = append(b, "\r\nContent-Length: "...)
-	b = strconv.AppendInt(b, int64(len(ex.answer.Body)), 10)
+	if hasBody(ex) {
+		b = append(b, "\r\nContent-Length: "...)
+		b = strconv.AppendInt(b, int64(len(ex.answer.Body)), 10)
+	}
 	switch {
 	case ex.closes:
 		b = append(b, "\r\nConnection: close"...)
