--- a/cassiatally/connevictor/evictor.go
+++ b/cassiatally/connevictor/evictor.go
@@ -16,7 +16,7 @@
 //	victims, ok = e.Hold(now, id, n)             // before a buffer of n bytes is made
 //	e.Progress(now, id, received)
 //	e.End(id)                                    // the request is complete
-//	e.Release(id, n)
+//	e.Release(now, id, n)
 //	e.Close(id)
 //
 // An Evictor is not safe for concurrent use.
--- a/cassiatally/outcomekeeper/keeper.go
+++ b/cassiatally/outcomekeeper/keeper.go
@@ -5,9 +5,9 @@
 // An outcome is kept until its deadline and is never dropped earlier: while there is no
 // room, calls whose outcome would have to be kept must be refused before they run. When
 // the calls in flight by then answer with more than is left, the last ones are kept
-// without their bodies. Of the outcomes that were dropped the keeper retains the highest sequence number of each
-// origin. An origin numbers its calls in ascending order, so a call with a higher number
-// has no outcome here only if it has not run.
+// without their bodies. Of the outcomes that were dropped the keeper retains the highest
+// sequence number of each origin. An origin numbers its calls in ascending order, so a call
+// with a higher number has no outcome here only if it has not run.
 //
 // # Usage
 //
@@ -147,8 +147,7 @@
 	k.forgotten[id.Origin] = max(k.forgotten[id.Origin], id.Seq)
 }
 
-// withoutBody returns an answer that states the outcome of a, and that its content is no
-// longer there.
+// withoutBody returns an answer that states the outcome of a, and that its body was dropped.
 func withoutBody(a cassiatally.Answer) cassiatally.Answer {
 	kind := a.Kind
 	if a.Outcome == cassiatally.OutcomeRan {
--- a/cassiatally/runner/detached.go
+++ b/cassiatally/runner/detached.go
@@ -17,9 +17,10 @@
 // of this host sent it.
 type detachedRun struct{ started, until cassiatally.Instant }
 
-// detached holds the detached runs, ordered by until. Backend servers that state a slowdown share their
-// machine and hang when they get more than they can run and queue, so that a detached run
-// keeps its slot until an answer shows that it has ended, or until its deadline.
+// detached holds the detached runs, ordered by until. Backend servers that state a slowdown
+// share their machine and hang when they get more than they can run and queue, so that a
+// detached run keeps its slot until an answer shows that it has ended, or until its
+// deadline.
 type detached struct{ runs []detachedRun }
 
 func (d *detached) add(n int, r detachedRun) {
@@ -36,8 +37,8 @@
 	}
 }
 
-// trim removes the runs that have to end first until at most n are left of those that started before a
-// run whose answer shows that number.
+// trim removes the runs that have to end first until at most n are left of those that
+// started before a run whose answer shows that number.
 func (d *detached) trim(before cassiatally.Instant, n int) {
 	excess := -n
 	for _, r := range d.runs {
--- a/cassiatally/runner/runner.go
+++ b/cassiatally/runner/runner.go
@@ -329,8 +329,8 @@
 	return nil
 }
 
-// Tick withdraws an endpoint whose announcement has expired, drops outcomes whose deadline has passed,
-// passes the concurrency limit to the admitter, resends crash reports, aborts
+// Tick withdraws an endpoint whose announcement has expired, drops outcomes whose deadline
+// has passed, passes the concurrency limit to the admitter, resends crash reports, aborts
 // stalled runs and starts queued calls.
 func (r *Runner) Tick(now cassiatally.Instant) []cassiatally.Action {
 	var actions []cassiatally.Action
--- a/node/callerconn/exchange.go
+++ b/node/callerconn/exchange.go
@@ -75,7 +75,7 @@
 	c.deliver(ex, Response{Status: status})
 }
 
-// serve answers a request.
+// serve runs a request and delivers its answer. A panic ends the connection.
 func (c *conn) serve(ex *exchange) {
 	defer c.handlers.Done()
 	answer, ok := c.call(ex)
@@ -86,7 +86,7 @@
 	c.deliver(ex, answer)
 }
 
-// call returns false when there is no answer because of a panic.
+// call returns the answer of Serve, and false if Serve panicked.
 func (c *conn) call(ex *exchange) (answer Response, ok bool) {
 	defer c.server.Recoverer.Recover()
 	return c.server.Serve(c.ctx, ex.request), true
@@ -149,7 +149,7 @@
 	return &b
 }}
 
-// write writes an answer.
+// write sends an answer. Short ones are sent in one system call.
 func (c *conn) write(ex *exchange) error {
 	buffer := headBuffers.Get().(*[]byte)
 	b := appendHead((*buffer)[:0], ex)
@@ -201,7 +201,7 @@
 	return max(n, 0), err
 }
 
-// writeParts writes a long answer in parts, so that it is known how far its reader is.
+// writeParts writes an answer in parts and records the progress of the client after each.
 func (c *conn) writeParts(head, body []byte) error {
 	first := body[:min(len(body), writeBytes)]
 	parts := net.Buffers{head, first}
--- a/node/callerconn/server.go
+++ b/node/callerconn/server.go
@@ -1,7 +1,7 @@
-// Package callerconn serves the connections of clients that nothing is known about. It
-// owns the bytes of each connection: it bounds what one client may send, keeps one account
-// of what is held for all of them, and closes the least useful connections when that
-// account is full. A front end translates requests and answers.
+// Package callerconn serves the connections of untrusted clients. It owns the bytes of each
+// connection: it bounds what one client may send, keeps one account of what is held for all
+// of them, and closes the connections with the least progress when that account is full. A
+// front end translates requests and answers.
 //
 // Messages are parsed by net/http. This package decides when a message is read, how much
 // of it, and what happens to the connection afterwards.
@@ -12,7 +12,7 @@
 //	if err := s.Run(); err != nil { ... }
 //	defer s.Close()
 //	s.Leave()    // each further answer closes its connection
-//	s.Drain(ctx) // accept no connections, wait for the answers
+//	s.Drain(ctx) // accept no more connections, wait for the answers
 //
 // Requests on one connection are answered in their order. A request is read while others
 // before it are being answered only when Repeatable accepts all of them.
