--- a/node/callerconn/request.go
+++ b/node/callerconn/request.go
@@ -30,10 +30,6 @@
 	// charged with fieldBytes, and the bytes of a longer head twice: as text and as values.
 	usualHeadLines                       = 32
 	fieldBytes     cassiatally.ByteCount = 160
-	// firstBodyBytes is the first buffer of a body; it grows by bodyGrowth. A client that
-	// announces a long body and sends little thus holds little.
-	firstBodyBytes = 32 << 10
-	bodyGrowth     = 4
 )
 
 // The reasons for which a request is refused.
@@ -261,37 +257,62 @@
 }
 
 // readBody reads a body whose length is known, or not (-1).
-func (c *conn) readBody(ex *exchange, r *http.Request) ([]byte, error) {
+func (c *conn) readBody(ex *exchange, r *http.Request) (body []byte, err error) {
+	defer func() {
+		if err != nil {
+			returnBodyBuffer(body)
+			body = nil
+		}
+	}()
 	limit := cassiatally.MaxBodyBytes + 1
 	if r.ContentLength > 0 {
 		limit = int(r.ContentLength)
 	}
-	var body []byte
 	for {
-		if len(body) == cap(body) {
-			if len(body) == limit && r.ContentLength > 0 {
+		if len(body) == limit {
+			if r.ContentLength > 0 {
 				return body, nil
 			}
-			if len(body) == limit {
-				return nil, errTooLong
-			}
-			size := min(max(firstBodyBytes, bodyGrowth*cap(body)), limit)
-			extra := cassiatally.ByteCount(size - cap(body))
-			if !c.server.hold(c, extra) {
-				return nil, errNoRoom
+			return body, errTooLong
+		}
+		if len(body) == cap(body) {
+			if body, err = c.growBody(ex, body, limit); err != nil {
+				return body, err
 			}
-			ex.held += extra
-			larger := make([]byte, len(body), size)
-			copy(larger, body)
-			body = larger
 		}
-		n, err := r.Body.Read(body[len(body):cap(body)])
+		n, err := r.Body.Read(body[len(body):min(cap(body), limit)])
 		body = body[:len(body)+n]
-		if errors.Is(err, io.EOF) {
+		switch {
+		case errors.Is(err, io.EOF) && len(body) > cassiatally.MaxBodyBytes:
+			return body, errTooLong
+		case errors.Is(err, io.EOF):
 			return body, nil
+		case err != nil:
+			return body, errors.Mark(err, errBody)
 		}
-		if err != nil {
-			return nil, errors.Mark(err, errBody)
-		}
 	}
 }
+
+// growBody moves a body to the next larger buffer, which has the size of the body if no
+// other one has to follow.
+func (c *conn) growBody(ex *exchange, body []byte, limit int) ([]byte, error) {
+	size := nextBodySize(cap(body))
+	exact := size > limit && limit != cassiatally.MaxBodyBytes
+	if size > limit {
+		size = limit
+	}
+	extra := cassiatally.ByteCount(size - cap(body))
+	if !c.server.hold(c, extra) {
+		return body, errNoRoom
+	}
+	ex.held += extra
+	var larger []byte
+	if exact {
+		larger = make([]byte, 0, size)
+	} else {
+		larger = takeBodyBuffer(size)
+	}
+	larger = append(larger, body...)
+	returnBodyBuffer(body)
+	return larger, nil
+}
