--- a/cassiatally/protocol/codec_test.go
+++ b/cassiatally/protocol/codec_test.go
@@ -59,7 +59,7 @@
 		cassiatally.QuotaRequest{Seq: 1, Tenant: "t", Want: 2},
 		cassiatally.QuotaGrant{Seq: 1, Tenant: "t", Granted: 2, Next: time.Second, RetryAfter: time.Minute, Declined: true, Better: candidate, Fleet: 61},
 		cassiatally.QuotaGrant{Seq: 1, Tenant: "t", Granted: 2},
-		cassiatally.QuotaBeat{From: candidate, Eligible: true, Live: 19, Known: 20, Heard: []cassiatally.NodeID{"depot-2"}, Candidates: []cassiatally.QuotaCandidate{candidate}},
+		cassiatally.QuotaBeat{From: candidate, Eligible: true, Live: 19, Known: 20, Alive: []cassiatally.NodeID{"depot-2"}, Candidates: []cassiatally.QuotaCandidate{candidate}},
 	}
 }
 
--- a/cassiatally/protocol/wirequotas.go
+++ b/cassiatally/protocol/wirequotas.go
@@ -72,20 +72,20 @@
 	Eligible   bool                 `cbor:"2,keyasint,omitempty"`
 	Live       int                  `cbor:"3,keyasint,omitempty"`
 	Known      int                  `cbor:"4,keyasint,omitempty"`
-	Heard      []cassiatally.NodeID `cbor:"5,keyasint,omitempty"`
+	Alive      []cassiatally.NodeID `cbor:"5,keyasint,omitempty"`
 	Candidates []wireQuotaCandidate `cbor:"6,keyasint,omitempty"`
 }
 
 func toQuotaBeat(m cassiatally.QuotaBeat) wireQuotaBeat {
 	return wireQuotaBeat{
 		From: toQuotaCandidate(m.From), Eligible: m.Eligible, Live: m.Live, Known: m.Known,
-		Heard: m.Heard, Candidates: convertAll(m.Candidates, toQuotaCandidate),
+		Alive: m.Alive, Candidates: convertAll(m.Candidates, toQuotaCandidate),
 	}
 }
 
 func fromQuotaBeat(w wireQuotaBeat) cassiatally.QuotaBeat {
 	return cassiatally.QuotaBeat{
 		From: fromQuotaCandidate(w.From), Eligible: w.Eligible, Live: w.Live, Known: w.Known,
-		Heard: w.Heard, Candidates: convertAll(w.Candidates, fromQuotaCandidate),
+		Alive: w.Alive, Candidates: convertAll(w.Candidates, fromQuotaCandidate),
 	}
 }
--- a/cassiatally/quota.go
+++ b/cassiatally/quota.go
@@ -38,7 +38,7 @@
 	Fleet int
 }
 
-// QuotaBeat tells a candidate that another one is live. Nodes that are not candidates
+// QuotaBeat states to a candidate that another one is live. Nodes that are not candidates
 // answer it with the candidates of their data centre.
 type QuotaBeat struct {
 	From QuotaCandidate
@@ -47,8 +47,8 @@
 	// Live is the number of members of the sender's data centre, and Known the greatest
 	// one in the last 60 s. Known is 0 when the sender is no candidate.
 	Live, Known int
-	// Heard has the candidates that are live and eligible for the sender.
-	Heard []NodeID
+	// Alive has the candidates that are live and eligible for the sender.
+	Alive []NodeID
 	// Candidates are those of the sender's data centre.
 	Candidates []QuotaCandidate
 }
--- a/cassiatally/quotaowner/beats.go
+++ b/cassiatally/quotaowner/beats.go
@@ -39,10 +39,10 @@
 		return cassiatally.QuotaBeat{}, false
 	}
 	changed := !p.live(now) || p.eligible != b.Eligible
-	p.candidate, p.heardAt, p.heard, p.eligible = b.From, now, true, b.Eligible
-	p.hears, p.hearsSelf = b.Heard, slices.Contains(b.Heard, o.self.Node)
-	for _, heard := range b.Heard {
-		if q := o.peers[heard]; q != nil {
+	p.candidate, p.beatAt, p.hasBeat, p.eligible = b.From, now, true, b.Eligible
+	p.alive, p.seesSelf = b.Alive, slices.Contains(b.Alive, o.self.Node)
+	for _, other := range b.Alive {
+		if q := o.peers[other]; q != nil {
 			q.reportedAt = now
 		}
 	}
@@ -61,7 +61,7 @@
 	s := o.siteOf(b.From.DataCentre)
 	switch {
 	case now.Before(o.settled):
-		// Other owners go on until this node is eligible and they have heard of it.
+		// Other owners go on until this node is eligible and they receive its beats.
 		s.reachedSince = now
 	case !s.contacted, now.Reached(s.contactAt.Add(liveFor)):
 		s.reachedSince = now.Add(reachedFor)
@@ -74,7 +74,7 @@
 func (o *Owner) peerOf(c cassiatally.QuotaCandidate) *peer {
 	p := o.peers[c.Node]
 	if p == nil && len(o.peers) < maxPeers {
-		p = &peer{candidate: c, heardAt: o.lastTick}
+		p = &peer{candidate: c, beatAt: o.lastTick}
 		o.peers[c.Node] = p
 	}
 	return p
@@ -89,10 +89,10 @@
 	b.Known = o.known(now)
 	for id, p := range o.peers {
 		if p.eligible && p.live(now) {
-			b.Heard = append(b.Heard, id)
+			b.Alive = append(b.Alive, id)
 		}
 	}
-	slices.Sort(b.Heard)
+	slices.Sort(b.Alive)
 	return b
 }
 
@@ -114,7 +114,7 @@
 	for _, p := range o.peers {
 		reached[p.candidate.DataCentre] = reached[p.candidate.DataCentre] || p.live(now)
 		// Former candidates answer no more.
-		if p.live(now) || now.Sub(p.heardAt) < sizeMemory {
+		if p.live(now) || now.Sub(p.beatAt) < sizeMemory {
 			add(p.candidate)
 		}
 	}
--- a/cassiatally/quotaowner/quotaowner.go
+++ b/cassiatally/quotaowner/quotaowner.go
@@ -36,7 +36,7 @@
 	// owner waits. The predecessor notices within liveFor that it is cut off.
 	takeoverWait = 1500 * time.Millisecond
 	// settleTime is the time without isolation before a candidate becomes eligible. All
-	// live candidates are heard within it.
+	// live candidates send a beat within it.
 	settleTime = 1500 * time.Millisecond
 	// reachedFor is how long a data centre has to be reached again before the fraction
 	// rises. The owner on its side has stopped by then.
@@ -71,19 +71,19 @@
 // peer is another candidate.
 type peer struct {
 	candidate cassiatally.QuotaCandidate
-	heardAt   cassiatally.Instant
-	heard     bool
+	beatAt    cassiatally.Instant
+	hasBeat   bool
 	eligible  bool
-	// hearsSelf is set while the peer takes this node for live and eligible.
-	hearsSelf bool
-	// hears has the candidates that the peer takes for live and eligible.
-	hears []cassiatally.NodeID
-	// reportedAt is when another candidate last said that it hears this one.
+	// seesSelf is set while the peer takes this node for live and eligible.
+	seesSelf bool
+	// alive has the candidates that the peer takes for live and eligible.
+	alive []cassiatally.NodeID
+	// reportedAt is when another candidate last stated that this one is alive.
 	reportedAt cassiatally.Instant
 }
 
 func (p *peer) live(now cassiatally.Instant) bool {
-	return p.heard && now.Before(p.heardAt.Add(liveFor))
+	return p.hasBeat && now.Before(p.beatAt.Add(liveFor))
 }
 
 // site is another data centre.
@@ -175,7 +175,7 @@
 	o.updateEligible(now)
 }
 
-// restart discards all that was heard and granted.
+// restart discards all that was received and granted.
 func (o *Owner) restart(now cassiatally.Instant) {
 	clear(o.peers)
 	for _, s := range o.sites {
@@ -281,7 +281,7 @@
 // forget removes candidates that were silent for long.
 func (o *Owner) forget(now cassiatally.Instant) {
 	for id, p := range o.peers {
-		if now.Sub(p.heardAt) > sizeMemory {
+		if now.Sub(p.beatAt) > sizeMemory {
 			delete(o.peers, id)
 		}
 	}
@@ -314,7 +314,7 @@
 const minLive = 3
 
 // better returns the first live and eligible candidate before this node in the order of
-// a tenant, nil when there is none. A silent candidate that a live one hears counts: only
+// a tenant, nil when there is none. A silent candidate that is alive for a live one counts: only
 // the link to it may be cut, and it still grants.
 func (o *Owner) better(now cassiatally.Instant, t cassiatally.Tenant) *peer {
 	var best *peer
@@ -329,9 +329,9 @@
 		if s := Score(t, id); p.eligible && s < score {
 			best, score = p, s
 		}
-		for _, heard := range p.hears {
-			if s := Score(t, heard); s < score && heard != o.self.Node && o.silent(now, heard) {
-				best, score = o.recordOf(heard), s
+		for _, other := range p.alive {
+			if s := Score(t, other); s < score && other != o.self.Node && o.silent(now, other) {
+				best, score = o.recordOf(other), s
 			}
 		}
 	}
@@ -358,16 +358,16 @@
 	for id, p := range o.peers {
 		switch {
 		case Score(t, id) < self && !p.live(now) && now.Before(p.reportedAt.Add(takeoverWait)):
-			// The last one that heard it may have lost it before it knows.
+			// The last one that received its beats may have lost it before it knows.
 			return false
 		case !p.eligible:
 		case p.live(now):
-			// It has stopped when it hears this node.
-			if !p.hearsSelf && now.Before(b.ownedSince.Add(takeoverWait)) {
+			// It has stopped once it receives the beats of this node.
+			if !p.seesSelf && now.Before(b.ownedSince.Add(takeoverWait)) {
 				return false
 			}
-		case Score(t, id) < self || !p.hearsSelf:
-			if now.Before(p.heardAt.Add(liveFor + takeoverWait)) {
+		case Score(t, id) < self || !p.seesSelf:
+			if now.Before(p.beatAt.Add(liveFor + takeoverWait)) {
 				return false
 			}
 		}
@@ -383,7 +383,7 @@
 		if now.Sub(s.seenAt) > sizeMemory {
 			continue
 		}
-		// A data centre that was never heard counts as large as the own one.
+		// A data centre that never sent a beat counts as large as the own one.
 		size := cmp.Or(s.known, own)
 		all += size
 		if s.contacted && now.Before(s.contactAt.Add(liveFor)) && now.Reached(s.reachedSince) {
--- a/cassiatally/quotaowner/quotaowner_test.go
+++ b/cassiatally/quotaowner/quotaowner_test.go
@@ -31,7 +31,7 @@
 	w.setMembers(3, 3)
 	w.owner.SetTenants(w.now, []cassiatally.TenantSpec{spec})
 	for _, c := range []cassiatally.QuotaCandidate{candidate("b", "north"), candidate("c", "north"), candidate("s", "south")} {
-		w.beating[c.Node] = &cassiatally.QuotaBeat{From: c, Live: 3, Known: 3, Heard: []cassiatally.NodeID{"a"}}
+		w.beating[c.Node] = &cassiatally.QuotaBeat{From: c, Live: 3, Known: 3, Alive: []cassiatally.NodeID{"a"}}
 	}
 	return w
 }
@@ -116,17 +116,17 @@
 	is.True(!w.ask(1).Declined)
 }
 
-// Guards against a new owner that grants while the present one has not heard of it, and
+// Guards against a new owner that grants while the present one has not received its beats, and
 // against one that starts with a full bucket.
 func TestNewOwnerWaitsUntilItIsHeard(t *testing.T) {
 	is := is.New(t)
 	w := newWorld(plain)
 	worse := peerOf(t, w, false)
-	w.beating[worse].Eligible, w.beating[worse].Heard = true, nil
+	w.beating[worse].Eligible, w.beating[worse].Alive = true, nil
 	w.pass(1600 * time.Millisecond)
 	is.True(w.owner.Eligible())
 	is.True(w.ask(1).Declined)
-	w.beating[worse].Heard = []cassiatally.NodeID{"a"}
+	w.beating[worse].Alive = []cassiatally.NodeID{"a"}
 	w.pass(600 * time.Millisecond)
 	g := w.ask(100)
 	is.True(!g.Declined)
@@ -250,7 +250,7 @@
 	is.Equal(w.ask(5).Granted, 5)
 }
 
-// Guards against two owners of a tenant when only the link between them is cut: others hear
+// Guards against two owners of a tenant when only the link between them is cut: others reach
 // both, and neither is isolated.
 func TestOneCutLinkMakesNoSecondOwner(t *testing.T) {
 	is := is.New(t)
@@ -329,7 +329,7 @@
 	is.Equal(granting(), []cassiatally.NodeID{first})
 }
 
-// Guards against a grant as soon as the last one that hears a better candidate has lost
+// Guards against a grant as soon as the last one that reaches a better candidate has lost
 // it: that candidate may not have noticed yet.
 func TestTakeoverWaitsAfterTheLastReport(t *testing.T) {
 	is := is.New(t)
@@ -338,14 +338,14 @@
 	w.beating[better].Eligible = true
 	w.pass(5 * time.Second)
 	delete(w.beating, better)
-	w.beating[worse].Heard = []cassiatally.NodeID{"a", better}
+	w.beating[worse].Alive = []cassiatally.NodeID{"a", better}
 	for range 5 {
 		w.pass(time.Second)
 		g := w.ask(1)
 		is.True(g.Declined)
 		is.Equal(g.Better.Node, better)
 	}
-	w.beating[worse].Heard = []cassiatally.NodeID{"a"}
+	w.beating[worse].Alive = []cassiatally.NodeID{"a"}
 	w.pass(900 * time.Millisecond)
 	is.True(w.ask(1).Declined)
 	w.pass(2 * time.Second)
--- a/node/callerconn/conn.go
+++ b/node/callerconn/conn.go
@@ -332,7 +332,7 @@
 	}
 }
 
-// linger tells the client that no more answers follow and discards what it still sends.
+// linger ends the answers to the client and discards what it still sends.
 func (c *conn) linger() {
 	c.dropReader()
 	if tcp, ok := c.nc.(*net.TCPConn); ok && tcp.CloseWrite() == nil {
@@ -375,7 +375,7 @@
 	return c.server.Repeatable != nil && c.server.Repeatable(r)
 }
 
-// updateBusy tells the server whether the connection has a request. The caller holds mu.
+// updateBusy reports to the server whether the connection has a request. The caller holds mu.
 func (c *conn) updateBusy() {
 	busy := c.reading || c.ending || len(c.queue) > 0
 	if busy == c.busy {
--- a/node/quotakeeper/report.go
+++ b/node/quotakeeper/report.go
@@ -17,7 +17,7 @@
 	isolatedAt cassiatally.Instant
 }
 
-// isolationDelay keeps the start of a node out of the log: it has not heard the others
+// isolationDelay keeps the start of a node out of the log: it has no beats of the others
 // yet.
 const isolationDelay = 3 * time.Second
 
