--- a/cassiatally/connevictor/evictor.go
+++ b/cassiatally/connevictor/evictor.go
@@ -33,6 +33,10 @@
 	// progressBytes is what a connection has to transfer to count as having progressed. A
 	// client that sends single bytes would otherwise look as busy as others.
 	progressBytes cassiatally.ByteCount = 16 << 10
+	// maxEvictedFactor bounds what connections hold together with those that were chosen to
+	// be closed and have not ended yet, as a multiple of the capacity. On a busy machine a
+	// closed connection keeps its buffers for a while.
+	maxEvictedFactor = 2
 )
 
 // Evictor is the account. New makes one.
@@ -41,6 +45,9 @@
 	maxConns int
 	held     cassiatally.ByteCount
 	conns    map[cassiatally.ConnID]*conn
+	// evicted has what victims hold until Close, and evictedHeld is its sum.
+	evicted     map[cassiatally.ConnID]cassiatally.ByteCount
+	evictedHeld cassiatally.ByteCount
 }
 
 // conn is the part of the account of one connection.
@@ -55,7 +62,10 @@
 
 // New returns an account with a capacity in bytes and a bound on the connections.
 func New(capacity cassiatally.ByteCount, maxConns int) *Evictor {
-	return &Evictor{capacity: capacity, maxConns: maxConns, conns: make(map[cassiatally.ConnID]*conn)}
+	return &Evictor{
+		capacity: capacity, maxConns: maxConns,
+		conns: make(map[cassiatally.ConnID]*conn), evicted: make(map[cassiatally.ConnID]cassiatally.ByteCount),
+	}
 }
 
 // Held returns the bytes that are held for all connections.
@@ -77,18 +87,29 @@
 		if !found {
 			return 0, false
 		}
-		e.Close(victim)
+		e.evict(victim)
 	}
 	e.conns[id] = &conn{mark: now}
 	return victim, true
 }
 
-// Close removes a connection and what it holds.
+// Close removes a connection that has ended, and what it holds.
 func (e *Evictor) Close(id cassiatally.ConnID) {
 	if c, ok := e.conns[id]; ok {
 		e.held -= c.held
 		delete(e.conns, id)
 	}
+	e.evictedHeld -= e.evicted[id]
+	delete(e.evicted, id)
+}
+
+// evict removes a connection that is to be closed. What it holds counts on until Close.
+func (e *Evictor) evict(id cassiatally.ConnID) {
+	held := e.conns[id].held
+	e.held -= held
+	delete(e.conns, id)
+	e.evicted[id] = held
+	e.evictedHeld += held
 }
 
 // Begin begins a transfer that holds n bytes. It returns as Hold does.
@@ -112,8 +133,9 @@
 }
 
 // Hold adds n bytes to what a connection holds. The victims are closed for it and are no
-// longer in the account. It returns false when there is no room, also because the
-// connection itself is the one to close; its request then must not be run. A connection
+// longer in the account, but when they have not given back what they hold, others may hold
+// less. It returns false when there is no room, also because the connection itself is the
+// one to close; its request then must not be run. A connection
 // that is not in the account any more gets false too.
 func (e *Evictor) Hold(_ cassiatally.Instant, id cassiatally.ConnID, n cassiatally.ByteCount) (victims []cassiatally.ConnID, ok bool) {
 	c, ok := e.conns[id]
@@ -123,7 +145,7 @@
 	c.held += n
 	e.held += n
 	victims, ok = e.makeRoom(id)
-	if !ok {
+	if ok = ok && e.held+e.evictedHeld <= maxEvictedFactor*e.capacity; !ok {
 		c.held -= n
 		e.held -= n
 	}
@@ -158,7 +180,7 @@
 		if !found || victim == id {
 			return victims, false
 		}
-		e.Close(victim)
+		e.evict(victim)
 		victims = append(victims, victim)
 	}
 	return victims, true
--- a/cassiatally/connevictor/evictor_test.go
+++ b/cassiatally/connevictor/evictor_test.go
@@ -3,6 +3,7 @@
 import (
 	"math/rand/v2"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 
@@ -149,3 +150,26 @@
 		is.True(e.Held() <= capacity)
 	}
 }
+
+// Guards against memory beyond the capacity while connections that were chosen to be closed
+// still keep their buffers, as on a busy machine.
+func TestEvictedConnectionsHoldUntilTheyEnd(t *testing.T) {
+	is := is.New(t)
+	const capacity, body = 100 << 10, 50 << 10
+	e := connevictor.New(capacity, 100)
+	now := cassiatally.Instant(time.Hour)
+	begin := func(id cassiatally.ConnID) bool {
+		now = now.Add(time.Millisecond)
+		_, ok := e.Open(now, id)
+		is.True(ok)
+		_, ok = e.Begin(now, id, body)
+		return ok
+	}
+	for id := range cassiatally.ConnID(4) {
+		is.True(begin(id + 1)) // the third and the fourth take the room of the first and the second
+	}
+	is.True(!begin(5)) // two that were closed have not ended
+	e.Close(1)
+	e.Close(2)
+	is.True(begin(6))
+}
