--- a/cassiatally/connevictor/evictor.go
+++ b/cassiatally/connevictor/evictor.go
@@ -145,7 +145,8 @@
 	c.held += n
 	e.held += n
 	victims, ok = e.makeRoom(id)
-	if ok = ok && e.held+e.evictedHeld <= maxEvictedFactor*e.capacity; !ok {
+	// Small holds are let through: a request without a body is not refused for others.
+	if ok = ok && (n < manyBytes || e.held+e.evictedHeld <= maxEvictedFactor*e.capacity); !ok {
 		c.held -= n
 		e.held -= n
 	}
