--- a/cassiatally/quotaowner/fleettest/fleet_test.go
+++ b/cassiatally/quotaowner/fleettest/fleet_test.go
@@ -163,7 +163,7 @@
 	run(h, f.clock(h))
 }
 
-// start begins a life of a host. The member store tells it all members.
+// start begins a life of a host. It loads all members from the member store.
 func (f *fleet) start(i int) {
 	h := f.hosts[i]
 	h.life++
