--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -3,4 +3,4 @@
 set -euo pipefail
 cd "$(dirname "$0")/.."
 mkdir -p target/review-2
-GOWORK=off GOFLAGS=-mod=mod go build -C review/standins-2 -o ../../target/review-2/standins-2 .
+GOWORK=off go build -C review/standins-2 -o ../../target/review-2/standins-2 .
