review: make cases 6 and 7 surer

Cause: beside other cases up to 47 of 800 answers of case 6 came, which is near its bound, and in case 7 clients sent to machines that were not ready.

Change: requests of the starved kind take 900 ms in place of 600, and clients of a machine that is not ready send nothing.

--- a/review/standins-2/load.go
+++ b/review/standins-2/load.go
@@ -8,7 +8,8 @@
 )
 
 // press sends requests of the clients of all machines that have some, at a steady rate, and
-// waits for their answers. The name is that of their kind and begins their ids.
+// waits for their answers. The name is that of their kind and begins their ids. Clients of a
+// machine that is not ready send nothing.
 func (f *fleet) press(r request, name string, interval, length time.Duration) {
 	var sending sync.WaitGroup
 	end := time.Now().Add(length)
@@ -19,7 +20,9 @@
 			for n := 0; time.Now().Before(end); n++ {
 				one := r
 				one.id = fmt.Sprintf("%s%d-%d", name, i, n)
-				sending.Go(func() { f.answers.add(name, f.clients[m].send(one)) })
+				if m.isReady.Load() {
+					sending.Go(func() { f.answers.add(name, f.clients[m].send(one)) })
+				}
 				<-tick.C
 			}
 		})
--- a/review/standins-2/odd.go
+++ b/review/standins-2/odd.go
@@ -17,7 +17,7 @@
 	oddInterval   = 100 * time.Millisecond
 	oddTime       = 20 * time.Second
 	usualInterval = 100 * time.Millisecond
-	calendarWork  = 600 * time.Millisecond
+	calendarWork  = 900 * time.Millisecond
 	usualWork     = 100 * time.Millisecond
 	// starvedPart is the part of the served share of all requests below which a kind of
 	// request is starved.
