backendclient: an answer with a malformed field line is no answer

Callers saw, at the product's own front end: an answer of a backend server in trouble whose field names hold blanks passed as an answer, with a value from the next line ("text/plain X-Odd: 1") or, as a refusal, as the promise that the call was not run. A call whose answer stated "Content-Length : 2" waited until its deadline.

Change: roundtripper.RoundTripper, an http.RoundTripper around net/http's transport whose connections are checked by answerscanner. The trace of each request says when the next byte of a connection begins an answer, so that bodies are not taken for heads.

Why it works: net/http reads no byte that the scanner has not passed. The bytes before a malformed line are passed on and the connection ends there, so that net/http takes the answer for a broken one and does not send the request again, as it does when a kept connection ends without a byte.

--- a/node/backendclient/client.go
+++ b/node/backendclient/client.go
@@ -22,6 +22,7 @@
 	"github.com/cassiatally/cassiatally/cassiatally"
 	"github.com/cassiatally/cassiatally/cassiatally/faultswitch"
 	"github.com/cassiatally/cassiatally/cassiatally/headers"
+	"github.com/cassiatally/cassiatally/cassiatally/roundtripper"
 )
 
 const (
@@ -57,7 +58,7 @@
 		limit = defaultConnections
 	}
 	dialer := &net.Dialer{Timeout: backendDialTimeout}
-	return &http.Client{Transport: &http.Transport{
+	return &http.Client{Transport: &roundtripper.RoundTripper{Transport: &http.Transport{
 		DialContext:         dialer.DialContext,
 		MaxConnsPerHost:     limit,
 		MaxIdleConnsPerHost: limit,
@@ -65,7 +66,7 @@
 		DisableCompression:  true,
 		// A faulty backend server may send header fields without end.
 		MaxResponseHeaderBytes: maxHeadBytes,
-	}}
+	}}}
 }
 
 // Do runs a call at the backend server.
--- a/node/backendclient/client_test.go
+++ b/node/backendclient/client_test.go
@@ -79,6 +79,28 @@
 	}
 }
 
+// Guards against an answer with a malformed field line that is taken for an answer, with
+// another body than the backend server's, or for a promise that the call was not run.
+func TestMalformedFieldLines(t *testing.T) {
+	const head = "HTTP/1.1 200 OK\r\n"
+	for name, answer := range map[string]string{
+		"blank in a name":               head + "X Odd: 1\r\nContent-Length: 2\r\n\r\nok",
+		"blank after the length's name": head + "Connection: close\r\nContent-Length : 2\r\n\r\nok",
+		"blank before a name":           head + "Content-Type: text/plain\r\n X-Odd: 1\r\nContent-Length: 2\r\n\r\nok",
+		"line feed before a name":       head + "Content-Length: 0\r\n\nX-Odd: 1\r\n\r\n",
+		"control byte in a name":        head + "X\x01Odd: 1\r\nContent-Length: 2\r\n\r\nok",
+		"interim answer":                "HTTP/1.1 103 Early Hints\r\nX Odd: 1\r\n\r\n" + head + "Content-Length: 2\r\n\r\nok",
+		"trailer":                       head + "Transfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\nX Odd: 1\r\n\r\n",
+		"refusal":                       "HTTP/1.1 503 No\r\nCassiatally-Outcome: not_run\r\nX Odd: 1\r\nContent-Length: 0\r\n\r\n",
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			res := do(t, startServer(t, answer))
+			is.Equal(res, cassiatally.RunResult{Kind: cassiatally.ResultBroken, Detail: res.Detail})
+		})
+	}
+}
+
 // Guards against interim answers without end that hold a call until its deadline.
 func TestInterimAnswersWithoutEnd(t *testing.T) {
 	for _, c := range []struct{ name, answer string }{
