logclient: an answer of the log service with a malformed field line is no answer

Operators saw: an append counted as written although the answer had field names with blanks, with a body that ended where the connection did.

Cause: net/http's client reads heads leniently.

Evidence: TestMalformedFieldLines (logclient) failed in 4 of 5 cases before; the one with a control byte in a name was handled.

Change: the client uses roundtripper.RoundTripper. Such an answer is an error of the kind log_unavailable, and the append is not sent again.

Why it works: net/http reads no byte that the scanner has not passed.

Measured: the test passes with -race.

--- a/cassiatally/logclient/client.go
+++ b/cassiatally/logclient/client.go
@@ -30,6 +30,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/cassiatally/cassiatally/cassiatally"
+	"github.com/cassiatally/cassiatally/cassiatally/roundtripper"
 )
 
 const (
@@ -161,7 +162,7 @@
 		c.client = &http.Client{
 			// No proxy: addresses are IP addresses of the platform. The transport retries
 			// a POST by itself only when nothing of it was written.
-			Transport: &http.Transport{MaxResponseHeaderBytes: maxHeadBytes},
+			Transport: &roundtripper.RoundTripper{Transport: &http.Transport{MaxResponseHeaderBytes: maxHeadBytes}},
 			// A redirected append would be sent twice.
 			CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 		}
--- a/cassiatally/logclient/client_test.go
+++ b/cassiatally/logclient/client_test.go
@@ -131,3 +131,30 @@
 	_, err := c.Append(context.Background(), "sheet", []byte("x"))
 	is.Equal(cassiatally.KindOf(err), cassiatally.KindLogUnavailable)
 }
+
+// Guards against an answer with a malformed field line that is taken for the service's, with
+// the end of the connection as the end of its body.
+func TestMalformedFieldLines(t *testing.T) {
+	for name, head := range map[string]string{
+		"blank in a name":               "X Odd: 1\r\nContent-Length: 13\r\n\r\n",
+		"blank after the length's name": "Content-Length : 13\r\n\r\n",
+		"blank before a name":           "A: b\r\n Content-Length: 13\r\n\r\n",
+		"line feed before a name":       "A: b\r\n\n",
+		"control byte in a name":        "X\x01Odd: 1\r\nContent-Length: 13\r\n\r\n",
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			requests := 0
+			c := start(t, http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+				requests++
+				conn, _, err := http.NewResponseController(w).Hijack()
+				is.NoErr(err)
+				defer conn.Close()
+				_, _ = io.WriteString(conn, "HTTP/1.1 201 Created\r\n"+head+`{"offset": 7}`)
+			}))
+			_, err := c.Append(context.Background(), "sheet", []byte("x"))
+			is.Equal(cassiatally.KindOf(err), cassiatally.KindLogUnavailable)
+			is.Equal(requests, 1)
+		})
+	}
+}
