linker: a link whose handshake has a malformed field line is not opened

Operators saw: a node opened a link to whatever answered its handshake, also when the answer had field names with blanks, and sent its first frames there.

Cause: links were dialled with net/http's default client, which reads heads leniently.

Evidence: TestMalformedHandshake read the node's first frame before.

Change: links are dialled with a client of the linker's own, with roundtripper.RoundTripper and without a proxy, since the addresses of nodes are those of the platform. Close closes its idle connections.

Why it works: the dial fails before the WebSocket library sees the answer. The bytes of an open link follow the answer and are not checked.

--- a/node/linker/linker.go
+++ b/node/linker/linker.go
@@ -33,6 +33,7 @@
 	"github.com/cassiatally/cassiatally/cassiatally"
 	"github.com/cassiatally/cassiatally/cassiatally/protocol"
 	"github.com/cassiatally/cassiatally/cassiatally/recoverer"
+	"github.com/cassiatally/cassiatally/cassiatally/roundtripper"
 )
 
 const (
@@ -117,8 +118,10 @@
 	cancel   context.CancelFunc
 	listener net.Listener
 	server   *http.Server
-	running  sync.WaitGroup
-	bytes    counters
+	// dialer sends the requests that open links.
+	dialer  *http.Client
+	running sync.WaitGroup
+	bytes   counters
 	// unsentAnswerBytes is the size of the bodies of the answers that are queued or being
 	// written on all links.
 	unsentAnswerBytes atomic.Int64
@@ -148,6 +151,7 @@
 	l.byAddr = make(map[cassiatally.Address]*link)
 	l.all = make(map[*link]struct{})
 	l.failures = make(map[cassiatally.Address]dialFailure)
+	l.dialer = &http.Client{Transport: &roundtripper.RoundTripper{Transport: &http.Transport{}}}
 	lc := net.ListenConfig{}
 	listener, err := lc.Listen(l.ctx, "tcp", string(l.Listen))
 	if err != nil {
@@ -189,6 +193,7 @@
 		k.end("node stops")
 	}
 	l.running.Wait()
+	l.dialer.CloseIdleConnections()
 }
 
 // stopServer stops to accept links.
@@ -308,6 +313,7 @@
 func (l *Linker) open(k *link) {
 	ctx, cancel := context.WithTimeout(l.ctx, dialTimeout)
 	conn, resp, err := websocket.Dial(ctx, "ws://"+string(k.addr)+linkPath, &websocket.DialOptions{
+		HTTPClient:      l.dialer,
 		CompressionMode: websocket.CompressionDisabled,
 		HTTPHeader:      http.Header{dataCentreHeader: {string(l.DataCentre)}, nodeHeader: {string(l.Self.Node)}},
 	})
--- a/node/linker/linker_test.go
+++ b/node/linker/linker_test.go
@@ -1,9 +1,14 @@
 package linker_test
 
 import (
+	"bufio"
 	"context"
+	"crypto/sha1"
+	"encoding/base64"
+	"fmt"
 	"io"
 	"net"
+	"net/http"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -412,6 +417,35 @@
 	is.Equal(receive(t, two.received), cassiatally.Message(cassiatally.SheetPull{Have: 2}))
 }
 
+// Guards against a link that is opened although the answer to its handshake has a malformed
+// field line.
+func TestMalformedHandshake(t *testing.T) {
+	defer goleak.VerifyNone(t)
+	is := is.New(t)
+	b := &addressBook{addresses: make(map[cassiatally.NodeID]cassiatally.Address)}
+	one := newPeer(t, b, "one")
+	defer one.Close()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	defer l.Close()
+	b.set("two", cassiatally.Address(l.Addr().String()))
+	is.NoErr(one.Send("two", cassiatally.SheetPull{Have: 1}))
+	conn, err := l.Accept()
+	is.NoErr(err)
+	defer conn.Close()
+	is.NoErr(conn.SetDeadline(time.Now().Add(testTimeout)))
+	r := bufio.NewReader(conn)
+	req, err := http.ReadRequest(r)
+	is.NoErr(err)
+	digest := sha1.Sum([]byte(req.Header.Get("Sec-WebSocket-Key") + "258EAFA5-E914-47DA-95CA-C5AB0DC85B11"))
+	_, err = fmt.Fprintf(conn, "HTTP/1.1 101 Switching Protocols\r\nUpgrade: websocket\r\nConnection: Upgrade\r\nSec-WebSocket-Accept: %s\r\nX Odd: 1\r\n\r\n",
+		base64.StdEncoding.EncodeToString(digest[:]))
+	is.NoErr(err)
+	_, err = r.ReadByte()
+	is.Equal(err, io.EOF) // the node closes the connection and sends nothing more
+	is.Equal(receive(t, one.undelivered), cassiatally.Message(cassiatally.SheetPull{Have: 1}))
+}
+
 // Guards against a node that has taken over the address of another one, dials itself
 // under the id of that one, and then reports its own link as lost, which would fail the
 // calls to its own backend server.
