nodeclient: an answer of a node with a malformed field line is no answer

Operators saw: the command line printed an answer as the node's although its field names hold blanks, also where one of them stated the length.

Cause: net/http's client reads heads leniently.

Change: the client uses roundtripper.RoundTripper.

Why it works: net/http reads no byte that the scanner has not passed.

--- a/operator/nodeclient/client.go
+++ b/operator/nodeclient/client.go
@@ -28,6 +28,7 @@
 
 	"github.com/cassiatally/cassiatally/cassiatally"
 	"github.com/cassiatally/cassiatally/cassiatally/headers"
+	"github.com/cassiatally/cassiatally/cassiatally/roundtripper"
 )
 
 // maxStatusBytes bounds the status of a node. A status with 300 members has about
@@ -44,7 +45,7 @@
 // attempt number, which callers must not do.
 func NewHTTP() *http.Client {
 	return &http.Client{
-		Transport:     &http.Transport{DisableKeepAlives: true},
+		Transport:     &roundtripper.RoundTripper{Transport: &http.Transport{DisableKeepAlives: true}},
 		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 	}
 }
