standin, bench: answers with a malformed field line are no answers

Callers saw: the stand-in of callers counted an answer of a node whose field names hold blanks as completed, and the stand-in of backend servers passed the body of such an answer to an onward call on, as a part of its own.

Cause: net/http's client reads heads leniently.

Change: the clients of both commands, and the callers of the bench's trials and cost measurements, use roundtripper.RoundTripper. The frame proxy, which passes links on, the recorder and the readers of status pages are as before: they read no answers to requests.

Why it works: net/http reads no byte that the scanner has not passed.

--- a/bench/costmeter/costmeter.go
+++ b/bench/costmeter/costmeter.go
@@ -24,6 +24,7 @@
 	"github.com/cassiatally/cassiatally/bench/ranktable"
 	"github.com/cassiatally/cassiatally/bench/sheetpublisher"
 	"github.com/cassiatally/cassiatally/cassiatally"
+	"github.com/cassiatally/cassiatally/cassiatally/roundtripper"
 	"github.com/cassiatally/cassiatally/standin/caller"
 	"github.com/cassiatally/cassiatally/standin/core"
 	"github.com/cassiatally/cassiatally/standin/loader"
@@ -129,7 +130,7 @@
 			Rates: map[loadplan.ClassName]loadplan.Rate{class.Name: loadplan.Rate(load) * d.Capacity()},
 		}},
 	}
-	transport := &http.Transport{MaxIdleConnsPerHost: workers}
+	transport := &roundtripper.RoundTripper{Transport: &http.Transport{MaxIdleConnsPerHost: workers}}
 	defer transport.CloseIdleConnections()
 	c := collector.New()
 	l := &loader.Loader{
--- a/bench/trial/trial.go
+++ b/bench/trial/trial.go
@@ -17,6 +17,7 @@
 
 	"github.com/cassiatally/cassiatally/bench/collector"
 	"github.com/cassiatally/cassiatally/bench/deployer"
+	"github.com/cassiatally/cassiatally/cassiatally/roundtripper"
 	"github.com/cassiatally/cassiatally/standin/caller"
 	"github.com/cassiatally/cassiatally/standin/core"
 	"github.com/cassiatally/cassiatally/standin/loader"
@@ -54,7 +55,7 @@
 // Run sends the load and returns once all requests have ended.
 func (t *Trial) Run(ctx context.Context, phases []loadplan.Phase) Results {
 	c := collector.New()
-	transport := &http.Transport{MaxIdleConnsPerHost: workers}
+	transport := &roundtripper.RoundTripper{Transport: &http.Transport{MaxIdleConnsPerHost: workers}}
 	defer transport.CloseIdleConnections()
 	l := &loader.Loader{
 		Plan: t.Fleet.Deployment.Plan(phases), Name: t.Name, Seed: t.Seed, Workers: workers, Results: c,
--- a/standin/command/backendcommand/backendcommand.go
+++ b/standin/command/backendcommand/backendcommand.go
@@ -16,6 +16,7 @@
 
 	"github.com/cassiatally/cassiatally/cassiatally"
 	"github.com/cassiatally/cassiatally/cassiatally/flagparser"
+	"github.com/cassiatally/cassiatally/cassiatally/roundtripper"
 	"github.com/cassiatally/cassiatally/standin/backendserver"
 	"github.com/cassiatally/cassiatally/standin/childcaller"
 	"github.com/cassiatally/cassiatally/standin/command/environment"
@@ -160,7 +161,7 @@
 
 func newClient() *http.Client {
 	t := &http.Transport{MaxIdleConns: 2 * clientConnections, MaxIdleConnsPerHost: clientConnections}
-	return &http.Client{Transport: t}
+	return &http.Client{Transport: &roundtripper.RoundTripper{Transport: t}}
 }
 
 func (o Options) check() (backendserver.Work, error) {
--- a/standin/command/loadcommand/loadcommand.go
+++ b/standin/command/loadcommand/loadcommand.go
@@ -18,6 +18,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/cassiatally/cassiatally/cassiatally/flagparser"
+	"github.com/cassiatally/cassiatally/cassiatally/roundtripper"
 	"github.com/cassiatally/cassiatally/standin/caller"
 	"github.com/cassiatally/cassiatally/standin/command/environment"
 	"github.com/cassiatally/cassiatally/standin/core"
@@ -135,7 +136,7 @@
 
 func newClient(connections int) *http.Client {
 	t := &http.Transport{MaxIdleConns: 0, MaxIdleConnsPerHost: connections}
-	return &http.Client{Transport: t}
+	return &http.Client{Transport: &roundtripper.RoundTripper{Transport: t}}
 }
 
 func trimSlashes(urls []string) []string {
