roundtripper: an answer with an invalid status is no answer

Operators saw: the era of an answer of the store with status 000 was believed. Where it was a higher one, each later call failed with "the store was restored from an earlier copy". The command line printed an answer with status 000 as the node's. Clients did not get such answers: endpointclient and backendclient have refused them since.

Cause: net/http accepts any three digits as a status, and only the two clients of endpoints checked them.

Change: roundtripper.RoundTripper, which reads the answers of the store, the log service, nodes and backend servers, fails on a status that is neither final nor a switch of protocols.

Why it works: such an answer fails before a header field or the body is looked at.

--- a/cassiatally/roundtripper/roundtripper.go
+++ b/cassiatally/roundtripper/roundtripper.go
@@ -1,7 +1,8 @@
-// Package roundtripper sends requests with net/http and checks the field lines of their
-// answers, of which net/http accepts malformed ones. A request whose answer has one fails
-// with answerscanner.ErrMalformed, or the read of the body does if the line is a trailer.
-// The connection is closed.
+// Package roundtripper sends requests with net/http and checks the statuses and the field
+// lines of their answers, of which net/http accepts invalid ones. A request whose answer has
+// a malformed field line fails with answerscanner.ErrMalformed, or the read of the body does
+// if the line is a trailer. One whose answer has an invalid status fails as well. The
+// connection is closed.
 //
 // # Usage
 //
@@ -17,9 +18,14 @@
 	"sync"
 	"sync/atomic"
 
+	"github.com/cockroachdb/errors"
+
+	"github.com/cassiatally/cassiatally/cassiatally"
 	"github.com/cassiatally/cassiatally/cassiatally/answerscanner"
 )
 
+var errInvalidStatus = errors.New("the answer has an invalid status")
+
 // RoundTripper is an http.RoundTripper for HTTP/1.1 without TLS. Answers over TLS are not
 // checked.
 type RoundTripper struct {
@@ -43,11 +49,17 @@
 		}
 	}}
 	resp, err := t.Transport.RoundTrip(r.WithContext(httptrace.WithClientTrace(r.Context(), trace)))
-	if err != nil && used != nil && used.malformed.Load() {
+	switch {
+	case err != nil && used != nil && used.malformed.Load():
 		// net/http may describe the error as that of an incomplete line.
 		return nil, answerscanner.ErrMalformed
+	case err != nil:
+		return nil, err
+	case !cassiatally.IsFinalStatus(resp.StatusCode) && resp.StatusCode != http.StatusSwitchingProtocols:
+		_ = resp.Body.Close()
+		return nil, errInvalidStatus
 	}
-	return resp, err
+	return resp, nil
 }
 
 // CloseIdleConnections closes the connections that no request uses.
--- a/cassiatally/roundtripper/roundtripper_test.go
+++ b/cassiatally/roundtripper/roundtripper_test.go
@@ -130,6 +130,25 @@
 	}
 }
 
+// Guards against an answer with an invalid status that passes, and against a request that
+// waits for its body.
+func TestInvalidStatuses(t *testing.T) {
+	for _, status := range []string{"000", "099", "600", "999"} {
+		t.Run(status, func(t *testing.T) {
+			is := is.New(t)
+			s, c := start(t, sound, "HTTP/1.1 "+status+" Odd\r\nContent-Length: 2\r\n\r\n", sound), newClient(t)
+			_, err := send(t, c, s, http.MethodGet, "")
+			is.NoErr(err)
+			_, err = send(t, c, s, http.MethodGet, "")
+			is.True(err != nil)
+			body, err := send(t, c, s, http.MethodGet, "")
+			is.NoErr(err)
+			is.Equal(body, "ok")
+			is.Equal(int(s.requests.Load()), 3)
+		})
+	}
+}
+
 // Guards against sound answers that are refused, and against a connection that is not kept
 // after them.
 func TestSoundAnswers(t *testing.T) {
--- a/operator/nodeclient/client_test.go
+++ b/operator/nodeclient/client_test.go
@@ -57,6 +57,20 @@
 	}
 }
 
+// Guards against an answer with an invalid status that is printed as the node's.
+func TestInvalidStatuses(t *testing.T) {
+	for _, status := range []string{"000", "099", "600", "999"} {
+		t.Run(status, func(t *testing.T) {
+			is := is.New(t)
+			c := nodeclient.Client{HTTP: nodeclient.NewHTTP()}
+			node := startNode(t, answerOf(status, "A: b\r\n", "ok"))
+			answer, err := c.Call(t.Context(), node, nodeclient.Request{Service: "s", Work: "w", Timeout: time.Second})
+			is.True(err != nil)
+			is.Equal(answer, nodeclient.Answer{})
+		})
+	}
+}
+
 // Guards against sound answers that are refused.
 func TestSoundAnswer(t *testing.T) {
 	is := is.New(t)
