linker: keep no connection to an address where no node answers

Operators would see: connections that stay open to whatever answers the handshake of a link without opening it, two for each address, until the node stops.

Evidence: TestRefusedHandshake failed before: the connection was still open after 30 s.

Change: the client keeps no connections. A handshake needs one of its own in any case.

Why it works: without keep-alives, net/http closes the connection with the answer.

--- a/node/linker/linker.go
+++ b/node/linker/linker.go
@@ -151,7 +151,8 @@
 	l.byAddr = make(map[cassiatally.Address]*link)
 	l.all = make(map[*link]struct{})
 	l.failures = make(map[cassiatally.Address]dialFailure)
-	l.dialer = &http.Client{Transport: &roundtripper.RoundTripper{Transport: &http.Transport{}}}
+	// Without keep-alives, connections to what is no node are not kept.
+	l.dialer = &http.Client{Transport: &roundtripper.RoundTripper{Transport: &http.Transport{DisableKeepAlives: true}}}
 	lc := net.ListenConfig{}
 	listener, err := lc.Listen(l.ctx, "tcp", string(l.Listen))
 	if err != nil {
@@ -193,7 +194,6 @@
 		k.end("node stops")
 	}
 	l.running.Wait()
-	l.dialer.CloseIdleConnections()
 }
 
 // stopServer stops to accept links.
--- a/node/linker/linker_test.go
+++ b/node/linker/linker_test.go
@@ -446,6 +446,32 @@
 	is.Equal(receive(t, one.undelivered), cassiatally.Message(cassiatally.SheetPull{Have: 1}))
 }
 
+// Guards against connections that are kept to addresses where no node answers any more.
+func TestRefusedHandshake(t *testing.T) {
+	defer goleak.VerifyNone(t)
+	is := is.New(t)
+	b := &addressBook{addresses: make(map[cassiatally.NodeID]cassiatally.Address)}
+	one := newPeer(t, b, "one")
+	defer one.Close()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	defer l.Close()
+	b.set("two", cassiatally.Address(l.Addr().String()))
+	is.NoErr(one.Send("two", cassiatally.SheetPull{Have: 1}))
+	conn, err := l.Accept()
+	is.NoErr(err)
+	defer conn.Close()
+	is.NoErr(conn.SetDeadline(time.Now().Add(testTimeout)))
+	r := bufio.NewReader(conn)
+	_, err = http.ReadRequest(r)
+	is.NoErr(err)
+	_, err = io.WriteString(conn, "HTTP/1.1 404 Not Found\r\nContent-Length: 0\r\n\r\n")
+	is.NoErr(err)
+	_, err = r.ReadByte()
+	is.Equal(err, io.EOF)
+	is.Equal(receive(t, one.undelivered), cassiatally.Message(cassiatally.SheetPull{Have: 1}))
+}
+
 // Guards against a node that has taken over the address of another one, dials itself
 // under the id of that one, and then reports its own link as lost, which would fail the
 // calls to its own backend server.
