--- a/cassiatally/answerscanner/scanner.go
+++ b/cassiatally/answerscanner/scanner.go
@@ -4,6 +4,9 @@
 // a bare line feed. A length or a framing that is stated on such a line is ignored, and the
 // caller gets another body than the sender meant; other lines are passed on.
 //
+// What is well-formed is stated in RFC 9112, sections 5 and 7.1. Folded lines are malformed
+// here, and lines may end with a bare line feed if all of them do.
+//
 // # Usage
 //
 //	var s answerscanner.Scanner
@@ -70,7 +73,7 @@
 	// framingName, or -1.
 	matched int
 	// chunkLeft is the number of bytes of the chunk that are still to come, with those of
-	// chunkEnd.
+	// chunkEnd. trailers is set after the last chunk.
 	chunkLeft int64
 	trailers  bool
 }
@@ -78,8 +81,8 @@
 // Reset makes the next byte the first one of an answer.
 func (s *Scanner) Reset() { *s = Scanner{part: partProtocol} }
 
-// Scan checks the next bytes of the answer. On an error it returns the number of bytes
-// before the malformed part of them.
+// Scan checks the next bytes of the answer, of which none may be left out. On ErrMalformed
+// it returns the number of bytes before the malformed part of them.
 func (s *Scanner) Scan(b []byte) (int, error) {
 	for i := 0; i < len(b); {
 		if s.part == partUnchecked {
