frameproxy: a link whose handshake has a malformed field line is not forwarded

Testers saw: the frame proxy opened a link to whatever answered its handshake, also when the answer had field names with blanks, and forwarded frames there.

Cause: it dialled with net/http's default client, which reads heads leniently.

Evidence: TestMalformedHandshake (frameproxy) failed before: the target got the first byte of a frame.

Change: links are dialled with roundtripper.RoundTripper and without keep-alives, as in the linker.

Why it works: the dial fails before the WebSocket library sees the answer.

The recorder's client and the readers of status pages stay as they are.

--- a/standin/frameproxy/frameproxy.go
+++ b/standin/frameproxy/frameproxy.go
@@ -27,6 +27,7 @@
 
 	"github.com/cassiatally/cassiatally/cassiatally"
 	"github.com/cassiatally/cassiatally/cassiatally/protocol"
+	"github.com/cassiatally/cassiatally/cassiatally/roundtripper"
 	"github.com/cassiatally/cassiatally/standin/owner"
 )
 
@@ -115,11 +116,13 @@
 
 	listener net.Listener
 	server   *http.Server
-	codec    *protocol.Codec
-	owner    *owner.Owner[state]
-	ctx      context.Context
-	cancel   context.CancelFunc
-	wg       sync.WaitGroup
+	// dialer sends the requests that open links to the target.
+	dialer *http.Client
+	codec  *protocol.Codec
+	owner  *owner.Owner[state]
+	ctx    context.Context
+	cancel context.CancelFunc
+	wg     sync.WaitGroup
 }
 
 // state is owned by the duty of the proxy.
@@ -157,6 +160,7 @@
 		return errors.Wrapf(err, "listening on %s", p.Listen)
 	}
 	p.codec, p.listener = codec, listener
+	p.dialer = &http.Client{Transport: &roundtripper.RoundTripper{Transport: &http.Transport{DisableKeepAlives: true}}}
 	p.ctx, p.cancel = context.WithCancel(context.WithoutCancel(ctx))
 	p.owner = owner.New(&state{
 		target: p.Target, up: faults{answers: ModePass}, down: faults{answers: ModePass}, links: make(map[*link]struct{}),
@@ -242,7 +246,7 @@
 		return
 	}
 	defer p.unregister(ctx, l)
-	far, err := dial(ctx, target, r.Header.Get(dataCentreHeader))
+	far, err := p.dial(ctx, target, r.Header.Get(dataCentreHeader))
 	if err != nil {
 		return
 	}
@@ -269,10 +273,11 @@
 	})
 }
 
-func dial(ctx context.Context, target cassiatally.Address, dataCentre string) (*websocket.Conn, error) {
+func (p *Proxy) dial(ctx context.Context, target cassiatally.Address, dataCentre string) (*websocket.Conn, error) {
 	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
 	defer cancel()
 	conn, resp, err := websocket.Dial(ctx, "ws://"+string(target)+linkPath, &websocket.DialOptions{
+		HTTPClient:      p.dialer,
 		CompressionMode: websocket.CompressionDisabled,
 		HTTPHeader:      http.Header{dataCentreHeader: {dataCentre}},
 	})
--- a/standin/frameproxy/frameproxy_test.go
+++ b/standin/frameproxy/frameproxy_test.go
@@ -2,6 +2,9 @@
 
 import (
 	"context"
+	"crypto/sha1"
+	"encoding/base64"
+	"fmt"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -109,6 +112,38 @@
 	return p, linkEnd{t, conn, codec}, linkEnd{t, other, codec}
 }
 
+// Guards against a link that is forwarded although the answer to its handshake has a
+// malformed field line.
+func TestMalformedHandshake(t *testing.T) {
+	is := is.New(t)
+	forwarded := make(chan []byte, 1)
+	target := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		conn, _, err := http.NewResponseController(w).Hijack()
+		if err != nil {
+			return
+		}
+		defer conn.Close()
+		digest := sha1.Sum([]byte(r.Header.Get("Sec-WebSocket-Key") + "258EAFA5-E914-47DA-95CA-C5AB0DC85B11"))
+		_, _ = fmt.Fprintf(conn, "HTTP/1.1 101 Switching Protocols\r\nUpgrade: websocket\r\nConnection: Upgrade\r\nSec-WebSocket-Accept: %s\r\nX Odd: 1\r\n\r\n",
+			base64.StdEncoding.EncodeToString(digest[:]))
+		first := make([]byte, 1)
+		n, _ := conn.Read(first)
+		forwarded <- first[:n]
+	}))
+	defer target.Close()
+	p := &frameproxy.Proxy{Listen: "127.0.0.1:0", Target: cassiatally.Address(target.Listener.Addr().String())}
+	is.NoErr(p.Start(t.Context()))
+	defer p.Close()
+	conn, resp, err := websocket.Dial(t.Context(), "ws://"+string(p.Address())+"/v1/link", nil)
+	is.NoErr(err)
+	if resp.Body != nil {
+		_ = resp.Body.Close()
+	}
+	defer func() { _ = conn.CloseNow() }()
+	_ = conn.Write(t.Context(), websocket.MessageBinary, []byte("frame")) // the proxy may have closed the link
+	is.Equal(len(<-forwarded), 0)
+}
+
 func answer(id uint64, detail string) cassiatally.Answer {
 	return cassiatally.Answer{ID: cassiatally.CallID{Seq: id}, Detail: detail}
 }
