executor: a node that stops waits for the run that it is just starting

Callers saw: nothing is known from a deployment.

Cause: the executor duty updates the count of unanswered runs when it has handled the whole event that starts one. Drain queued the leave event and read the count without waiting for the duty. A run that was just being started, or a call still in the inbox, was not counted. cassiatally-node reads the count as soon as it is told to stop; the sidecar only after its readiness delay.

Change: Executor.Drained is the condition for the end of a drain, in gatekeeper and supervisor. It holds when the leave event is handled and no run is unanswered.

Why it works: the duty handles events in order. When the leave event is handled, all calls accepted before it are counted or refused, and later ones are refused, so that the count cannot rise any more. The flag is set after the count and read before it.

Conclusion: a fault of the product, not of the test; TestDrain is unchanged.

--- a/node/executor/events.go
+++ b/node/executor/events.go
@@ -139,6 +139,7 @@
 
 func (e leaveEvent) apply(x *Executor, now cassiatally.Instant) {
 	x.carryOut(now, x.Runner.Leave(now))
+	x.leaving.Store(true) // after carryOut, which updates the count that Drained reads
 	x.reportEndpoint(now)
 }
 
--- a/node/executor/executor.go
+++ b/node/executor/executor.go
@@ -93,6 +93,8 @@
 	running, unanswered  atomic.Int64
 	counts               atomic.Pointer[runner.Counts]
 	suspects             atomic.Pointer[suspectCounts]
+	// leaving is set when the leave event and all calls accepted before it are handled.
+	leaving atomic.Bool
 	// nextSuspectCount is when the suspects are counted next.
 	nextSuspectCount cassiatally.Instant
 	// reportedEndpoint is the endpoint of the last call of OnEndpoint, and
@@ -148,9 +150,14 @@
 func (x *Executor) Running() int { return int(x.running.Load()) }
 
 // Unanswered returns the number of calls that were started and whose answers have not
-// been sent.
+// been sent, as of the last event that was handled.
 func (x *Executor) Unanswered() int { return int(x.unanswered.Load()) }
 
+// Drained reports whether the leave event is handled and all calls that were started are
+// answered. Without the first condition, a call that the duty is just starting would not
+// be counted yet, and the node could stop during its run.
+func (x *Executor) Drained() bool { return x.leaving.Load() && x.Unanswered() == 0 }
+
 // Counts returns the totals of the runner as of the last tick.
 func (x *Executor) Counts() runner.Counts { return *x.counts.Load() }
 
@@ -184,7 +191,7 @@
 func (x *Executor) Withdraw() { x.inbox.Offer(withdrawEvent{}, 0) }
 
 // Leave queues the shutdown of the node, after which new work is refused. It blocks
-// while the inbox is full.
+// while the inbox is full. Drained reports when it is handled and no run is left.
 func (x *Executor) Leave() { x.inbox.Push(x.ctx, leaveEvent{}) }
 
 // Stop queues the end of the runs that are left, whose outcome becomes unknown. It blocks
--- a/node/gatekeeper/drain.go
+++ b/node/gatekeeper/drain.go
@@ -59,5 +59,5 @@
 // idle reports whether callers and other nodes have all their answers. Another node may
 // read them slowly.
 func (g *Gatekeeper) idle() bool {
-	return g.executor.Unanswered() == 0 && g.forwarder.InFlight() == 0 && g.links.UnsentAnswers() == 0
+	return g.executor.Drained() && g.forwarder.InFlight() == 0 && g.links.UnsentAnswers() == 0
 }
--- a/node/supervisor/drain.go
+++ b/node/supervisor/drain.go
@@ -41,5 +41,5 @@
 }
 
 func (s *Supervisor) drained() bool {
-	return s.executor.Unanswered() == 0 && s.callers.InFlight() == 0 && s.links.UnsentAnswers() == 0 && s.claims.Drained()
+	return s.executor.Drained() && s.callers.InFlight() == 0 && s.links.UnsentAnswers() == 0 && s.claims.Drained()
 }
