--- a/node/executor/executor_test.go
+++ b/node/executor/executor_test.go
@@ -40,8 +40,7 @@
 	return nil
 }
 
-// Guards against a node that stops during a run which it was about to start when it was
-// told to stop.
+// Guards against a node that stops during a run that it was starting when the stop began.
 func TestDrainedCountsACallThatIsBeingStarted(t *testing.T) {
 	is := is.New(t)
 	self := cassiatally.NodeRef{Node: "b", Incarnation: 1}
