executor: the announcement in the drain test does not expire

Cause: an announcement lapses after 3 s by default, and a machine that stalls that long between two lines of the test would fail it.

Change: the test sets the time to a minute.

Conclusion: the test depends on no time of the machine but its limit of 20 s for the end.

--- a/node/executor/executor_test.go
+++ b/node/executor/executor_test.go
@@ -51,6 +51,7 @@
 	x := &executor.Executor{
 		Runner:     runner.New(self, &admitter.Admitter{}, &fixedlimiter.Limiter{}, quarantine, func() cassiatally.CallID { return cassiatally.CallID{} }),
 		Quarantine: quarantine, Clock: sysclock.New(), Transport: sent, Backend: backend, Logger: log.New(io.Discard),
+		AnnounceTTL: time.Minute,
 		OnQueueWait: func(cassiatally.Rank, time.Duration) { // the duty calls it before it starts the run
 			close(starting)
 			select {
