linker: nodes of different fleets refuse links to each other

Cause: a link states the node at each end, but not its fleet. Nodes keep trying the address of an ended member. When a node of another fleet gets that address, one gossip message merges both member tables, and shards get a holder or a standby of the other fleet. Scripts run five at a time with nodes of the same names, and the kernel gives a port again soon.

Change: Hello carries the name of the fleet, node.fleet in the settings. Both ends refuse a link if both have a name and the names differ; a node without one accepts all. Each script of scenarios has its own fleet.

Why it works: members and shard tables come over links only.

--- a/cassiatally/ids.go
+++ b/cassiatally/ids.go
@@ -17,6 +17,8 @@
 	NodeID string
 	// Incarnation identifies one run of a node. Each restart has a new, greater one.
 	Incarnation uint64
+	// Fleet names the nodes that belong together. The empty name stands for any fleet.
+	Fleet string
 	// DataCentre names a data centre.
 	DataCentre string
 	// Service names a service of the call graph.
@@ -57,6 +59,9 @@
 	return err == nil && parsed.Port() != 0
 }
 
+// Accepts reports whether nodes of the two fleets may share a link.
+func (f Fleet) Accepts(other Fleet) bool { return f == "" || other == "" || f == other }
+
 // NodeRef names one incarnation of a node.
 type NodeRef struct {
 	Node        NodeID
--- a/cassiatally/message.go
+++ b/cassiatally/message.go
@@ -10,6 +10,7 @@
 	From       NodeRef
 	DataCentre DataCentre
 	Address    Address
+	Fleet      Fleet
 }
 
 // Ping is the heartbeat of an idle link.
--- a/cassiatally/protocol/codec_test.go
+++ b/cassiatally/protocol/codec_test.go
@@ -33,7 +33,7 @@
 	assignment := cassiatally.Assignment{Shard: shard, Epoch: 2, Holder: ref, Standby: ref, CompleteFrom: 1, Reappend: true}
 	candidate := cassiatally.QuotaCandidate{Node: "depot-1", DataCentre: "north", Address: "127.0.0.1:1"}
 	return []cassiatally.Message{
-		cassiatally.Hello{From: ref, DataCentre: "north", Address: "127.0.0.1:1"},
+		cassiatally.Hello{From: ref, DataCentre: "north", Address: "127.0.0.1:1", Fleet: "barrier"},
 		cassiatally.Ping{Seq: 1},
 		cassiatally.Call{ID: id, Stage: cassiatally.StageClaim, Root: cassiatally.RootID{1}, Service: "avail-svc", Work: "check", Tenant: "t", Rank: 1, Order: 0.25, Idempotent: true, Key: claim.Key, Remaining: time.Second, Retries: 2, Depth: 3, Attempt: 1, Head: cassiatally.Head{Method: "GET", Target: "/a?b", Fields: []cassiatally.Field{{Name: "A", Value: "b"}}}, Caller: "depot-svc", Name: "n", Repeated: true, Send: cassiatally.SendGranted, Progress: 2, Notice: &notice, Body: []byte("x"), Digest: cassiatally.DigestOf([]byte("x"))},
 		answer,
--- a/cassiatally/protocol/wire.go
+++ b/cassiatally/protocol/wire.go
@@ -109,6 +109,7 @@
 	From       wireNodeRef            `cbor:"1,keyasint,omitempty"`
 	DataCentre cassiatally.DataCentre `cbor:"2,keyasint,omitempty"`
 	Address    cassiatally.Address    `cbor:"3,keyasint,omitempty"`
+	Fleet      cassiatally.Fleet      `cbor:"4,keyasint,omitempty"`
 }
 
 func toHello(m cassiatally.Hello) wireHello {
@@ -116,6 +117,7 @@
 		From:       toNodeRef(m.From),
 		DataCentre: m.DataCentre,
 		Address:    m.Address,
+		Fleet:      m.Fleet,
 	}
 }
 
@@ -124,6 +126,7 @@
 		From:       fromNodeRef(w.From),
 		DataCentre: w.DataCentre,
 		Address:    w.Address,
+		Fleet:      w.Fleet,
 	}
 }
 
--- a/cassiatally/settingsloader/loader_test.go
+++ b/cassiatally/settingsloader/loader_test.go
@@ -44,6 +44,16 @@
 	is.NoErr(err)
 	is.Equal(again, s)
 	is.True(strings.Contains(s.Describe(), "dead_after: 1.5s\n"))
+	is.True(!strings.Contains(s.Describe(), "fleet:"))
+}
+
+// Guards against the name of a fleet that is not read, or is missing in a description.
+func TestFleet(t *testing.T) {
+	is := is.New(t)
+	s, err := settingsloader.Loader{}.Load([]byte(strings.Replace(minimalSettings, "east}", "east, fleet: barrier}", 1)))
+	is.NoErr(err)
+	is.Equal(s.Node.Fleet, cassiatally.Fleet("barrier"))
+	is.True(strings.Contains(s.Describe(), "fleet: \"barrier\"\n"))
 }
 
 // Guards against errors that are accepted, reported at a wrong position, or
@@ -86,10 +96,10 @@
 // Guards against a report that stops at the first problem.
 func TestAllProblemsInOneReport(t *testing.T) {
 	is := is.New(t)
-	_, err := settingsloader.Loader{File: "n.yaml"}.Load([]byte("node: {id: a b}\nlisten: {links: 0.0.0.0}\nlog_level: loud\n"))
+	_, err := settingsloader.Loader{File: "n.yaml"}.Load([]byte("node: {id: a b, fleet: c d}\nlisten: {links: 0.0.0.0}\nlog_level: loud\n"))
 	is.Equal(cassiatally.KindOf(err), cassiatally.KindInvalidSettings)
 	for _, part := range []string{
-		"n.yaml:1:1: node.data_centre", "n.yaml:1:12: node.id", "n.yaml:2:1: listen.callers",
+		"n.yaml:1:1: node.data_centre", "n.yaml:1:12: node.id", "n.yaml:1:24: node.fleet", "n.yaml:2:1: listen.callers",
 		"n.yaml:2:17: listen.links", "n.yaml:1:1: log.address", "n.yaml:3:12: log_level",
 	} {
 		is.True(strings.Contains(err.Error(), part)) // each problem is in the report
--- a/cassiatally/settingsloader/schema.go
+++ b/cassiatally/settingsloader/schema.go
@@ -59,6 +59,7 @@
 var schema = []field{
 	requiredKey("node.id", func(s *Settings) *cassiatally.NodeID { return &s.Node.ID }, name[cassiatally.NodeID]()),
 	requiredKey("node.data_centre", func(s *Settings) *cassiatally.DataCentre { return &s.Node.DataCentre }, name[cassiatally.DataCentre]()),
+	optionalKey("node.fleet", func(s *Settings) *cassiatally.Fleet { return &s.Node.Fleet }, name[cassiatally.Fleet]()),
 	requiredKey("listen.callers", func(s *Settings) *cassiatally.Address { return &s.Listen.Callers }, listenAddress()),
 	optionalKey("listen.backend", func(s *Settings) *cassiatally.Address { return &s.Listen.Backend }, listenAddress()),
 	requiredKey("listen.links", func(s *Settings) *cassiatally.Address { return &s.Listen.Links }, listenAddress()),
--- a/cassiatally/settingsloader/settings.go
+++ b/cassiatally/settingsloader/settings.go
@@ -28,10 +28,13 @@
 	LogLevel LogLevel // info
 }
 
-// Node identifies the node and its data centre.
+// Node identifies the node, its data centre and its fleet.
 type Node struct {
 	ID         cassiatally.NodeID     // id, required
 	DataCentre cassiatally.DataCentre // data_centre, required
+	// Fleet is the name that all nodes of the fleet share. Nodes with different names
+	// refuse links to each other; one without a name accepts all.
+	Fleet cassiatally.Fleet // fleet, none
 }
 
 // Listen has the addresses that the node listens on. With port 0 the kernel
--- a/node/linker/link.go
+++ b/node/linker/link.go
@@ -98,7 +98,7 @@
 	k.mu.Lock()
 	k.conn = conn
 	k.mu.Unlock()
-	hello := cassiatally.Hello{From: k.owner.Self, DataCentre: k.owner.DataCentre, Address: k.owner.Advertise}
+	hello := cassiatally.Hello{From: k.owner.Self, DataCentre: k.owner.DataCentre, Address: k.owner.Advertise, Fleet: k.owner.Fleet}
 	if err := k.writeFrame(ctx, hello); err != nil {
 		return err
 	}
@@ -115,6 +115,11 @@
 		// under this address in its member table, and so dial itself.
 		return cassiatally.NewError(cassiatally.KindUnreachable, "the address is that of this node")
 	}
+	if !k.owner.Fleet.Accepts(theirs.Fleet) {
+		// An address of a node that has ended may now be that of a node of another fleet. One
+		// link to it would merge the member tables of both.
+		return cassiatally.NewError(cassiatally.KindUnreachable, "node %s belongs to fleet %s, not to %s", theirs.From.Node, theirs.Fleet, k.owner.Fleet)
+	}
 	k.peer = theirs.From
 	return nil
 }
--- a/node/linker/linker.go
+++ b/node/linker/linker.go
@@ -80,6 +80,8 @@
 type Linker struct {
 	Self       cassiatally.NodeRef
 	DataCentre cassiatally.DataCentre
+	// Fleet is the fleet of this node. Links to nodes of other fleets are refused.
+	Fleet cassiatally.Fleet
 	// Advertise is the address to which other nodes connect; empty means the address of
 	// the listener.
 	Advertise cassiatally.Address
--- a/node/linker/linker_test.go
+++ b/node/linker/linker_test.go
@@ -65,6 +65,11 @@
 }
 
 func newPeer(t *testing.T, b *addressBook, id cassiatally.NodeID) *peer {
+	t.Helper()
+	return newPeerOf(t, "", b, id)
+}
+
+func newPeerOf(t *testing.T, f cassiatally.Fleet, b *addressBook, id cassiatally.NodeID) *peer {
 	t.Helper()
 	codec, err := protocol.New()
 	if err != nil {
@@ -78,6 +83,7 @@
 	}
 	p.Linker = &linker.Linker{
 		Self:        cassiatally.NodeRef{Node: id, Incarnation: 1},
+		Fleet:       f,
 		Listen:      "127.0.0.1:0",
 		Codec:       codec,
 		Logger:      log.New(io.Discard),
@@ -482,6 +488,42 @@
 	is.Equal(len(a.lost), 0)
 }
 
+// Guards against a node that gets the address of an ended node of another fleet, and whose
+// members are then mixed with those of that fleet. A node without the name of a fleet, such
+// as one of an earlier version, is accepted.
+func TestLinksToOtherFleets(t *testing.T) {
+	cases := []struct {
+		name     string
+		one, two cassiatally.Fleet
+		accepted bool
+	}{
+		{"two fleets", "barrier", "intake", false},
+		{"the same fleet", "barrier", "barrier", true},
+		{"no name here", "", "intake", true},
+		{"no name there", "barrier", "", true},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			defer goleak.VerifyNone(t)
+			is := is.New(t)
+			b := &addressBook{addresses: make(map[cassiatally.NodeID]cassiatally.Address)}
+			one, two := newPeerOf(t, c.one, b, "one"), newPeerOf(t, c.two, b, "two")
+			defer one.Close()
+			defer two.Close()
+			message := cassiatally.Message(cassiatally.SheetPull{Have: 1})
+			is.NoErr(one.SendAddress(two.Addr(), message)) // as to a seed, whose name is not known
+			if c.accepted {
+				is.Equal(receive(t, two.received), message)
+				return
+			}
+			is.Equal(receive(t, one.undelivered), message)
+			is.NoErr(two.Send("one", message))
+			is.Equal(receive(t, two.undelivered), message)
+			is.Equal(len(one.received)+len(two.received), 0)
+		})
+	}
+}
+
 // Guards against calls that fail because the node that runs them dialled this one
 // under the id of another and closed that link again.
 func TestWrongDialEndsNoCalls(t *testing.T) {
--- a/node/supervisor/supervisor.go
+++ b/node/supervisor/supervisor.go
@@ -139,6 +139,7 @@
 	s.links = &linker.Linker{
 		Self:        s.self,
 		DataCentre:  cfg.Node.DataCentre,
+		Fleet:       cfg.Node.Fleet,
 		Advertise:   cfg.Advertise.Links,
 		Listen:      cfg.Listen.Links,
 		Codec:       s.codec,
--- a/scenarios/fleet_test.go
+++ b/scenarios/fleet_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"bufio"
+	"cmp"
 	"fmt"
+	"hash/fnv"
 	"io"
 	"maps"
 	"net/http"
@@ -155,8 +157,8 @@
 //
 //	node NAME DATA_CENTRE [YAML-LINE...]
 //
-// Further lines are added to the settings. The variable LOG has the address of
-// the log service. The nodes that were started before are the seeds. The variable
+// Further lines are added to the settings. The fleet is that of the script, or the one that
+// the variable FLEET names. The variable LOG has the address of the log service. The nodes that were started before are the seeds. The variable
 // NAME_listen fixes the address for links, and NAME_advertise the one that the node
 // announces to others. If the variable FAULTS has the address of a fault proxy,
 // links to the node go through the proxy's route NAME, which forwards frames if the
@@ -172,7 +174,7 @@
 		ts.Setenv(name+"_advertise", addRoute(ts, faults, name))
 	}
 	var b strings.Builder
-	fmt.Fprintf(&b, "node: {id: %s, data_centre: %s}\n", name, args[1])
+	fmt.Fprintf(&b, "node: {id: %s, data_centre: %s, fleet: %s}\n", name, args[1], cmp.Or(ts.Getenv("FLEET"), scriptFleet(ts)))
 	links := "127.0.0.1:0"
 	if fixed := ts.Getenv(name + "_listen"); fixed != "" {
 		links = fixed
@@ -200,6 +202,15 @@
 	}
 }
 
+// scriptFleet returns a name that no other script has, also in another run of the tests. The
+// kernel gives the port of a node that has ended to nodes of other scripts, to which the
+// rest of its fleet then opens links.
+func scriptFleet(ts *testscript.TestScript) string {
+	h := fnv.New64a()
+	_, _ = h.Write([]byte(ts.MkAbs(".")))
+	return fmt.Sprintf("script-%x", h.Sum64())
+}
+
 // seedsOf returns the quoted addresses of the other nodes in a fixed order.
 func (f *fleet) seedsOf(name string) []string {
 	var seeds []string
