gatekeeper: sidecars of different fleets refuse links to each other

Callers saw: nothing is known from a deployment.

A sidecar of another fleet that gets the address and the name of an ended one was taken for its restart.

Change: node.fleet in the settings of the sidecar, passed to the linker. The template deploy/sidecar.yaml leaves it out, because the platform fills in no name for the deployment, so deployments behave as before.

Why it works: both ends refuse the link in its handshake, before any message.

--- a/node/gatekeeper/build.go
+++ b/node/gatekeeper/build.go
@@ -44,6 +44,7 @@
 	g.links = &linker.Linker{
 		Self:        g.self,
 		DataCentre:  g.Settings.DataCentre,
+		Fleet:       g.Settings.Fleet,
 		Listen:      g.Settings.Links,
 		Advertise:   g.Settings.Advertise,
 		Codec:       codec,
--- a/node/gatekeeper/gatekeeper.go
+++ b/node/gatekeeper/gatekeeper.go
@@ -88,6 +88,8 @@
 type Settings struct {
 	Node       cassiatally.NodeID
 	DataCentre cassiatally.DataCentre
+	// Fleet is the fleet of the node. Links to nodes of other fleets are refused.
+	Fleet cassiatally.Fleet
 	// Links is the address on which the node accepts links of other nodes.
 	Links cassiatally.Address
 	// Advertise is the address at which other nodes reach Links; empty means Links.
