--- a/scenarios/fleet_test.go
+++ b/scenarios/fleet_test.go
@@ -158,11 +158,11 @@
 //	node NAME DATA_CENTRE [YAML-LINE...]
 //
 // Further lines are added to the settings. The fleet is that of the script, or the one that
-// the variable FLEET names. The variable LOG has the address of the log service. The nodes that were started before are the seeds. The variable
-// NAME_listen fixes the address for links, and NAME_advertise the one that the node
-// announces to others. If the variable FAULTS has the address of a fault proxy,
-// links to the node go through the proxy's route NAME, which forwards frames if the
-// variable FRAMES is set, and TCP otherwise.
+// the variable FLEET names. The variable LOG has the address of the log service. The nodes
+// that were started before are the seeds. The variable NAME_listen fixes the address for
+// links, and NAME_advertise the one that the node announces to others. If the variable
+// FAULTS has the address of a fault proxy, links to the node go through the proxy's route
+// NAME, which forwards frames if the variable FRAMES is set, and TCP otherwise.
 func cmdNode(ts *testscript.TestScript, neg bool, args []string) {
 	if neg || len(args) < 2 {
 		ts.Fatalf("usage: node NAME DATA_CENTRE [YAML-LINE...]")
