scenarios: each script has an IP number of its own

Cause: scripts run beside each other, and the kernel soon gives the port of an ended program to another one. Names of fleets keep links apart, but a backend server or a caller may still reach a program of another script under the address of an ended one. Not seen; it follows from the same reuse of ports. Change: nodes and stand-ins of a script listen on a loopback IP number that is derived from its directory.

--- a/scenarios/fleet_test.go
+++ b/scenarios/fleet_test.go
@@ -79,12 +79,12 @@
 //	start NAME PROGRAM ARGS...
 //
 // Each key=value of the line becomes the variable NAME_key. The output goes to
-// NAME.log.
+// NAME.log. Stand-ins listen on the IP number of the script.
 func cmdStart(ts *testscript.TestScript, neg bool, args []string) {
 	if neg || len(args) < 2 {
 		ts.Fatalf("usage: start NAME PROGRAM ARGS...")
 	}
-	fleetOf(ts).start(ts, args[0], args[1], args[2:])
+	fleetOf(ts).start(ts, args[0], args[1], withListen(ts, args[1], args[2:]))
 }
 
 func (f *fleet) start(ts *testscript.TestScript, name, program string, args []string) map[string]string {
@@ -175,11 +175,12 @@
 	}
 	var b strings.Builder
 	fmt.Fprintf(&b, "node: {id: %s, data_centre: %s, fleet: %s}\n", name, args[1], cmp.Or(ts.Getenv("FLEET"), scriptFleet(ts)))
-	links := "127.0.0.1:0"
+	listen := listenAddress(ts)
+	links := listen
 	if fixed := ts.Getenv(name + "_listen"); fixed != "" {
 		links = fixed
 	}
-	fmt.Fprintf(&b, "listen: {callers: \"127.0.0.1:0\", backend: \"127.0.0.1:0\", links: %q, admin: \"127.0.0.1:0\"}\n", links)
+	fmt.Fprintf(&b, "listen: {callers: %q, backend: %q, links: %q, admin: %q}\n", listen, listen, links, listen)
 	if addr := ts.Getenv(name + "_advertise"); addr != "" {
 		fmt.Fprintf(&b, "advertise: {links: %q}\n", addr)
 	}
@@ -202,13 +203,31 @@
 	}
 }
 
-// scriptFleet returns a name that no other script has, also in another run of the tests. The
-// kernel gives the port of a node that has ended to nodes of other scripts, to which the
-// rest of its fleet then opens links.
-func scriptFleet(ts *testscript.TestScript) string {
+// scriptNumber returns a number that no other script has, also in another run of the tests.
+func scriptNumber(ts *testscript.TestScript) uint64 {
 	h := fnv.New64a()
 	_, _ = h.Write([]byte(ts.MkAbs(".")))
-	return fmt.Sprintf("script-%x", h.Sum64())
+	return h.Sum64()
+}
+
+func scriptFleet(ts *testscript.TestScript) string {
+	return fmt.Sprintf("script-%x", scriptNumber(ts))
+}
+
+// listenAddress returns an address on which programs of the script listen, whose port the
+// kernel chooses. The IP number is that of the script: the port of a program that has ended
+// would otherwise soon be that of a program of another script, and be used for the ended one.
+func listenAddress(ts *testscript.TestScript) string {
+	n := scriptNumber(ts)
+	return fmt.Sprintf("127.%d.%d.%d:0", 1+n%254, n>>8%254, 1+n>>16%254)
+}
+
+// withListen adds the address to listen on to the arguments of a stand-in that listens.
+func withListen(ts *testscript.TestScript, program string, args []string) []string {
+	if program != "cassiatally-standin" {
+		return args
+	}
+	return append(slices.Clone(args), "--listen", listenAddress(ts))
 }
 
 // seedsOf returns the quoted addresses of the other nodes in a fixed order.
--- a/scenarios/supervise_test.go
+++ b/scenarios/supervise_test.go
@@ -42,7 +42,7 @@
 	default:
 		s := &supervisor{stop: make(chan struct{}), done: make(chan struct{})}
 		f.supervisors[args[0]] = s
-		go s.run(filepath.Join(binaries, args[1]), args[2:])
+		go s.run(filepath.Join(binaries, args[1]), withListen(ts, args[1], args[2:]))
 	}
 }
 
