linker, dispatcher, forwarder: log what a lost request depends on

Change: "request failed" and its siblings carry caller_timeout and timeout; "call sent again" and "link silent" are logged; the answer to a stalled run says so.

--- a/cassiatally/runner/result.go
+++ b/cassiatally/runner/result.go
@@ -173,7 +173,10 @@
 	case cassiatally.ResultReplaced:
 		return notRun(id, cassiatally.KindDraining, "another instance has the address of the backend server")
 	case cassiatally.ResultTimedOut:
-		return unknownOutcome(id, cassiatally.KindExpired, "the deadline passed while the request ran, or was out of reach")
+		if rec.abortedAsStalled {
+			return unknownOutcome(id, cassiatally.KindExpired, "the backend server made no progress, and the run was aborted before its deadline")
+		}
+		return unknownOutcome(id, cassiatally.KindExpired, "the deadline passed while the request ran")
 	case cassiatally.ResultAborted:
 		if rec.abortedByStop {
 			return unknownOutcome(id, cassiatally.KindOutcomeUnknown, "the node of the backend server stopped during the run")
--- a/node/dispatcher/dispatcher.go
+++ b/node/dispatcher/dispatcher.go
@@ -293,6 +293,7 @@
 	for _, a := range actions {
 		switch a := a.(type) {
 		case cassiatally.Send:
+			d.logRetry(a)
 			if err := d.Transport.Send(a.To, a.Message); err != nil {
 				d.carryOut(now, d.Router.SendFailed(now, a.To, a.Message))
 			}
@@ -306,3 +307,10 @@
 		}
 	}
 }
+
+// logRetry logs a call that may have been run before.
+func (d *Dispatcher) logRetry(s cassiatally.Send) {
+	if c, ok := s.Message.(cassiatally.Call); ok && c.Send != cassiatally.SendFirst {
+		d.Logger.Info("call sent again", "request", c.Name, "call", c.ID, "to", s.To, "work", c.Work, "granted", c.Send == cassiatally.SendGranted, "may_have_run", c.Repeated, "left", c.Remaining)
+	}
+}
--- a/node/forwarder/forwarder.go
+++ b/node/forwarder/forwarder.go
@@ -118,7 +118,7 @@
 	a := f.awaitAnswer(ctx, in, req, arrived, serveOrphans)
 	took := f.Clock.Now().Sub(arrived)
 	f.Observer.Request(req.Policy, req.Tenant, a, took)
-	f.logAnswer(req, a, took)
+	f.logAnswer(in, req, a, arrived, took)
 	return a
 }
 
@@ -286,10 +286,11 @@
 	return cancelledAnswer()
 }
 
-func (f *Forwarder) logAnswer(req cassiatally.Request, a cassiatally.Answer, took time.Duration) {
+func (f *Forwarder) logAnswer(in cassiatally.Inbound, req cassiatally.Request, a cassiatally.Answer, arrived cassiatally.Instant, took time.Duration) {
 	fields := []any{
 		"request", req.Name, "route", req.Work, "version", req.Policy.Version, "rank", req.Policy.Rank, "onward", req.Depth > 0,
 		"kind", a.Kind, "outcome", a.Outcome, "status", a.Status, "endpoint", a.Endpoint.Node, "retries", a.RetriesSpent, "took", took, "detail", a.Detail,
+		"caller_timeout", in.Remaining, "timeout", req.Deadline.Sub(arrived),
 	}
 	switch {
 	case a.Kind == cassiatally.KindNone:
--- a/node/linker/heartbeat.go
+++ b/node/linker/heartbeat.go
@@ -93,7 +93,7 @@
 	if t.silentAfter > sinceRead {
 		next = min(next, t.silentAfter-sinceRead)
 	} else if t.silentAfter > 0 && !k.silent.Swap(true) {
-		k.owner.notifySilent(k)
+		k.owner.notifySilent(k, sinceRead, now.Sub(t.since))
 	}
 	if sinceWrite >= t.heartbeat {
 		k.heartbeats++
--- a/node/linker/linker.go
+++ b/node/linker/linker.go
@@ -424,7 +424,8 @@
 	}
 }
 
-func (l *Linker) notifySilent(k *link) {
+func (l *Linker) notifySilent(k *link, silence, active time.Duration) {
+	l.Logger.Info("link silent", "peer", k.peer, "outbound", k.outbound, "silence", silence, "active", active, "open_calls", k.calls.count())
 	if l.Silent != nil {
 		l.Silent(k.peer)
 	}
--- a/node/linker/opencalls.go
+++ b/node/linker/opencalls.go
@@ -72,3 +72,10 @@
 	}
 	return o.activeFrom, o.active(now)
 }
+
+// count returns the number of calls and queries without an answer.
+func (o *openCalls) count() int {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return len(o.sentAt)
+}
