router: a request at a silent node is still awaited

Cause: nothing arrived on a link for 450 ms, since the one heartbeat was lost and TCP sends it again after 200 ms. The router cancelled the call there and sent it to another endpoint, which had no room, and was left with that refusal. Ruled out by the trace: the deadlines of client and node, the abort of a stalled run, a second node that stops. Change: the call is sent to another endpoint as well. Both attempts are awaited, the first success is delivered, and a failure only when no attempt is left. Why it works: a run is given up for another one only once that one has succeeded. The threshold of 450 ms is left as it is.

--- a/cassiatally/router/answer.go
+++ b/cassiatally/router/answer.go
@@ -1,8 +1,6 @@
 package router
 
 import (
-	"slices"
-
 	"github.com/cassiatally/cassiatally/cassiatally"
 	"github.com/cassiatally/cassiatally/cassiatally/faultswitch"
 )
@@ -11,26 +9,21 @@
 // retries or redirects the request, or drops an answer that matches no attempt.
 func (r *Router) HandleAnswer(now cassiatally.Instant, from cassiatally.NodeID, a cassiatally.Answer) []cassiatally.Action {
 	p, ok := r.attempts[a.ID]
-	if !ok || p.target != from {
+	switch {
+	case ok && a.ID != p.attempt:
+		return r.handleSilentAnswer(now, from, p, a)
+	case !ok || p.target != from:
 		r.counts.LateAnswers++
 		return nil
 	}
-	if a.Request != 0 && a.Request != p.tag && !faultswitch.Off(faultswitch.AnswerTag) {
-		// The answer to this call may still arrive; without it the call ends at its deadline.
-		r.counts.ForeignAnswers++
+	a, ok = r.checkAnswer(now, from, p, p.tag, a)
+	if !ok {
 		return nil
 	}
-	if sentWithBody(a) && cassiatally.DigestOf(a.Body) != a.Digest {
-		r.counts.IncompleteAnswers++
-		a = incompleteAnswer(a, p)
-	}
-	r.recordLoads(now, p, a)
-	r.recordNotice(from, a)
 	p.reclaimRetries(a)
 	r.finishAttempt(now, p, cassiatally.CallResult{Took: now.Sub(p.sentAt), Failed: isEndpointFailure(a), Load: a.Endpoint})
 	if a.Kind == cassiatally.KindNone {
-		r.cfg.Budget.Succeeded(now, p.servicePair())
-		return r.deliver(now, p, a)
+		return r.succeed(now, p, a)
 	}
 	if p.isClaim {
 		return r.handleClaimFailure(now, p, a)
@@ -38,6 +31,31 @@
 	return r.handleFailure(now, p, a)
 }
 
+// checkAnswer records what an answer to an attempt with the given tag states. It returns
+// false for the answer to another call.
+func (r *Router) checkAnswer(now cassiatally.Instant, from cassiatally.NodeID, p *pending, tag cassiatally.RequestTag, a cassiatally.Answer) (cassiatally.Answer, bool) {
+	if a.Request != 0 && a.Request != tag && !faultswitch.Off(faultswitch.AnswerTag) {
+		// The answer to this call may still arrive; without it the call ends at its deadline.
+		r.counts.ForeignAnswers++
+		return a, false
+	}
+	if sentWithBody(a) && cassiatally.DigestOf(a.Body) != a.Digest {
+		r.counts.IncompleteAnswers++
+		a = incompleteAnswer(a, p)
+	}
+	r.recordLoads(now, p, a)
+	r.recordNotice(from, a)
+	return a, true
+}
+
+// succeed delivers a successful answer and cancels the other attempts.
+func (r *Router) succeed(now cassiatally.Instant, p *pending, a cassiatally.Answer) []cassiatally.Action {
+	r.cfg.Budget.Succeeded(now, p.servicePair())
+	actions := p.cancelAttempts(false)
+	r.finishAttempt(now, p, cassiatally.CallResult{Took: now.Sub(p.sentAt)})
+	return append(actions, r.deliver(now, p, a)...)
+}
+
 // sentWithBody reports whether the answer has a body or had one that was lost.
 func sentWithBody(a cassiatally.Answer) bool {
 	return len(a.Body) > 0 || a.Digest != cassiatally.Digest{}
@@ -109,20 +127,20 @@
 	}
 	p.endpointLost = p.endpointLost || isEndpointLoss(a.Kind)
 	if r.recalled {
-		return r.deliver(now, p, a)
+		return r.fail(now, p, a)
 	}
 	if a.RetryGranted && a.Outcome == cassiatally.OutcomeNotRun && p.grants < maxGrants && now.Before(p.req.Deadline) {
 		return r.resendGranted(now, p, a.Endpoint.Node)
 	}
 	if (!r.mayRetry(p, a) && !r.mayRedirect(p, a)) || now.Reached(p.req.Deadline) {
-		return r.deliver(now, p, a)
+		return r.fail(now, p, a)
 	}
 	if r.mayRedirect(p, a) {
 		p.avoid = append(p.avoid, a.Endpoint.Node)
 		return r.redirect(now, p)
 	}
 	if !r.spendRetry(now, p) {
-		return r.deliver(now, p, a)
+		return r.fail(now, p, a)
 	}
 	p.avoid = append(p.avoid, a.Endpoint.Node)
 	return r.sendRun(now, p)
@@ -247,55 +265,17 @@
 // within the retry budget, claims are sent again, and for all other calls the outcome
 // is queried.
 func (r *Router) LinkLost(now cassiatally.Instant, peer cassiatally.NodeRef) []cassiatally.Action {
-	var actions []cassiatally.Action
+	actions := r.dropSilentAttempts(now, peer.Node)
 	for _, p := range r.attemptsTo(peer.Node) {
 		actions = append(actions, r.handleLostAttempt(now, p)...)
 	}
 	return actions
 }
 
-// LinkSilent handles a node that sends nothing on an open link. Idempotent calls that
-// were sent there move to another endpoint if the retry budget allows it; the others
-// keep waiting, since an answer may still arrive.
-func (r *Router) LinkSilent(now cassiatally.Instant, peer cassiatally.NodeRef) []cassiatally.Action {
-	r.cfg.Balancer.MarkSilent(now, peer.Node)
-	if r.recalled {
-		return nil
-	}
-	var actions []cassiatally.Action
-	for _, p := range r.attemptsTo(peer.Node) {
-		if !p.isClaim && p.req.Policy.Idempotent && r.hasSendsLeft(p, 1) && r.hasOtherEndpoint(now, p) && r.spendRetry(now, p) {
-			actions = append(actions, r.resendFromSilent(now, p)...)
-		}
-	}
-	return actions
-}
-
-// hasOtherEndpoint reports whether there is an endpoint that the request was not sent
-// to.
-func (r *Router) hasOtherEndpoint(now cassiatally.Instant, p *pending) bool {
-	_, ok := r.cfg.Balancer.Choose(now, p.req.Service, append(slices.Clone(p.avoid), p.target))
-	return ok
-}
-
-// resendFromSilent sends a call to another endpoint and cancels it at the silent one.
-func (r *Router) resendFromSilent(now cassiatally.Instant, p *pending) []cassiatally.Action {
-	silent, attempt := p.target, p.attempt
-	p.retriesSpent += p.retriesDelegated
-	p.retriesDelegated = 0
-	p.mayHaveRun = true
-	p.sends++
-	p.endpointLost = true
-	p.avoid = append(p.avoid, silent)
-	r.finishAttempt(now, p, cassiatally.CallResult{Took: now.Sub(p.sentAt), Failed: true, Unreachable: true})
-	cancel := cassiatally.Send{To: silent, Message: cassiatally.Cancel{ID: attempt}}
-	return append(r.sendRun(now, p), cancel)
-}
-
 func (r *Router) attemptsTo(n cassiatally.NodeID) []*pending {
 	var out []*pending
-	for _, p := range r.attempts {
-		if p.target == n && !p.querying {
+	for id, p := range r.attempts {
+		if id == p.attempt && p.target == n && !p.querying {
 			out = append(out, p)
 		}
 	}
@@ -349,6 +329,9 @@
 		return nil
 	}
 	p, ok := r.attempts[call.ID]
+	if ok && call.ID != p.attempt {
+		return r.dropSilentAttempt(now, p, call.ID)
+	}
 	if !ok || p.target != to || p.querying {
 		return nil
 	}
@@ -359,7 +342,7 @@
 		return r.deferClaim(now, p)
 	}
 	if r.recalled {
-		return r.deliver(now, p, p.stopAnswer())
+		return r.fail(now, p, p.stopAnswer())
 	}
 	p.avoid = append(p.avoid, to)
 	switch _, other := r.cfg.Balancer.Choose(now, p.req.Service, p.avoid); {
--- a/cassiatally/router/router.go
+++ b/cassiatally/router/router.go
@@ -58,6 +58,8 @@
 	minRetryAfterFraction = 0.3
 )
 
+const expiredDetail = "the deadline passed before an answer came"
+
 // Config holds the identity, policies and sources that a router works with.
 type Config struct {
 	Self     cassiatally.NodeRef
@@ -137,6 +139,10 @@
 	sendKind cassiatally.SendKind
 	grants   int
 	avoid    []cassiatally.NodeID
+	// silent has the attempts that are still awaited although the request was sent to
+	// another endpoint, and failure the best failed answer so far while there are any.
+	silent  []silentAttempt
+	failure *cassiatally.Answer
 }
 
 // New returns a router without pending requests.
@@ -219,7 +225,7 @@
 		return r.deferRun(now, p)
 	}
 	if !ok {
-		return r.deliver(now, p, r.noEndpointAnswer(p))
+		return r.fail(now, p, r.noEndpointAnswer(p))
 	}
 	r.cfg.Balancer.Started(now, n)
 	return r.send(now, p, n, cassiatally.StageRun)
@@ -317,19 +323,28 @@
 }
 
 // Cancel drops a request whose submitter no longer waits for the answer, and cancels
-// its attempt.
+// its attempts.
 func (r *Router) Cancel(now cassiatally.Instant, id cassiatally.CallID) []cassiatally.Action {
 	p, ok := r.pending[id]
 	if !ok {
 		return nil
 	}
-	target, attempt := p.target, p.attempt
+	actions := p.cancelAttempts(false)
 	r.finishAttempt(now, p, cassiatally.CallResult{Took: now.Sub(p.sentAt)})
 	r.remove(p)
-	if target == "" {
-		return nil
+	return actions
+}
+
+// cancelAttempts returns the cancellations of all attempts that an endpoint may have.
+func (p *pending) cancelAttempts(queuedOnly bool) []cassiatally.Action {
+	var actions []cassiatally.Action
+	if p.target != "" {
+		actions = append(actions, cassiatally.Send{To: p.target, Message: cassiatally.Cancel{ID: p.attempt, QueuedOnly: queuedOnly}})
 	}
-	return []cassiatally.Action{cassiatally.Send{To: target, Message: cassiatally.Cancel{ID: attempt}}}
+	for _, s := range p.silent {
+		actions = append(actions, cassiatally.Send{To: s.target, Message: cassiatally.Cancel{ID: s.id, QueuedOnly: queuedOnly}})
+	}
+	return actions
 }
 
 // Tick processes the timers that are due.
@@ -361,6 +376,7 @@
 	case p.waiting && p.isClaim:
 		return r.sendClaim(now, p)
 	case p.waiting:
+		p.waiting = false
 		return r.sendRun(now, p)
 	case p.querying:
 		return r.queryRun(now, p)
@@ -371,10 +387,7 @@
 
 func (r *Router) expire(now cassiatally.Instant, p *pending) []cassiatally.Action {
 	answer := p.expiryAnswer()
-	var actions []cassiatally.Action
-	if p.target != "" {
-		actions = append(actions, cassiatally.Send{To: p.target, Message: cassiatally.Cancel{ID: p.attempt}})
-	}
+	actions := p.cancelAttempts(false)
 	r.finishAttempt(now, p, cassiatally.CallResult{Took: now.Sub(p.sentAt), Failed: true})
 	return append(actions, r.deliver(now, p, answer)...)
 }
@@ -382,6 +395,10 @@
 // expiryAnswer is the answer to a request whose deadline passed without one.
 func (p *pending) expiryAnswer() cassiatally.Answer {
 	switch {
+	case p.failure != nil && p.failure.Outcome == cassiatally.OutcomeRan:
+		return *p.failure
+	case len(p.silent) > 0:
+		return unknownOutcome(cassiatally.KindExpired, expiredDetail)
 	case p.target == "" && p.isClaim && p.req.Attempt != 1 && !faultswitch.Off(faultswitch.ClaimUnresolved):
 		return unknownOutcome(cassiatally.KindUnavailable, "no holder of the key's shard is in reach; look the key up later")
 	case p.target == "" && p.isClaim:
@@ -391,7 +408,7 @@
 	case p.isClaim || !p.req.Policy.Idempotent:
 		return unknownOutcome(cassiatally.KindOutcomeUnknown, "the deadline passed before an answer came; look the key up")
 	default:
-		return unknownOutcome(cassiatally.KindExpired, "the deadline passed before an answer came")
+		return unknownOutcome(cassiatally.KindExpired, expiredDetail)
 	}
 }
 
@@ -407,6 +424,9 @@
 	p.done = true
 	delete(r.pending, p.req.ID)
 	delete(r.attempts, p.attempt)
+	for _, s := range p.silent {
+		delete(r.attempts, s.id)
+	}
 }
 
 func (r *Router) deliver(now cassiatally.Instant, p *pending, a cassiatally.Answer) []cassiatally.Action {
--- a/cassiatally/router/stop.go
+++ b/cassiatally/router/stop.go
@@ -14,10 +14,10 @@
 		case p.isClaim:
 			// The holder of the key has the claim, whatever becomes of this node.
 		case p.target == "":
-			actions = append(actions, r.deliver(now, p, p.stopAnswer())...)
+			p.waiting = false
+			actions = append(append(actions, p.cancelAttempts(true)...), r.fail(now, p, p.stopAnswer())...)
 		default:
-			withdraw := cassiatally.Cancel{ID: p.attempt, QueuedOnly: true}
-			actions = append(actions, cassiatally.Send{To: p.target, Message: withdraw})
+			actions = append(actions, p.cancelAttempts(true)...)
 		}
 	}
 	return actions
@@ -29,9 +29,9 @@
 	var actions []cassiatally.Action
 	for _, p := range r.pending {
 		a := p.stopAnswer()
-		if p.target != "" {
+		if p.target != "" || len(p.silent) > 0 {
 			a = unknownOutcome(cassiatally.KindOutcomeUnknown, "the node stopped before an answer came")
-			actions = append(actions, cassiatally.Send{To: p.target, Message: cassiatally.Cancel{ID: p.attempt}})
+			actions = append(actions, p.cancelAttempts(false)...)
 		}
 		r.finishAttempt(now, p, cassiatally.CallResult{Took: now.Sub(p.sentAt)})
 		actions = append(actions, r.deliver(now, p, a)...)
