runner, router: keep the stalled runs of a node that stops

Cause: the node beside an endpoint without progress aborts idempotent runs that have less than a third of their age left. It did not know that the node which sent the call stops. Change: a node that begins to stop sends Cancel with keep for its calls in flight, and its later calls carry keep. Such runs are not aborted as stalled. Older nodes ignore the fields.

--- a/cassiatally/message.go
+++ b/cassiatally/message.go
@@ -57,6 +57,9 @@
 	// Progress is the number of onward calls that the run which makes this call has
 	// completed.
 	Progress uint8
+	// Keep is set when the sender stops: the run must not be aborted before its deadline
+	// unless it is cancelled.
+	Keep bool
 	// Notice is what the sender knows the backend server to have stated about itself; nil
 	// when that is nothing. The node beside it knows nothing after a restart.
 	Notice *Notice
@@ -128,6 +131,10 @@
 	// QueuedOnly withdraws the call if it has not been started, which its answer then
 	// states. A run in flight goes on, and its sender waits for the answer.
 	QueuedOnly bool
+	// Keep withdraws nothing: the sender stops, and the run of the call must not be aborted
+	// before its deadline. QueuedOnly is set too, since nodes without the field would cancel
+	// the run otherwise.
+	Keep bool
 }
 
 // RunQuery queries the outcome of a non-idempotent Call whose link was lost. A node that
--- a/cassiatally/protocol/codec_test.go
+++ b/cassiatally/protocol/codec_test.go
@@ -35,9 +35,10 @@
 	return []cassiatally.Message{
 		cassiatally.Hello{From: ref, DataCentre: "north", Address: "127.0.0.1:1", Fleet: "barrier"},
 		cassiatally.Ping{Seq: 1},
-		cassiatally.Call{ID: id, Stage: cassiatally.StageClaim, Root: cassiatally.RootID{1}, Service: "avail-svc", Work: "check", Tenant: "t", Rank: 1, Order: 0.25, Idempotent: true, Key: claim.Key, Remaining: time.Second, Retries: 2, Depth: 3, Attempt: 1, Head: cassiatally.Head{Method: "GET", Target: "/a?b", Fields: []cassiatally.Field{{Name: "A", Value: "b"}}}, Caller: "depot-svc", Name: "n", Repeated: true, Send: cassiatally.SendGranted, Progress: 2, Notice: &notice, Body: []byte("x"), Digest: cassiatally.DigestOf([]byte("x"))},
+		cassiatally.Call{ID: id, Stage: cassiatally.StageClaim, Root: cassiatally.RootID{1}, Service: "avail-svc", Work: "check", Tenant: "t", Rank: 1, Order: 0.25, Idempotent: true, Key: claim.Key, Remaining: time.Second, Retries: 2, Depth: 3, Attempt: 1, Head: cassiatally.Head{Method: "GET", Target: "/a?b", Fields: []cassiatally.Field{{Name: "A", Value: "b"}}}, Caller: "depot-svc", Name: "n", Repeated: true, Send: cassiatally.SendGranted, Progress: 2, Keep: true, Notice: &notice, Body: []byte("x"), Digest: cassiatally.DigestOf([]byte("x"))},
 		answer,
 		cassiatally.Cancel{ID: id, QueuedOnly: true},
+		cassiatally.Cancel{ID: id, QueuedOnly: true, Keep: true},
 		cassiatally.RunQuery{ID: id, Target: 7, Request: 11},
 		cassiatally.KeyQuery{ID: id, Key: claim.Key},
 		cassiatally.Gossip{From: ref, Reply: true, Members: []cassiatally.Member{member}, SheetVersion: 3, Crashes: []cassiatally.CrashReport{{Fingerprint: 1, Reporter: ref, Crashes: 2, Completed: true}}, ShardEpochs: 4, CrashNumber: 5, CrashAck: 6},
--- a/cassiatally/protocol/wirecalls.go
+++ b/cassiatally/protocol/wirecalls.go
@@ -61,6 +61,7 @@
 	Send       cassiatally.SendKind    `cbor:"23,keyasint,omitempty"`
 	Progress   uint8                   `cbor:"24,keyasint,omitempty"`
 	Notice     *wireNotice             `cbor:"25,keyasint,omitempty"`
+	Keep       bool                    `cbor:"26,keyasint,omitempty"`
 }
 
 func toCall(m cassiatally.Call) wireCall {
@@ -90,6 +91,7 @@
 		Send:       m.Send,
 		Progress:   m.Progress,
 		Notice:     convertPointer(m.Notice, toNotice),
+		Keep:       m.Keep,
 	}
 }
 
@@ -116,6 +118,7 @@
 		Send:       w.Send,
 		Progress:   w.Progress,
 		Notice:     convertPointer(w.Notice, fromNotice),
+		Keep:       w.Keep,
 		Body:       w.Body,
 		Digest:     w.Digest,
 	}
@@ -188,12 +191,14 @@
 type wireCancel struct {
 	ID         wireCallID `cbor:"1,keyasint,omitempty"`
 	QueuedOnly bool       `cbor:"2,keyasint,omitempty"`
+	Keep       bool       `cbor:"3,keyasint,omitempty"`
 }
 
 func toCancel(m cassiatally.Cancel) wireCancel {
 	return wireCancel{
 		ID:         toCallID(m.ID),
 		QueuedOnly: m.QueuedOnly,
+		Keep:       m.Keep,
 	}
 }
 
@@ -201,6 +206,7 @@
 	return cassiatally.Cancel{
 		ID:         fromCallID(w.ID),
 		QueuedOnly: w.QueuedOnly,
+		Keep:       w.Keep,
 	}
 }
 
--- a/cassiatally/router/answer.go
+++ b/cassiatally/router/answer.go
@@ -51,7 +51,7 @@
 // succeed delivers a successful answer and cancels the other attempts.
 func (r *Router) succeed(now cassiatally.Instant, p *pending, a cassiatally.Answer) []cassiatally.Action {
 	r.cfg.Budget.Succeeded(now, p.servicePair())
-	actions := p.cancelAttempts(false)
+	actions := p.cancelAttempts(cassiatally.Cancel{})
 	r.finishAttempt(now, p, cassiatally.CallResult{Took: now.Sub(p.sentAt)})
 	return append(actions, r.deliver(now, p, a)...)
 }
--- a/cassiatally/router/router.go
+++ b/cassiatally/router/router.go
@@ -105,6 +105,8 @@
 	incarnations map[cassiatally.NodeID]cassiatally.Incarnation
 	// firstRequestAt is when the first request was submitted.
 	firstRequestAt cassiatally.Instant
+	// leaving is set once Leave was called: the runs of calls are kept until their deadlines.
+	leaving bool
 	// recalled is set once Recall was called: nothing is sent to an endpoint any more.
 	recalled bool
 }
@@ -316,6 +318,7 @@
 		Repeated:   p.req.Repeated || p.mayHaveRun,
 		Send:       p.sendKind,
 		Progress:   p.req.Progress,
+		Keep:       r.leaving,
 		Notice:     r.notices[p.target],
 		Body:       p.req.Body,
 		Digest:     cassiatally.DigestOf(p.req.Body),
@@ -329,20 +332,23 @@
 	if !ok {
 		return nil
 	}
-	actions := p.cancelAttempts(false)
+	actions := p.cancelAttempts(cassiatally.Cancel{})
 	r.finishAttempt(now, p, cassiatally.CallResult{Took: now.Sub(p.sentAt)})
 	r.remove(p)
 	return actions
 }
 
-// cancelAttempts returns the cancellations of all attempts that an endpoint may have.
-func (p *pending) cancelAttempts(queuedOnly bool) []cassiatally.Action {
+// cancelAttempts returns a cancellation, with the id of each, for all attempts that an
+// endpoint may have.
+func (p *pending) cancelAttempts(c cassiatally.Cancel) []cassiatally.Action {
 	var actions []cassiatally.Action
 	if p.target != "" {
-		actions = append(actions, cassiatally.Send{To: p.target, Message: cassiatally.Cancel{ID: p.attempt, QueuedOnly: queuedOnly}})
+		c.ID = p.attempt
+		actions = append(actions, cassiatally.Send{To: p.target, Message: c})
 	}
 	for _, s := range p.silent {
-		actions = append(actions, cassiatally.Send{To: s.target, Message: cassiatally.Cancel{ID: s.id, QueuedOnly: queuedOnly}})
+		c.ID = s.id
+		actions = append(actions, cassiatally.Send{To: s.target, Message: c})
 	}
 	return actions
 }
@@ -387,7 +393,7 @@
 
 func (r *Router) expire(now cassiatally.Instant, p *pending) []cassiatally.Action {
 	answer := p.expiryAnswer()
-	actions := p.cancelAttempts(false)
+	actions := p.cancelAttempts(cassiatally.Cancel{})
 	r.finishAttempt(now, p, cassiatally.CallResult{Took: now.Sub(p.sentAt), Failed: true})
 	return append(actions, r.deliver(now, p, answer)...)
 }
--- a/cassiatally/router/stop.go
+++ b/cassiatally/router/stop.go
@@ -2,6 +2,19 @@
 
 import "github.com/cassiatally/cassiatally/cassiatally"
 
+// Leave is called when the node begins to stop. The runs of its calls, also of later ones,
+// are kept until their deadlines: it must not give up what an endpoint is working on.
+func (r *Router) Leave() []cassiatally.Action {
+	r.leaving = true
+	var actions []cassiatally.Action
+	for _, p := range r.pending {
+		if !p.isClaim {
+			actions = append(actions, p.cancelAttempts(cassiatally.Cancel{QueuedOnly: true, Keep: true})...)
+		}
+	}
+	return actions
+}
+
 // Recall is called when the node is about to stop, while runs in flight may still end in
 // time. Requests that wait at this node are refused, and those that were sent to an
 // endpoint are withdrawn unless they have been started; the node beside the endpoint
@@ -15,9 +28,9 @@
 			// The holder of the key has the claim, whatever becomes of this node.
 		case p.target == "":
 			p.waiting = false
-			actions = append(append(actions, p.cancelAttempts(true)...), r.fail(now, p, p.stopAnswer())...)
+			actions = append(append(actions, p.cancelAttempts(cassiatally.Cancel{QueuedOnly: true})...), r.fail(now, p, p.stopAnswer())...)
 		default:
-			actions = append(actions, p.cancelAttempts(true)...)
+			actions = append(actions, p.cancelAttempts(cassiatally.Cancel{QueuedOnly: true})...)
 		}
 	}
 	return actions
@@ -31,7 +44,7 @@
 		a := p.stopAnswer()
 		if p.target != "" || len(p.silent) > 0 {
 			a = unknownOutcome(cassiatally.KindOutcomeUnknown, "the node stopped before an answer came")
-			actions = append(actions, p.cancelAttempts(false)...)
+			actions = append(actions, p.cancelAttempts(cassiatally.Cancel{})...)
 		}
 		r.finishAttempt(now, p, cassiatally.CallResult{Took: now.Sub(p.sentAt)})
 		actions = append(actions, r.deliver(now, p, a)...)
--- a/cassiatally/router/stop_test.go
+++ b/cassiatally/router/stop_test.go
@@ -69,6 +69,21 @@
 	})
 }
 
+// Guards against runs that other nodes abort as stalled after this node has begun to stop.
+func TestLeave(t *testing.T) {
+	is := is.New(t)
+	h := newHarness([]cassiatally.NodeID{"b", "c"}, stubBudget{}, stubLoads{})
+	to, call := sent(t, h.Submit(start, request(true)))
+	is.True(!call.Keep)
+	is.Equal(h.Leave(), []cassiatally.Action{
+		cassiatally.Send{To: to, Message: cassiatally.Cancel{ID: call.ID, QueuedOnly: true, Keep: true}},
+	})
+	later := request(true)
+	later.ID.Seq++
+	_, call = sent(t, h.Submit(start, later))
+	is.True(call.Keep)
+}
+
 // Guards against a request that a stopping node leaves without an answer, or answers as
 // not run although an endpoint may be running it.
 func TestStop(t *testing.T) {
--- a/cassiatally/runner/stall.go
+++ b/cassiatally/runner/stall.go
@@ -30,7 +30,8 @@
 // any before, its age is the only evidence: it is assumed to be three times as
 // likely to need more than a third of its age again as less. A run that is cut off
 // at its deadline wastes all its work, while its slot could serve a call that has
-// enough time.
+// enough time. Runs for nodes that stop are kept, since their callers cannot come back to
+// the same node.
 func (r *Runner) abortStalledRuns(actions []cassiatally.Action, now cassiatally.Instant) []cassiatally.Action {
 	stall := stallFactor * r.limiter.TypicalSelfTime()
 	if stall == 0 || r.running < minStalledRuns || now.Sub(r.lastProgress) < stall {
@@ -42,7 +43,7 @@
 	}
 	for _, rec := range runs {
 		age := now.Sub(rec.started)
-		if rec.call.Idempotent && !rec.cancelled && age >= stall && rec.deadline.Sub(now) < age/ageDivisor {
+		if rec.call.Idempotent && !rec.call.Keep && !rec.cancelled && age >= stall && rec.deadline.Sub(now) < age/ageDivisor {
 			rec.cancelled, rec.abortedAsStalled = true, true
 			actions = append(actions, cassiatally.AbortRun{Call: rec.call.ID})
 		}
--- a/cassiatally/runner/stall_test.go
+++ b/cassiatally/runner/stall_test.go
@@ -54,6 +54,7 @@
 		{"enough time remains", 10, unchanged, 5 * stallRunTime / 2, 0},
 		{"few runs may take long by chance", 5, unchanged, 3*stallRunTime + time.Millisecond, 0},
 		{"non-idempotent run", 10, func(i int, c *cassiatally.Call) { c.Idempotent = i > 0 }, 3*stallRunTime + time.Millisecond, 9},
+		{"the sender of some stops", 10, func(i int, c *cassiatally.Call) { c.Keep = i < 3 }, 3*stallRunTime + time.Millisecond, 7},
 		{"some have more time", 10, func(i int, c *cassiatally.Call) {
 			if i < 4 {
 				c.Remaining = 10 * stallRunTime
@@ -70,6 +71,23 @@
 	}
 }
 
+// Guards against a run that is aborted although its node has begun to stop after it sent
+// the call: the caller would lose a request on which the backend server works.
+func TestRunsOfAStoppingSenderAreKept(t *testing.T) {
+	is := is.New(t)
+	const runs, kept = 10, 4
+	h := newStalledHarness(runs, func(int, *cassiatally.Call) {})
+	for i := range kept {
+		h.HandleKeep(call(uint64(100+i), "").ID)
+	}
+	ids := aborted(h.Tick(start.Add(3*stallRunTime + time.Millisecond)))
+	is.Equal(len(ids), runs-kept)
+	for _, id := range ids {
+		is.True(id.Seq >= 100+kept)
+	}
+	is.Equal(aborted(h.HandleCancel(start, call(100, "").ID)), []cassiatally.CallID{call(100, "").ID}) // its caller may leave
+}
+
 // Guards against runs that are aborted although others end or make onward calls.
 func TestProgressPreventsAborts(t *testing.T) {
 	for _, c := range []struct {
--- a/cassiatally/runner/stop.go
+++ b/cassiatally/runner/stop.go
@@ -22,6 +22,14 @@
 	return r.startQueued(now, r.finishCall(nil, now, rec, refused))
 }
 
+// HandleKeep keeps the run of a call from being aborted before its deadline, since the node
+// that sent the call stops.
+func (r *Runner) HandleKeep(id cassiatally.CallID) {
+	if rec, ok := r.records[id]; ok {
+		rec.call.Keep = true
+	}
+}
+
 // Stop aborts the runs that are left, which are answered when their results come, and
 // sends the answers that are withheld. Leave has to be called before.
 func (r *Runner) Stop(now cassiatally.Instant) []cassiatally.Action {
--- a/node/dispatcher/dispatcher.go
+++ b/node/dispatcher/dispatcher.go
@@ -77,6 +77,7 @@
 	}
 	withdrawEvent struct{ id cassiatally.CallID }
 	recallEvent   struct{}
+	leaveEvent    struct{}
 	stopEvent     struct{}
 	answerEvent   struct {
 		from   cassiatally.NodeID
@@ -160,6 +161,10 @@
 	d.inbox.Offer(withdrawEvent{id: id}, 0)
 }
 
+// Leave queues the start of a stop: endpoints keep the runs of this node's calls until
+// their deadlines. It blocks while the inbox is full.
+func (d *Dispatcher) Leave() { d.inbox.Push(context.Background(), leaveEvent{}) }
+
 // Recall queues the withdrawal of all requests that no endpoint has started, because the
 // node is about to stop. It blocks while the inbox is full.
 func (d *Dispatcher) Recall() { d.inbox.Push(context.Background(), recallEvent{}) }
@@ -236,6 +241,10 @@
 	d.carryOut(now, d.Router.Cancel(now, e.id))
 }
 
+func (leaveEvent) apply(d *Dispatcher, now cassiatally.Instant) {
+	d.carryOut(now, d.Router.Leave())
+}
+
 func (recallEvent) apply(d *Dispatcher, now cassiatally.Instant) {
 	d.carryOut(now, d.Router.Recall(now))
 }
--- a/node/executor/events.go
+++ b/node/executor/events.go
@@ -85,11 +85,14 @@
 }
 
 func (e cancelEvent) apply(x *Executor, now cassiatally.Instant) {
-	if e.cancel.QueuedOnly {
+	switch {
+	case e.cancel.Keep:
+		x.Runner.HandleKeep(e.cancel.ID)
+	case e.cancel.QueuedOnly:
 		x.carryOut(now, x.Runner.HandleRecall(now, e.cancel.ID))
-		return
+	default:
+		x.carryOut(now, x.Runner.HandleCancel(now, e.cancel.ID))
 	}
-	x.carryOut(now, x.Runner.HandleCancel(now, e.cancel.ID))
 }
 
 func (e queryEvent) apply(x *Executor, now cassiatally.Instant) {
--- a/node/gatekeeper/drain.go
+++ b/node/gatekeeper/drain.go
@@ -38,6 +38,7 @@
 	g.quotas.Leave()
 	g.members.Leave()
 	g.executor.Leave()
+	g.dispatcher.Leave()
 	g.forwarder.EndBy(g.Clock.Now().Add(p.AnswerAfter - answerMargin))
 	d := &drainer.Drainer{Clock: g.Clock, Idle: g.idle, Steps: []drainer.Step{
 		{After: min(p.RefuseAfter, p.RecallAfter), Do: g.forwarder.Refuse, Required: true},
--- a/node/supervisor/drain.go
+++ b/node/supervisor/drain.go
@@ -25,6 +25,7 @@
 	s.leaving.Store(true)
 	s.members.Leave()
 	s.executor.Leave()
+	s.dispatcher.Leave()
 	s.claims.Drain()
 	part := timeout / drainParts
 	d := &drainer.Drainer{Clock: s.Clock, Idle: s.drained, Steps: []drainer.Step{
