--- a/node/gatekeeper/drain.go
+++ b/node/gatekeeper/drain.go
@@ -38,9 +38,9 @@
 	g.quotas.Leave()
 	g.members.Leave()
 	g.executor.Leave()
-	g.dispatcher.Leave()
 	g.forwarder.EndBy(g.Clock.Now().Add(p.AnswerAfter - answerMargin))
 	d := &drainer.Drainer{Clock: g.Clock, Idle: g.idle, Steps: []drainer.Step{
+		{Do: g.dispatcher.Leave, Required: true},
 		{After: min(p.RefuseAfter, p.RecallAfter), Do: g.forwarder.Refuse, Required: true},
 		{After: p.RecallAfter, Do: g.recall},
 		{After: p.AnswerAfter, Do: g.dispatcher.Stop},
--- a/node/supervisor/drain.go
+++ b/node/supervisor/drain.go
@@ -25,10 +25,10 @@
 	s.leaving.Store(true)
 	s.members.Leave()
 	s.executor.Leave()
-	s.dispatcher.Leave()
 	s.claims.Drain()
 	part := timeout / drainParts
 	d := &drainer.Drainer{Clock: s.Clock, Idle: s.drained, Steps: []drainer.Step{
+		{Do: s.dispatcher.Leave, Required: true},
 		{After: recallPart * part, Do: s.dispatcher.Recall},
 		{After: answerPart * part, Do: s.dispatcher.Stop},
 		{After: answerPart*part + min(abortDelay, part/2), Do: s.executor.Stop},
