--- a/node/dispatcher/dispatcher.go
+++ b/node/dispatcher/dispatcher.go
@@ -317,7 +317,7 @@
 	}
 }
 
-// logRetry logs a call that may have been run before.
+// logRetry logs a call that is sent once more, as a retry of this node or a granted one.
 func (d *Dispatcher) logRetry(s cassiatally.Send) {
 	if c, ok := s.Message.(cassiatally.Call); ok && c.Send != cassiatally.SendFirst {
 		d.Logger.Info("call sent again", "request", c.Name, "call", c.ID, "to", s.To, "work", c.Work, "granted", c.Send == cassiatally.SendGranted, "may_have_run", c.Repeated, "left", c.Remaining)
--- a/node/linker/linker.go
+++ b/node/linker/linker.go
@@ -424,6 +424,8 @@
 	}
 }
 
+// notifySilent reports a link on which nothing has arrived for silence, while an answer has
+// been awaited for active.
 func (l *Linker) notifySilent(k *link, silence, active time.Duration) {
 	l.Logger.Info("link silent", "peer", k.peer, "outbound", k.outbound, "silence", silence, "active", active, "open_calls", k.calls.count())
 	if l.Silent != nil {
