--- a/cassiatally/router/stop.go
+++ b/cassiatally/router/stop.go
@@ -28,7 +28,8 @@
 			// The holder of the key has the claim, whatever becomes of this node.
 		case p.target == "":
 			p.waiting = false
-			actions = append(append(actions, p.cancelAttempts(cassiatally.Cancel{QueuedOnly: true})...), r.fail(now, p, p.stopAnswer())...)
+			actions = append(actions, p.cancelAttempts(cassiatally.Cancel{QueuedOnly: true})...)
+			actions = append(actions, r.fail(now, p, p.stopAnswer())...)
 		default:
 			actions = append(actions, p.cancelAttempts(cassiatally.Cancel{QueuedOnly: true})...)
 		}
